--- /dev/null
+++ b/src/sedgeshunt/__init__.py
@@ -0,0 +1,1 @@
+"""Proxy databases with session consistency, steered by labels."""
--- /dev/null
+++ b/src/sedgeshunt/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to callers, targets, platform and peers; hold no rule."""
--- /dev/null
+++ b/src/sedgeshunt/burn/__init__.py
@@ -0,0 +1,1 @@
+"""Report how fast the service-level error budget burns."""
--- /dev/null
+++ b/src/sedgeshunt/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the operators command line."""
--- /dev/null
+++ b/src/sedgeshunt/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what operators declare, and apply it only upwards."""
--- /dev/null
+++ b/src/sedgeshunt/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which target leads a group and which writes are durable."""
--- /dev/null
+++ b/src/sedgeshunt/groups/status.py
@@ -0,0 +1,37 @@
+"""Describe what one target says of itself in a single answer."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import Monotonic, TargetId, Term
+
+
+class Role(Enum):
+    """Name the part that a target plays in its group."""
+
+    PRIMARY = 'primary'
+    REPLICA = 'replica'
+    FENCED = 'fenced'
+
+
+@dataclass(frozen=True, slots=True)
+class TargetStatus:
+    """Hold one target's fencing term and log end, read together."""
+
+    # Both come from one answer: read apart, a record that arrives after the
+    # fence would count for the old term and be lost with the old primary.
+    target: TargetId
+    fencing_term: Term
+    log_end: Point
+    role: Role
+    following: TargetId | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """Hold a status with the reading taken before it was asked for."""
+
+    status: TargetStatus
+    asked_at: Monotonic
+    answered_at: Monotonic
--- /dev/null
+++ b/src/sedgeshunt/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Know which instances are there, leaving or gone."""
--- /dev/null
+++ b/src/sedgeshunt/ports.py
@@ -0,0 +1,284 @@
+"""Define what the decisions ask of targets, platform and peers."""
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from sedgeshunt.groups.status import TargetStatus
+from sedgeshunt.identifiers import (
+    GroupId,
+    ProxyId,
+    Revision,
+    Seconds,
+    TargetId,
+    Term,
+    ZoneId,
+)
+from sedgeshunt.requests.outcome import Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Hold an IP number and a port."""
+
+    host: str
+    port: int
+
+
+class TargetConnection(ABC):
+    """Run statements on one connection to one target."""
+
+    @abstractmethod
+    async def execute(self, sql: str) -> Answer:
+        """Run `sql`; raise TargetRejected, TargetReadOnly or TargetLost."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Drop the connection at once; closing twice does no harm."""
+
+
+class ControlConnection(ABC):
+    """Ask one target about its place in the group and change it."""
+
+    @abstractmethod
+    async def read_status(
+        self,
+        known: TargetStatus | None,
+        wait: Seconds,
+    ) -> TargetStatus:
+        """Answer once the status differs from `known` or `wait` is over."""
+
+    @abstractmethod
+    async def fence(self, term: Term) -> TargetStatus:
+        """Accept only a `term` above the target's; raise FenceRefused."""
+
+    @abstractmethod
+    async def promote(self, term: Term) -> TargetStatus:
+        """Lead in `term`, once, if fenced for it; raise FenceRefused."""
+
+    @abstractmethod
+    async def follow(self, term: Term, primary: TargetId) -> TargetStatus:
+        """Drop what `primary` lacks and copy it; raise FenceRefused."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Drop the connection at once; closing twice does no harm."""
+
+
+class TargetConnector(ABC):
+    """Open connections to the targets of one group."""
+
+    @abstractmethod
+    async def connect(
+        self,
+        target: TargetId,
+        address: Address,
+        group: GroupId,
+    ) -> TargetConnection:
+        """Open a connection; raise TargetUnreachable or TargetBusy."""
+
+    @abstractmethod
+    async def connect_control(
+        self,
+        target: TargetId,
+        address: Address,
+        group: GroupId,
+    ) -> ControlConnection:
+        """Open a control connection; raise TargetUnreachable."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyValue:
+    """Hold one key, its value and the revision that last changed it."""
+
+    key: str
+    value: bytes
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Hold all pairs under a prefix as of one revision."""
+
+    revision: Revision
+    pairs: Sequence[KeyValue]
+
+
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """Demand that `key` was last changed at `revision`; 0 means absent."""
+
+    key: str
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Write `value` under `key`, bound to a lease when one is given."""
+
+    key: str
+    value: bytes
+    lease: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    """Remove `key`."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class CommitResult:
+    """Tell whether all comparisons held, and the revision after it."""
+
+    succeeded: bool
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """Tell that one key changed; a value of None means it was removed."""
+
+    key: str
+    value: bytes | None
+    revision: Revision
+
+
+class KeyValueService(ABC):
+    """Keep what must last: compare-and-swap, leases and watches."""
+
+    @abstractmethod
+    async def list_prefix(self, prefix: str) -> Listing:
+        """Read all pairs under `prefix`; raise PlatformUnavailable."""
+
+    @abstractmethod
+    async def commit(
+        self,
+        compares: Sequence[Compare],
+        changes: Sequence[Put | Delete],
+    ) -> CommitResult:
+        """Apply all or nothing; raise PlatformUnavailable or AnswerLost."""
+
+    @abstractmethod
+    def watch(
+        self,
+        prefix: str,
+        after: Revision,
+    ) -> AsyncIterator[Sequence[WatchEvent]]:
+        """Yield changes past `after`; raise PlatformUnavailable at its end.
+
+        Raise WatchCompacted when `after` is no longer kept.
+        """
+
+    @abstractmethod
+    async def grant_lease(self, ttl: Seconds) -> int:
+        """Return a new lease's id; raise PlatformUnavailable."""
+
+    @abstractmethod
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; tell False when it has lapsed."""
+
+    @abstractmethod
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and remove the keys bound to it."""
+
+
+class WatchCompacted(Exception):
+    """Say that a watch must start anew from a listing."""
+
+
+class InstanceState(Enum):
+    """Tell what the platform says of an instance."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """Hold one line of the platform's list; the list lags."""
+
+    name: str
+    address: Address
+    zone: ZoneId
+    state: InstanceState
+
+
+class InstanceList(ABC):
+    """Read the platform's lagging list of instances."""
+
+    @abstractmethod
+    async def read_instances(self) -> Sequence[ListedInstance]:
+        """Return the list; raise PlatformUnavailable."""
+
+
+@dataclass(frozen=True, slots=True)
+class PrimaryReport:
+    """Tell when a peer last heard a group's primary, as an age."""
+
+    group: GroupId
+    term: Term
+    primary: TargetId | None
+    # Seconds since the answer to the newest status was asked for.
+    heard_ago: Seconds | None
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationCopy:
+    """Hold a peer's configuration in force, encoded as JSON."""
+
+    revision: Revision
+    document: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyReport:
+    """Hold what a proxy says of itself to peers and operators."""
+
+    proxy: ProxyId
+    zone: ZoneId
+    revision: Revision
+    stopping: bool
+    # JSON document with groups, targets, limits and counts.
+    document: bytes
+
+
+class PeerConnection(ABC):
+    """Call another proxy."""
+
+    @abstractmethod
+    async def report(self) -> ProxyReport:
+        """Ask what the proxy runs with; raise PeerUnreachable."""
+
+    @abstractmethod
+    async def report_primary(self, group: GroupId) -> PrimaryReport:
+        """Ask when the proxy heard the primary; raise PeerUnreachable."""
+
+    @abstractmethod
+    async def copy_configuration(
+        self,
+        known: Revision,
+    ) -> ConfigurationCopy | None:
+        """Ask for a newer configuration than `known`, None if it has none."""
+
+    @abstractmethod
+    async def announce_leaving(self, name: str) -> None:
+        """Tell the proxy that instance `name` is leaving."""
+
+    @abstractmethod
+    async def explain(self, question: bytes) -> bytes:
+        """Ask how the proxy would route; both sides are JSON documents."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Drop the connection at once; closing twice does no harm."""
+
+
+class PeerConnector(ABC):
+    """Open connections to other proxies."""
+
+    @abstractmethod
+    async def connect(self, address: Address) -> PeerConnection:
+        """Open a connection; raise PeerUnreachable."""
--- /dev/null
+++ b/src/sedgeshunt/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Carry a caller's request to its one outcome."""
--- /dev/null
+++ b/src/sedgeshunt/requests/outcome.py
@@ -0,0 +1,101 @@
+"""Name the outcomes that a caller can get: done, not run, unknown."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import Seconds, TargetId
+
+
+@dataclass(frozen=True, slots=True)
+class Column:
+    """Describe one column of an answer by its name and wire type."""
+
+    name: str
+    type_code: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold the whole answer to one statement."""
+
+    columns: Sequence[Column] = ()
+    rows: Sequence[Sequence[object]] = ()
+    affected_rows: int = 0
+    last_insert_id: int = 0
+    # The end of the log after a commit; a read brings none.
+    point: Point | None = None
+    served_by: TargetId | None = None
+    # The signed session token, set after a write or a commit.
+    token: str | None = None
+
+    def with_token(self, token: str) -> 'Answer':
+        """Return the same answer carrying `token`."""
+        return replace(self, token=token)
+
+
+class Cause(Enum):
+    """Name why a request got no answer, as metrics and logs show it."""
+
+    ATTRIBUTE = 'attribute'
+    TOKEN = 'token'
+    NO_GROUP = 'no-group'
+    NO_PRIMARY = 'no-primary'
+    NO_TARGET = 'no-target'
+    TOO_STALE = 'too-stale'
+    OVERLOAD = 'overload'
+    DEADLINE = 'deadline'
+    STOPPING = 'stopping'
+    SUPERSEDED = 'superseded'
+    NOT_DURABLE = 'not-durable'
+    CONNECTION_LOST = 'connection-lost'
+    STATEMENT = 'statement'
+    TRANSACTION_LOST = 'transaction-lost'
+    INVARIANT = 'invariant'
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Refuse a request that truly did not run, and say when to return."""
+
+    cause: Cause
+    reason: str
+    retry_after: Seconds = field(default=Seconds(0.1))
+
+    def describe(self) -> str:
+        """Tell the caller what happened and what to do next."""
+        wait = int(self.retry_after * 1000)
+        return f'not run: {self.reason}; come back in {wait} ms'
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """Say that a request was sent and that no proof of its fate exists."""
+
+    cause: Cause
+    reason: str
+
+    def describe(self) -> str:
+        """Tell the caller what happened and what to do next."""
+        return (
+            f'outcome unknown: {self.reason}; '
+            + 'check with a read before asking again, or ask again with '
+            + 'the same request id'
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """Pass on a target's own error: the statement failed and left nothing."""
+
+    code: int
+    sqlstate: str
+    reason: str
+
+    def describe(self) -> str:
+        """Repeat the target's message unchanged."""
+        return self.reason
+
+
+Refusal = NotRun | Unknown | Rejected
--- /dev/null
+++ b/src/sedgeshunt/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose the target for a read and say why."""
