--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup demo test bench soak capacity format lint
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $@
+
+setup: $(VENV)/.ready
+
+demo: setup
+	$(BIN)/python -m examples.demo.main
+
+test: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m tests.main
+
+bench: setup
+	$(BIN)/python -m benchmarks.main
+
+soak: setup
+	$(BIN)/python -m tests.soak --histories $(or $(HISTORIES),1000) --first-seed $(or $(SEED),1)
+
+capacity: setup
+	$(BIN)/python -m benchmarks.capacity
+
+format: setup
+	$(BIN)/ruff format .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 src tests benchmarks examples
+	$(BIN)/mypy src tests benchmarks examples
--- /dev/null
+++ b/src/sedgeshunt/burn/buckets.py
@@ -0,0 +1,160 @@
+"""Define the time buckets in which outcomes are counted."""
+
+from typing import NamedTuple
+from zlib import compress, decompress
+from zlib import error as ZlibError
+
+from msgspec import DecodeError, Raw, Struct, field
+from msgspec.msgpack import Decoder, Encoder
+
+from sedgeshunt.identifiers import (
+    GroupId,
+    Monotonic,
+    ProxyId,
+    Seconds,
+    TargetId,
+    TrafficClass,
+)
+
+FINE_WIDTH = 10
+FINE_HORIZON = Seconds(3600)
+COARSE_WIDTH = 300
+COARSE_HORIZON = Seconds(3 * 24 * 3600)
+HORIZONS = {FINE_WIDTH: FINE_HORIZON, COARSE_WIDTH: COARSE_HORIZON}
+# Different kinds counted in one bucket; further ones go without a target.
+MAX_KINDS = 256
+
+# Latencies are counted in steps of an eighth of a power of two.
+_UNITS_PER_SECOND = 10000
+_SUBSTEP_BITS = 3
+# The names in it repeat from bucket to bucket.
+_COMPRESSION = 1
+
+
+class OutcomeKind(NamedTuple):
+    """Tell alike outcomes from others."""
+
+    traffic_class: TrafficClass
+    outcome: str
+    cause: str
+    target: TargetId
+
+
+_Kind = tuple[TrafficClass, str, str, TargetId]
+
+
+class OutcomeCell(Struct, array_like=True):
+    """Count the outcomes of one kind, and their latencies by step."""
+
+    kind: OutcomeKind
+    count: int
+    # Kept for answers only.
+    steps: dict[int, int] = field(default_factory=dict)
+
+    def add(self, other: 'OutcomeCell') -> None:
+        """Add the counts of another cell of the same kind."""
+        self.count += other.count
+        for step, count in other.steps.items():
+            self.steps[step] = self.steps.get(step, 0) + count
+
+
+class Gap(Struct, frozen=True, array_like=True):
+    """Hold a span in which a group took no writes, and when it ended."""
+
+    group: GroupId
+    seconds: Seconds
+    ended_at: Monotonic
+
+
+class BucketKey(Struct, frozen=True, array_like=True):
+    """Place a bucket on the clock of the proxy that counted."""
+
+    width: int
+    sequence: int
+
+
+class Bucket(Struct, array_like=True):
+    """Hold what one proxy counted in one span of its clock."""
+
+    width: int
+    sequence: int
+    cells: list[OutcomeCell]
+    gaps: list[Gap]
+
+
+class TallyDocument(Struct):
+    """Hold one proxy's buckets as they travel."""
+
+    proxy: ProxyId
+    # Tells the runs of one proxy apart: each has a clock of its own.
+    incarnation: str
+    # The proxy's clock when it wrote the document.
+    clock: Monotonic
+    buckets: list[Raw]
+    # Time since then, set by a peer that passes on its copy.
+    waited: Seconds = Seconds(0)
+
+
+class OpenBucket(Struct):
+    """Count into a bucket that is not over yet."""
+
+    # Found by a plain tuple too, which costs less to make than a kind.
+    cells: dict[_Kind, OutcomeCell] = field(default_factory=dict)
+    gaps: list[Gap] = field(default_factory=list)
+
+    def absorb(self, other: 'OpenBucket') -> None:
+        """Add the counts of a bucket that lies within this one."""
+        for kind, cell in other.cells.items():
+            own = self.cells.get(kind)
+            if own is None:
+                own = OutcomeCell(cell.kind, 0)
+                self.cells[kind] = own
+            own.add(cell)
+        self.gaps.extend(other.gaps)
+
+    def encode(self, key: BucketKey) -> bytes:
+        """Write the counts as a finished bucket."""
+        cells = list(self.cells.values())
+        return _encoder.encode(
+            Bucket(key.width, key.sequence, cells, self.gaps),
+        )
+
+    def __bool__(self) -> bool:
+        """Tell whether anything was counted."""
+        return bool(self.cells or self.gaps)
+
+
+_encoder = Encoder()
+_document_decoder = Decoder(TallyDocument)
+_bucket_decoder = Decoder(Bucket)
+_key_decoder = Decoder(BucketKey)
+
+
+def encode_document(document: TallyDocument) -> bytes:
+    """Write a document as it travels, compressed."""
+    return compress(_encoder.encode(document), _COMPRESSION)
+
+
+def decode_document(encoded: bytes) -> TallyDocument:
+    """Read a document; raise msgspec.DecodeError if it is none."""
+    try:
+        return _document_decoder.decode(decompress(encoded))
+    except ZlibError as fault:
+        raise DecodeError(str(fault)) from fault
+
+
+def decode_bucket(encoded: Raw) -> Bucket:
+    """Read one bucket of a document."""
+    return _bucket_decoder.decode(encoded)
+
+
+def decode_key(encoded: Raw) -> BucketKey:
+    """Read only the place of a bucket."""
+    return _key_decoder.decode(encoded)
+
+
+def compute_step(latency: Seconds) -> int:
+    """Return the number of the step that `latency` falls in."""
+    units = int(latency * _UNITS_PER_SECOND)
+    shift = max(0, units.bit_length() - _SUBSTEP_BITS - 1)
+    return (shift << _SUBSTEP_BITS) + (units >> shift)
--- /dev/null
+++ b/src/sedgeshunt/burn/tally.py
@@ -0,0 +1,167 @@
+"""Count the outcomes of one proxy's statements over time."""
+
+from collections import deque
+from secrets import token_hex
+from typing import NamedTuple
+
+from msgspec import Raw
+
+from sedgeshunt.burn.buckets import (
+    COARSE_HORIZON,
+    COARSE_WIDTH,
+    FINE_WIDTH,
+    HORIZONS,
+    MAX_KINDS,
+    BucketKey,
+    Gap,
+    OpenBucket,
+    OutcomeCell,
+    OutcomeKind,
+    TallyDocument,
+    compute_step,
+    encode_document,
+)
+from sedgeshunt.burn.objectives import ANSWERED, CALLER_CAUSES
+from sedgeshunt.identifiers import (
+    GroupId,
+    Monotonic,
+    ProxyId,
+    Seconds,
+    TargetId,
+    TrafficClass,
+)
+
+OTHER_CLASS = TrafficClass('other')
+_INCARNATION_BYTES = 8
+NO_TARGET = TargetId('')
+
+
+class _Sealed(NamedTuple):
+    key: BucketKey
+    encoded: bytes
+
+
+class Tally:
+    """Keep counts in memory: ten-second ones for an hour, others for days."""
+
+    def __init__(self, proxy: str, incarnation: str | None = None) -> None:
+        """Start empty; each run of a proxy has an incarnation of its own."""
+        self._proxy = ProxyId(proxy)
+        self._incarnation = incarnation or token_hex(_INCARNATION_BYTES)
+        self._fine = OpenBucket()
+        self._coarse = OpenBucket()
+        self._fine_key = BucketKey(FINE_WIDTH, 0)
+        self._coarse_key = BucketKey(COARSE_WIDTH, 0)
+        # The first count moves all to its own time.
+        self._ends_at: float = 0
+        # Kept encoded: as objects, three days of counts take many times the
+        # memory of a small instance's share for them.
+        self._sealed: dict[int, deque[_Sealed]] = {
+            FINE_WIDTH: deque(),
+            COARSE_WIDTH: deque(),
+        }
+
+    def note(
+        self,
+        traffic_class: TrafficClass,
+        outcome: str,
+        cause: str,
+        target: TargetId,
+        latency: Seconds,
+        now: Monotonic,
+    ) -> None:
+        """Count one outcome; called for every statement."""
+        if now >= self._ends_at:
+            self._roll(now)
+        if cause in CALLER_CAUSES:
+            # The class itself may be wrong: one made up for each request
+            # would fill the memory with counts of one.
+            traffic_class = OTHER_CLASS
+        cell = self._fine.cells.get((traffic_class, outcome, cause, target))
+        if cell is None:
+            cell = self._add_cell(
+                OutcomeKind(traffic_class, outcome, cause, target),
+            )
+        cell.count += 1
+        if outcome in ANSWERED:
+            step = compute_step(latency)
+            cell.steps[step] = cell.steps.get(step, 0) + 1
+
+    def note_gap(
+        self,
+        group: GroupId,
+        seconds: Seconds,
+        now: Monotonic,
+    ) -> None:
+        """Take down a span without writes that has just ended."""
+        if now >= self._ends_at:
+            self._roll(now)
+        if len(self._fine.gaps) < MAX_KINDS:
+            self._fine.gaps.append(Gap(group, seconds, now))
+
+    def encode(self, now: Monotonic, since: Seconds | None = None) -> bytes:
+        """Write the counts, only those of the last `since` if it is given."""
+        self._roll(now)
+        reach = COARSE_HORIZON if since is None else since
+        oldest = now - reach
+        buckets = [
+            Raw(sealed.encoded)
+            for kept in self._sealed.values()
+            for sealed in kept
+            if _compute_end(sealed.key) >= oldest
+        ]
+        buckets += self._encode_open()
+        return encode_document(
+            TallyDocument(self._proxy, self._incarnation, now, buckets),
+        )
+
+    def _add_cell(self, kind: OutcomeKind) -> OutcomeCell:
+        cells = self._fine.cells
+        if len(cells) >= MAX_KINDS:
+            kind = kind._replace(target=NO_TARGET)
+        return cells.setdefault(kind, OutcomeCell(kind, 0))
+
+    def _encode_open(self) -> list[Raw]:
+        coarse = OpenBucket()
+        coarse.absorb(self._coarse)
+        coarse.absorb(self._fine)
+        if not coarse:
+            return []
+        return [
+            Raw(self._fine.encode(self._fine_key)),
+            Raw(coarse.encode(self._coarse_key)),
+        ]
+
+    def _roll(self, now: Monotonic) -> None:
+        if now < self._ends_at:
+            return
+        self._seal(self._fine_key, self._fine, now)
+        self._coarse.absorb(self._fine)
+        self._fine = OpenBucket()
+        self._fine_key = _place(FINE_WIDTH, now)
+        self._ends_at = _compute_end(self._fine_key)
+        if now >= _compute_end(self._coarse_key):
+            self._seal(self._coarse_key, self._coarse, now)
+            self._coarse = OpenBucket()
+            self._coarse_key = _place(COARSE_WIDTH, now)
+
+    def _seal(
+        self,
+        key: BucketKey,
+        counted: OpenBucket,
+        now: Monotonic,
+    ) -> None:
+        kept = self._sealed[key.width]
+        if counted:
+            kept.append(_Sealed(key, counted.encode(key)))
+        oldest = now - HORIZONS[key.width]
+        while kept and _compute_end(kept[0].key) < oldest:
+            kept.popleft()
+
+
+def _place(width: int, now: Monotonic) -> BucketKey:
+    return BucketKey(width, int(now // width))
+
+
+def _compute_end(key: BucketKey) -> float:
+    return (key.sequence + 1) * key.width
--- /dev/null
+++ b/src/sedgeshunt/configuration/active.py
@@ -0,0 +1,174 @@
+"""Hold the configuration in force and let it move only upwards."""
+
+from asyncio import Event
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+from result import Err
+
+from sedgeshunt.configuration.edits import (
+    Edits,
+    change_snapshot,
+    find_object,
+)
+from sedgeshunt.configuration.encoding import (
+    decode_object,
+    decode_snapshot,
+    encode_snapshot,
+)
+from sedgeshunt.configuration.keys import ObjectKey, read_path
+from sedgeshunt.configuration.objects import ConfigurationObject
+from sedgeshunt.configuration.snapshot import Snapshot
+from sedgeshunt.configuration.store import StoredConfiguration, read_listing
+from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.identifiers import Revision
+from sedgeshunt.ports import ConfigurationCopy, Listing, WatchEvent
+
+
+class WatchDisordered(Exception):
+    """Say that a watch went backwards and that events may be missing."""
+
+
+class ActiveConfiguration:
+    """Replace the snapshot in force whole, by newer ones only."""
+
+    def __init__(
+        self,
+        on_change: Callable[[Snapshot], None],
+        decisions: DecisionLog,
+    ) -> None:
+        """Start with nothing declared."""
+        self.snapshot = Snapshot()
+        self._on_change = on_change
+        self._decisions = decisions
+        # The store's own revision runs ahead of the snapshot's, as it counts
+        # writes to other keys too.
+        self._read_up_to = Revision(0)
+        self._applied = Event()
+        self._copy = ConfigurationCopy(Revision(0), b'')
+
+    @property
+    def known(self) -> Revision:
+        """Return the store's revision up to which all changes are known."""
+        return max(self._read_up_to, self.snapshot.revision)
+
+    async def wait_revision(self, revision: Revision) -> Snapshot:
+        """Wait until `revision` or a newer one is in force."""
+        while self.snapshot.revision < revision:
+            await self._applied.wait()
+        return self.snapshot
+
+    def encode_copy(self, known: Revision) -> ConfigurationCopy | None:
+        """Return the snapshot for a peer, None if `known` is as new."""
+        revision = self.snapshot.revision
+        if revision <= known:
+            return None
+        if self._copy.revision != revision:
+            document = encode_snapshot(self.snapshot)
+            self._copy = ConfigurationCopy(revision, document)
+        return self._copy
+
+    def take_listing(self, listing: Listing) -> bool:
+        """Put a listing in force; refuse one that is older."""
+        # A restarted watch may land on a member of the service that lags. Its
+        # listing would take back changes that operators saw in force.
+        if listing.revision < self.known:
+            self._refuse('listing', f'revision {listing.revision} is older')
+            return False
+        listed = self._keep_unreadable(read_listing(listing))
+        self._read_up_to = listing.revision
+        if listed.revision <= self.snapshot.revision:
+            # A deletion that went past the command line leaves no newer key.
+            listed = replace(listed, revision=self.snapshot.revision)
+            if listed == self.snapshot:
+                return True
+            listed = replace(listed, revision=listing.revision)
+        self._put_in_force(listed, 'listing')
+        return True
+
+    def take_copy(self, copy: ConfigurationCopy) -> bool:
+        """Put a peer's configuration in force if it is newer."""
+        decoded = decode_snapshot(copy.document)
+        if isinstance(decoded, Err):
+            self._refuse('peer', decoded.err_value)
+            return False
+        if decoded.ok_value.revision <= self.snapshot.revision:
+            self._refuse('peer', f'revision {copy.revision} is not newer')
+            return False
+        self._put_in_force(decoded.ok_value, 'peer')
+        return True
+
+    def take_events(self, events: Sequence[WatchEvent]) -> None:
+        """Put changes in force; raise WatchDisordered."""
+        revisions = [event.revision for event in events]
+        if not revisions:
+            return
+        # Events that come late belong before what is in force already:
+        # applying them would revert newer ones, dropping them would lose
+        # theirs. Only a listing tells what holds.
+        if revisions[0] <= self._read_up_to or revisions != sorted(revisions):
+            raise WatchDisordered
+        self._read_up_to = revisions[-1]
+        # A peer's copy may have brought some of them before the watch did.
+        newer = [
+            event for event in events if event.revision > self.snapshot.revision
+        ]
+        if newer:
+            edits = self._read_edits(newer)
+            changed = change_snapshot(self.snapshot, revisions[-1], edits)
+            self._put_in_force(changed, 'watch')
+
+    def _read_edits(self, events: Sequence[WatchEvent]) -> Edits:
+        edits: dict[ObjectKey, ConfigurationObject | None] = {}
+        for event in events:
+            key = read_path(event.key)
+            if key is None:
+                continue
+            if event.value is None:
+                edits[key] = None
+                continue
+            decoded = decode_object(key, event.value)
+            if isinstance(decoded, Err):
+                self._refuse('watch', f'{key}: {decoded.err_value}')
+            else:
+                edits[key] = decoded.ok_value
+        return edits
+
+    def _keep_unreadable(self, stored: StoredConfiguration) -> Snapshot:
+        # One damaged value must neither take an object away from callers nor
+        # hold up all other changes.
+        kept: dict[ObjectKey, ConfigurationObject | None] = {}
+        for key, reason in stored.unreadable.items():
+            self._refuse('listing', f'{key}: {reason}')
+            kept[key] = find_object(self.snapshot, key)
+        return change_snapshot(stored.snapshot, stored.snapshot.revision, kept)
+
+    def _put_in_force(self, snapshot: Snapshot, source: str) -> None:
+        before = self.snapshot.revision
+        self.snapshot = snapshot
+        self._decisions.record(
+            Decision(
+                DecisionKind.CONFIGURATION_APPLIED,
+                reasons={
+                    'revision': str(snapshot.revision),
+                    'before': str(before),
+                    'source': source,
+                },
+            ),
+        )
+        self._on_change(snapshot)
+        # Whoever waits holds the old event and looks again.
+        self._applied.set()
+        self._applied = Event()
+
+    def _refuse(self, source: str, reason: str) -> None:
+        self._decisions.record(
+            Decision(
+                DecisionKind.CONFIGURATION_REFUSED,
+                reasons={
+                    'in_force': str(self.snapshot.revision),
+                    'source': source,
+                    'why': reason,
+                },
+            ),
+        )
--- /dev/null
+++ b/src/sedgeshunt/configuration/edits.py
@@ -0,0 +1,126 @@
+"""Derive one revision of the configuration from the one before."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+from typing import Any
+
+from sedgeshunt.configuration.keys import ObjectKey
+from sedgeshunt.configuration.objects import (
+    ConfigurationObject,
+    ObjectKind,
+    Target,
+)
+from sedgeshunt.configuration.snapshot import Snapshot
+from sedgeshunt.identifiers import GroupId, Revision, TargetId
+
+# None removes the object.
+Edits = Mapping[ObjectKey, ConfigurationObject | None]
+
+_SNAPSHOT_FIELDS = {
+    ObjectKind.GROUP: 'groups',
+    ObjectKind.TARGET: 'targets',
+    ObjectKind.PROXY: 'proxies',
+    ObjectKind.ROUTE: 'routes',
+    ObjectKind.OBJECTIVE: 'objectives',
+}
+
+
+def find_object(
+    snapshot: Snapshot,
+    key: ObjectKey,
+) -> ConfigurationObject | None:
+    """Return the object under `key`, None when there is none."""
+    return list_kind(snapshot, key.kind).get(key.name)
+
+
+def list_kind(
+    snapshot: Snapshot,
+    kind: ObjectKind,
+) -> Mapping[str, ConfigurationObject]:
+    """Return the objects of one kind by name."""
+    objects: Mapping[str, ConfigurationObject] = getattr(
+        snapshot,
+        _SNAPSHOT_FIELDS[kind],
+    )
+    return objects
+
+
+def change_snapshot(
+    before: Snapshot,
+    revision: Revision,
+    edits: Edits,
+) -> Snapshot:
+    """Return a new snapshot; `before` stays as it is for its readers."""
+    changed: dict[str, Any] = {
+        name: _change_kind(before, kind, edits)
+        for kind, name in _SNAPSHOT_FIELDS.items()
+        if any(key.kind is kind for key in edits)
+    }
+    after = replace(before, revision=revision, **changed)
+    # Filled in place of the property's own work, which sorts all targets
+    # anew; over thousands of changes a day callers would feel the pauses.
+    after.__dict__['members'] = _change_members(before, after, edits)
+    return after
+
+
+def _change_kind(
+    before: Snapshot,
+    kind: ObjectKind,
+    edits: Edits,
+) -> dict[str, ConfigurationObject]:
+    changed = dict(list_kind(before, kind))
+    for key, declared in edits.items():
+        if key.kind is not kind:
+            continue
+        changed.pop(key.name, None)
+        if declared is not None:
+            changed[key.name] = declared
+    return changed
+
+
+def _change_members(
+    before: Snapshot,
+    after: Snapshot,
+    edits: Edits,
+) -> dict[GroupId, tuple[Target, ...]]:
+    edited = {key.name for key in edits if key.kind is ObjectKind.TARGET}
+    members = {
+        group: _list_members(before, after, edited, group)
+        for group in _list_groups((before, after), edited)
+    }
+    return {**before.members, **members}
+
+
+def _list_members(
+    before: Snapshot,
+    after: Snapshot,
+    edited: set[str],
+    group: GroupId,
+) -> tuple[Target, ...]:
+    listed = [
+        target
+        for target in before.members.get(group, ())
+        if target.name not in edited
+    ]
+    listed.extend(_find_targets(after, edited, group))
+    return tuple(sorted(listed, key=lambda target: target.name))
+
+
+def _list_groups(
+    snapshots: Iterable[Snapshot],
+    names: Iterable[str],
+) -> set[GroupId]:
+    groups: set[GroupId] = set()
+    for snapshot in snapshots:
+        found = (snapshot.targets.get(TargetId(name)) for name in names)
+        groups.update(target.group for target in found if target)
+    return groups
+
+
+def _find_targets(
+    snapshot: Snapshot,
+    names: Iterable[str],
+    group: GroupId,
+) -> list[Target]:
+    found = (snapshot.targets.get(TargetId(name)) for name in names)
+    return [target for target in found if target and target.group == group]
--- /dev/null
+++ b/src/sedgeshunt/configuration/encoding.py
@@ -0,0 +1,102 @@
+"""Turn objects and whole snapshots into JSON and back."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from msgspec import DecodeError, ValidationError, convert
+from msgspec.json import decode, encode
+from msgspec.structs import fields
+from result import Err, Ok, Result
+
+from sedgeshunt.configuration.edits import change_snapshot
+from sedgeshunt.configuration.keys import OBJECT_TYPES, ObjectKey
+from sedgeshunt.configuration.objects import ConfigurationObject, ObjectKind
+from sedgeshunt.configuration.snapshot import Snapshot
+from sedgeshunt.identifiers import Revision
+
+_REVISION = 'revision'
+_FIELD_NAMES = {
+    kind: frozenset(known.name for known in fields(kind_type))
+    for kind, kind_type in OBJECT_TYPES.items()
+}
+
+
+def encode_object(declared: ConfigurationObject) -> bytes:
+    """Return the object as JSON."""
+    return encode(declared)
+
+
+def decode_object(
+    key: ObjectKey,
+    value: bytes,
+) -> Result[ConfigurationObject, str]:
+    """Read the object that stands under `key` from JSON."""
+    try:
+        table = decode(value, type=dict[str, Any])
+    except (DecodeError, UnicodeDecodeError) as failure:
+        return Err(f'no JSON object: {failure}')
+    built = _build_object(key.kind, table)
+    if isinstance(built, Ok) and built.ok_value.name != key.name:
+        return Err(f'it is named {built.ok_value.name} inside')
+    return built
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the whole snapshot as one JSON document."""
+    document: dict[str, object] = {_REVISION: snapshot.revision}
+    for kind in ObjectKind:
+        document[kind.value] = []
+    for declared in snapshot.list_objects():
+        listed = document[ObjectKey.of(declared).kind.value]
+        if isinstance(listed, list):
+            listed.append(declared)
+    return encode(document)
+
+
+def decode_snapshot(document: bytes) -> Result[Snapshot, str]:
+    """Read a whole snapshot; one bad object refuses all of it."""
+    try:
+        tables = decode(document, type=dict[str, Any])
+        revision = Revision(convert(tables.get(_REVISION), int))
+        objects = _build_objects(tables)
+    except (DecodeError, UnicodeDecodeError) as failure:
+        return Err(f'no configuration document: {failure}')
+    return Ok(build_snapshot(revision, objects))
+
+
+def build_snapshot(
+    revision: Revision,
+    objects: Iterable[ConfigurationObject],
+) -> Snapshot:
+    """Return a snapshot of exactly `objects`."""
+    edits: dict[ObjectKey, ConfigurationObject | None] = {
+        ObjectKey.of(declared): declared for declared in objects
+    }
+    return change_snapshot(Snapshot(), revision, edits)
+
+
+def _build_objects(tables: Mapping[str, Any]) -> list[ConfigurationObject]:
+    objects = []
+    for kind in ObjectKind:
+        for table in convert(tables.get(kind.value, []), list[dict[str, Any]]):
+            match _build_object(kind, table):
+                case Ok(declared):
+                    objects.append(declared)
+                case Err(reason):
+                    raise ValidationError(f'{kind.value}: {reason}')
+    return objects
+
+
+def _build_object(
+    kind: ObjectKind,
+    table: Mapping[str, Any],
+) -> Result[ConfigurationObject, str]:
+    # During an upgrade a newer client writes fields that this version does
+    # not know. Refusing them would freeze the older proxies' configuration,
+    # so they are passed over; operator files stay strict about them.
+    known = _FIELD_NAMES[kind]
+    kept = {name: value for name, value in table.items() if name in known}
+    try:
+        return Ok(convert(kept, OBJECT_TYPES[kind]))
+    except ValidationError as failure:
+        return Err(str(failure))
--- /dev/null
+++ b/src/sedgeshunt/configuration/placement_checks.py
@@ -0,0 +1,124 @@
+"""Check where groups, targets and proxies stand."""
+
+from collections.abc import Iterator
+from ipaddress import ip_address
+
+from sedgeshunt.configuration.objects import Group, Proxy, Target
+from sedgeshunt.configuration.problems import (
+    Problem,
+    note_error,
+    note_warning,
+)
+from sedgeshunt.configuration.reach import Reach
+from sedgeshunt.configuration.snapshot import Snapshot
+from sedgeshunt.connections.shares import NEWCOMER_CONNECTIONS
+from sedgeshunt.ports import Address
+
+LAST_PORT = 65535
+# A majority survives the loss of one target only among three or more.
+FEWEST_TARGETS = 3
+# A seat needs one connection for control and one for work.
+CONNECTIONS_PER_SEAT = 2
+
+
+def check_addresses(snapshot: Snapshot) -> Iterator[Problem]:
+    """Find addresses that cannot be used or are used twice."""
+    first: dict[Address, Target | Proxy] = {}
+    instances: list[Target | Proxy] = list(snapshot.targets.values())
+    instances.extend(snapshot.proxies.values())
+    for declared in instances:
+        address = read_address(declared)
+        yield from _check_address(declared, address)
+        rival = first.setdefault(address, declared)
+        if rival is not declared:
+            yield note_error(
+                declared,
+                f'{address.host}:{address.port} belongs to {rival.name} '
+                + 'already; correct one of the two',
+            )
+
+
+def check_groups(snapshot: Snapshot) -> Iterator[Problem]:
+    """Find groups without enough targets, and limits that cannot be kept."""
+    for target in snapshot.targets.values():
+        if target.group not in snapshot.groups:
+            yield note_error(
+                target,
+                f'group "{target.group}" is not declared; add a [[group]] '
+                + 'of that name or correct the field',
+            )
+    reach = Reach(snapshot)
+    for group in snapshot.groups.values():
+        yield from _check_limits(group)
+        yield from _check_members(snapshot, group)
+        yield from _check_seats(reach, group)
+
+
+def read_address(declared: Target | Proxy) -> Address:
+    """Return where an instance listens; a proxy, for its peers."""
+    if isinstance(declared, Proxy):
+        return Address(declared.host, declared.peer_port)
+    return Address(declared.host, declared.port)
+
+
+def _check_address(
+    declared: Target | Proxy,
+    address: Address,
+) -> Iterator[Problem]:
+    if not 0 < address.port <= LAST_PORT:
+        yield note_error(
+            declared,
+            f'port {address.port} does not exist; use 1 to {LAST_PORT}',
+        )
+    try:
+        ip_address(address.host)
+    except ValueError:
+        yield note_error(
+            declared,
+            f'host "{address.host}" is no IP number; instances are reached '
+            + 'without a name service, write the number',
+        )
+
+
+def _check_limits(group: Group) -> Iterator[Problem]:
+    needed = CONNECTIONS_PER_SEAT * group.seats + NEWCOMER_CONNECTIONS
+    if group.connection_limit < needed:
+        yield note_error(
+            group,
+            f'{group.seats} seats need {needed} connections to each target '
+            + f'and connection_limit is {group.connection_limit}; '
+            + 'raise the limit or lower seats',
+        )
+    if group.slots > group.connection_limit:
+        yield note_error(
+            group,
+            f'{group.slots} slots cannot be used over '
+            + f'{group.connection_limit} connections; lower slots',
+        )
+
+
+def _check_members(snapshot: Snapshot, group: Group) -> Iterator[Problem]:
+    members = snapshot.list_targets(group.name)
+    if len(members) < FEWEST_TARGETS:
+        yield note_warning(
+            group,
+            f'{len(members)} targets cannot lose one and keep a majority; '
+            + f'add targets up to {FEWEST_TARGETS}',
+        )
+    leaving = [target for target in members if target.is_leaving()]
+    if members and len(leaving) == len(members):
+        yield note_warning(
+            group,
+            'every target is leaving and none takes work; remove the label '
+            + 'from one',
+        )
+
+
+def _check_seats(reach: Reach, group: Group) -> Iterator[Problem]:
+    serving = len(reach.list_group_proxies(group.name))
+    if serving > group.seats:
+        yield note_warning(
+            group,
+            f'{serving} proxies serve it and share {group.seats} seats; '
+            + 'raise seats or narrow the selectors of proxies',
+        )
--- /dev/null
+++ b/src/sedgeshunt/configuration/problems.py
@@ -0,0 +1,37 @@
+"""Describe what is wrong with an object and how to mend it."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from sedgeshunt.configuration.keys import ObjectKey
+from sedgeshunt.configuration.objects import ConfigurationObject
+
+
+class Severity(Enum):
+    """Tell whether a problem keeps objects from being applied."""
+
+    ERROR = 'error'
+    WARNING = 'warning'
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Hold one problem of one object; the message names the remedy."""
+
+    severity: Severity
+    subject: ObjectKey
+    message: str
+
+    def describe(self) -> str:
+        """Return the problem in one line."""
+        return f'{self.severity.value}: {self.subject}: {self.message}'
+
+
+def note_error(declared: ConfigurationObject, message: str) -> Problem:
+    """Return a problem that keeps `declared` from being applied."""
+    return Problem(Severity.ERROR, ObjectKey.of(declared), message)
+
+
+def note_warning(declared: ConfigurationObject, message: str) -> Problem:
+    """Return a problem of `declared` that operators should know of."""
+    return Problem(Severity.WARNING, ObjectKey.of(declared), message)
--- a/src/sedgeshunt/configuration/snapshot.py
+++ b/src/sedgeshunt/configuration/snapshot.py
@@ -1,8 +1,11 @@
 """Hold one revision of everything that operators declared."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from sedgeshunt.configuration.objects import (
+    ConfigurationObject,
     Group,
     Objective,
     Proxy,
@@ -23,9 +26,23 @@
     routes: dict[str, Route] = field(default_factory=dict)
     objectives: dict[str, Objective] = field(default_factory=dict)
 
+    @cached_property
+    def members(self) -> dict[GroupId, tuple[Target, ...]]:
+        """Index the targets by their group, in the order of their names."""
+        members: dict[GroupId, list[Target]] = {}
+        for name in sorted(self.targets):
+            target = self.targets[name]
+            members.setdefault(target.group, []).append(target)
+        return {group: tuple(listed) for group, listed in members.items()}
+
     def list_targets(self, group: GroupId) -> list[Target]:
         """List the targets of one group in the order of their names."""
-        members = [
-            target for target in self.targets.values() if target.group == group
-        ]
-        return sorted(members, key=lambda target: target.name)
+        return list(self.members.get(group, ()))
+
+    def list_objects(self) -> Iterator[ConfigurationObject]:
+        """Yield every object, kind by kind."""
+        yield from self.groups.values()
+        yield from self.targets.values()
+        yield from self.proxies.values()
+        yield from self.routes.values()
+        yield from self.objectives.values()
--- /dev/null
+++ b/src/sedgeshunt/configuration/store.py
@@ -0,0 +1,161 @@
+"""Read what the platform holds and prepare changes to it."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from msgspec import DecodeError
+from msgspec.json import decode, encode
+from result import Err
+
+from sedgeshunt.configuration.changes import ChangeRecord, encode_change
+from sedgeshunt.configuration.edits import Edits
+from sedgeshunt.configuration.encoding import (
+    build_snapshot,
+    decode_object,
+    encode_object,
+)
+from sedgeshunt.configuration.errors import ChangeTooLarge
+from sedgeshunt.configuration.keys import (
+    HEAD_KEY,
+    KEPT_CHANGES_KEY,
+    OBJECTS_PREFIX,
+    ObjectKey,
+    name_change,
+    read_path,
+)
+from sedgeshunt.configuration.objects import ConfigurationObject
+from sedgeshunt.configuration.snapshot import Snapshot
+from sedgeshunt.identifiers import ChangeId, Revision
+from sedgeshunt.ports import (
+    Compare,
+    Delete,
+    KeyValue,
+    KeyValueService,
+    Listing,
+    Put,
+)
+
+ABSENT = Revision(0)
+CHANGES_KEPT = 500
+# Operations that the service's published form takes in one transaction, less
+# those that each change needs for its own record.
+EDITS_PER_CHANGE = 120
+_TRIMMED_AT_ONCE = 4
+
+
+@dataclass(frozen=True, slots=True)
+class StoredConfiguration:
+    """Hold the objects in the store, with the revision of each key."""
+
+    snapshot: Snapshot
+    revisions: Mapping[str, Revision]
+    # Objects that cannot be read, each with the reason.
+    unreadable: Mapping[ObjectKey, str] = field(default_factory=dict)
+
+    def read_revision(self, key: ObjectKey) -> Revision:
+        """Return the revision that last changed an object, 0 if absent."""
+        return self.revisions.get(key.path, ABSENT)
+
+
+@dataclass(frozen=True, slots=True)
+class Transaction:
+    """Hold one change, ready to be committed any number of times."""
+
+    change: ChangeId
+    compares: tuple[Compare, ...]
+    changes: tuple[Put | Delete, ...]
+
+
+def read_listing(listing: Listing) -> StoredConfiguration:
+    """Read the objects in a listing of their prefix."""
+    revisions = {pair.key: pair.revision for pair in listing.pairs}
+    reading = _ListingReader()
+    for pair in listing.pairs:
+        reading.read_pair(pair)
+    newest = max(revisions.values(), default=ABSENT)
+    snapshot = build_snapshot(newest, reading.objects)
+    return StoredConfiguration(snapshot, revisions, reading.unreadable)
+
+
+async def read_store(platform: KeyValueService) -> StoredConfiguration:
+    """Read all objects; raise PlatformUnavailable."""
+    return read_listing(await platform.list_prefix(OBJECTS_PREFIX))
+
+
+async def read_kept_changes(platform: KeyValueService) -> list[ChangeId]:
+    """Read the ids of the changes that are kept, oldest first."""
+    listing = await platform.list_prefix(KEPT_CHANGES_KEY)
+    for pair in listing.pairs:
+        if pair.key != KEPT_CHANGES_KEY:
+            continue
+        try:
+            return decode(pair.value, type=list[ChangeId])
+        except DecodeError:
+            return []
+    return []
+
+
+class _ListingReader:
+    """Collect the objects of a listing and those that cannot be read."""
+
+    def __init__(self) -> None:
+        self.objects: list[ConfigurationObject] = []
+        self.unreadable: dict[ObjectKey, str] = {}
+
+    def read_pair(self, pair: KeyValue) -> None:
+        key = read_path(pair.key)
+        if key is None:
+            return
+        decoded = decode_object(key, pair.value)
+        if isinstance(decoded, Err):
+            self.unreadable[key] = decoded.err_value
+        else:
+            self.objects.append(decoded.ok_value)
+
+
+def prepare_transaction(
+    stored: StoredConfiguration,
+    kept: Sequence[ChangeId],
+    edits: Edits,
+    record: ChangeRecord,
+) -> Transaction:
+    """Turn edits into one commit; raise ChangeTooLarge."""
+    if len(edits) > EDITS_PER_CHANGE:
+        raise ChangeTooLarge(len(edits), EDITS_PER_CHANGE)
+    change = record.change
+    # Two operators may each make a sound change that together make no sense,
+    # such as a target added to a group while the group is deleted. All
+    # changes compare and write the head, so one of the two is checked again.
+    compares = [Compare(HEAD_KEY, stored.revisions.get(HEAD_KEY, ABSENT))]
+    compares.extend(
+        Compare(key.path, stored.read_revision(key)) for key in edits
+    )
+    changes = _list_object_changes(edits)
+    changes.append(Put(HEAD_KEY, change.encode()))
+    changes.extend(_keep_change(kept, change))
+    # The adapter names a lost answer by the last key.
+    changes.append(Put(name_change(change), encode_change(record)))
+    return Transaction(change, tuple(compares), tuple(changes))
+
+
+def _list_object_changes(edits: Edits) -> list[Put | Delete]:
+    changes: list[Put | Delete] = []
+    for key, declared in edits.items():
+        if declared is None:
+            changes.append(Delete(key.path))
+        else:
+            changes.append(Put(key.path, encode_object(declared)))
+    return changes
+
+
+def _keep_change(
+    kept: Sequence[ChangeId],
+    change: ChangeId,
+) -> list[Put | Delete]:
+    surplus = max(0, len(kept) + 1 - CHANGES_KEPT)
+    trimmed = kept[: min(surplus, _TRIMMED_AT_ONCE)]
+    remaining = [*kept[len(trimmed) :], change]
+    return [
+        Put(KEPT_CHANGES_KEY, encode(remaining)),
+        *(Delete(name_change(old)) for old in trimmed),
+    ]
--- /dev/null
+++ b/src/sedgeshunt/decisions.py
@@ -0,0 +1,72 @@
+"""Record what a proxy decides and for which reasons."""
+
+from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+from sedgeshunt.identifiers import GroupId, TargetId
+
+MEMORY_LIMIT = 1000
+
+
+class DecisionKind(Enum):
+    """Name the decisions that operators can look up."""
+
+    PROMOTED = 'promoted'
+    FENCED = 'fenced'
+    PROMOTION_DEFERRED = 'promotion-deferred'
+    REPAIRED = 'repaired'
+    EJECTED = 'ejected'
+    READMITTED = 'readmitted'
+    DRAINING = 'draining'
+    WRITES_REFUSED = 'writes-refused'
+    ZONE_CUT = 'zone-cut'
+    CONFIGURATION_APPLIED = 'configuration-applied'
+    CONFIGURATION_REFUSED = 'configuration-refused'
+    SEAT_TAKEN = 'seat-taken'
+    SEAT_LOST = 'seat-lost'
+    PAUSED = 'paused'
+    INVARIANT_BROKEN = 'invariant-broken'
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Hold one decision, what it concerns and its reasons."""
+
+    kind: DecisionKind
+    group: GroupId | None = None
+    target: TargetId | None = None
+    reasons: Mapping[str, str] = field(default_factory=dict)
+
+
+class DecisionLog(ABC):
+    """Take decisions down where people can find them."""
+
+    @abstractmethod
+    def record(self, decision: Decision) -> None:
+        """Take one decision down; never fail and never wait."""
+
+
+class MemoryDecisionLog(DecisionLog):
+    """Keep the latest decisions in memory."""
+
+    def __init__(self, limit: int = MEMORY_LIMIT) -> None:
+        """Keep at most `limit` decisions."""
+        self._decisions: deque[Decision] = deque(maxlen=limit)
+
+    def record(self, decision: Decision) -> None:
+        """Keep the decision, dropping the oldest when full."""
+        self._decisions.append(decision)
+
+    def list_decisions(
+        self,
+        kind: DecisionKind | None = None,
+    ) -> list[Decision]:
+        """List the kept decisions, oldest first, of one kind if given."""
+        return [
+            decision
+            for decision in self._decisions
+            if kind is None or decision.kind is kind
+        ]
--- /dev/null
+++ b/src/sedgeshunt/groups/causes.py
@@ -0,0 +1,114 @@
+"""Judge whether a group needs another primary, and why."""
+
+from collections.abc import Set
+from dataclasses import dataclass
+from enum import Enum
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.groups.liveness import SUSPICION_TIME
+from sedgeshunt.groups.stall import StallWatch
+from sedgeshunt.groups.view import GroupView
+from sedgeshunt.identifiers import Monotonic, TargetId, Term
+
+
+class Cause(Enum):
+    """Name why a group needs another primary."""
+
+    REFUSED = 'the primary refuses connections'
+    SILENT = 'the primary does not answer'
+    MISSING = 'no primary is known in the newest term'
+    STALLED = 'the group copies nothing from the primary'
+    LEAVING = 'the primary is leaving'
+
+
+# Peers may have heard a primary that this proxy cannot reach.
+DOUBTFUL = frozenset((Cause.REFUSED, Cause.SILENT, Cause.MISSING))
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """Hold a cause, the primary concerned and since when it stands."""
+
+    cause: Cause
+    term: Term
+    leader: TargetId | None
+    since: Monotonic
+
+
+class PrimaryJudge:
+    """Judge by what one proxy sees."""
+
+    def __init__(self, view: GroupView) -> None:
+        """Judge the group of `view`."""
+        self.leaving: Set[TargetId] = frozenset()
+        self.stall = StallWatch(view)
+        self._view = view
+
+    def judge(self) -> Suspicion | None:
+        """Return the first cause for another primary that stands now."""
+        # A proxy that was frozen sees old answers and expired timers only,
+        # and would replace a healthy primary; all counts start anew.
+        self._view.pauses.check()
+        stalled_since = self.stall.find_stall()
+        # A proxy that hears no majority can only fence a minority, which
+        # stops the writes of everyone else without electing anybody.
+        if not self._view.hears_majority():
+            return None
+        leader = self._view.find_leader()
+        if leader is None:
+            return self._judge_missing()
+        return (
+            self._judge_silence(leader)
+            or self._judge_stall(leader, stalled_since)
+            or self._judge_leaving(leader)
+        )
+
+    def _judge_missing(self) -> Suspicion | None:
+        # The promoter of this term may have died after its fence.
+        seen_at = self._view.terms.newest_seen_at or Monotonic(0)
+        since = max(seen_at, self._view.pauses.resumed_at)
+        if read_clock() - since <= SUSPICION_TIME:
+            return None
+        return Suspicion(Cause.MISSING, self._view.newest_term, None, since)
+
+    def _judge_silence(self, leader: TargetId) -> Suspicion | None:
+        now = read_clock()
+        resumed_at = self._view.pauses.resumed_at
+        liveness = self._view.states.find_liveness(leader)
+        refused_at = liveness.find_refusal(resumed_at)
+        if refused_at is not None:
+            return self._suspect(Cause.REFUSED, leader, refused_at)
+        since = max(liveness.heard_at or Monotonic(0), resumed_at)
+        if now - since <= liveness.get_suspicion_time(now):
+            return None
+        return self._suspect(Cause.SILENT, leader, since)
+
+    def _judge_stall(
+        self,
+        leader: TargetId,
+        since: Monotonic | None,
+    ) -> Suspicion | None:
+        if since is None:
+            return None
+        heard = self._view.states.list_heard(read_clock())
+        others = [target for target in heard if target != leader]
+        if len(others) < self._view.states.majority:
+            return None
+        return self._suspect(Cause.STALLED, leader, since)
+
+    def _judge_leaving(self, leader: TargetId) -> Suspicion | None:
+        now = read_clock()
+        if leader not in self.leaving:
+            return None
+        heard = set(self._view.states.list_heard(now))
+        if heard <= self.leaving:
+            return None
+        return self._suspect(Cause.LEAVING, leader, now)
+
+    def _suspect(
+        self,
+        cause: Cause,
+        leader: TargetId,
+        since: Monotonic,
+    ) -> Suspicion:
+        return Suspicion(cause, self._view.newest_term, leader, since)
--- /dev/null
+++ b/src/sedgeshunt/groups/panel.py
@@ -0,0 +1,15 @@
+"""Ask the other proxies about a group's primary."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from sedgeshunt.identifiers import GroupId
+from sedgeshunt.ports import PrimaryReport
+
+
+class PeerPanel(ABC):
+    """Put one question to all reachable proxies at once."""
+
+    @abstractmethod
+    async def ask_primary(self, group: GroupId) -> Sequence[PrimaryReport]:
+        """Return the answers that came within a short time; never raise."""
--- /dev/null
+++ b/src/sedgeshunt/limits/admission.py
@@ -0,0 +1,181 @@
+"""Admit to a target what it can answer in time, refuse the rest at once."""
+
+from asyncio import CancelledError, get_running_loop
+from random import uniform
+
+from result import Err, Ok, Result
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.identifiers import (
+    Monotonic,
+    Seconds,
+    TargetId,
+    TrafficClass,
+)
+from sedgeshunt.limits.average import MovingAverage
+from sedgeshunt.limits.concurrency import ConcurrencyLimit
+from sedgeshunt.limits.fair_queue import FairQueue, Waiter
+from sedgeshunt.limits.permit import Permit
+from sedgeshunt.requests.outcome import Cause, NotRun
+
+MAX_QUEUED = 1000
+# Share of the time left that a queued statement may spend on waiting. With
+# more, benchmarks/overload.py shows answers that come too late; so it does
+# when the newest waiter goes first, and then refusals come late as well.
+SHARE_FOR_QUEUE = 0.5
+FIRST_GUESS = Seconds(0.01)
+WEIGHT = 0.1
+# With no answer for this many times the usual interval, the target stalls.
+STALL_FACTOR = 4
+SHORTEST_RETRY = Seconds(0.02)
+LONGEST_RETRY = Seconds(2)
+
+
+_Turn = Result[Permit, NotRun]
+
+
+class TargetAdmission:
+    """Limit and queue one proxy's statements to one target."""
+
+    def __init__(
+        self,
+        target: TargetId,
+        share: int,
+        slots: int = 3,
+        seats: int = 6,
+    ) -> None:
+        """Run at most `share` at once; `seats` proxies share the slots."""
+        self.target = target
+        self.running = 0
+        self.limit = ConcurrencyLimit(share, max(1, slots // max(1, seats)))
+        self._queue: FairQueue[_Turn] = FairQueue()
+        self._latency = MovingAverage(WEIGHT)
+        self._released_at = Monotonic(0)
+
+    @property
+    def queued(self) -> int:
+        """Count the statements that wait for their turn."""
+        return len(self._queue)
+
+    def resize(self, share: int) -> None:
+        """Change the share of the target's connections."""
+        self.limit.resize(share)
+        self._grant()
+
+    def expected_wait(self, now: Monotonic) -> Seconds:
+        """Return how long a new statement would wait for its turn."""
+        if self._has_room():
+            return Seconds(0)
+        return self._estimate_wait(self.queued, now)
+
+    async def admit(
+        self,
+        traffic_class: TrafficClass,
+        weight: int,
+        deadline: Monotonic,
+    ) -> Result[Permit, NotRun]:
+        """Return a permit, or refuse as soon as none can come in time."""
+        now = read_clock()
+        if now >= deadline:
+            return Err(self._refuse(Cause.DEADLINE, 'its deadline has passed'))
+        if self._has_room():
+            return Ok(self._start(now))
+        self.limit.note_full()
+        ahead = self._queue.count_ahead(traffic_class, weight)
+        wait = self._estimate_wait(ahead, now)
+        if self._is_too_long(wait, deadline - now):
+            return Err(self._refuse_overload(wait))
+        turn = get_running_loop().create_future()
+        return await self._wait_turn(
+            Waiter(traffic_class, weight, deadline, turn),
+        )
+
+    def _has_room(self) -> bool:
+        return not self._queue and self.running < self.limit.value
+
+    def _start(self, now: Monotonic) -> Permit:
+        if not self.running:
+            self._released_at = now
+        self.running += 1
+        return Permit(self._take_back)
+
+    def _take_back(self, latency: Seconds | None, ok: bool) -> None:
+        now = read_clock()
+        self.running -= 1
+        self._released_at = now
+        if latency is not None:
+            if ok:
+                self._latency.add(latency)
+            self.limit.note(latency, ok=ok, now=now)
+        self._grant()
+
+    def _estimate_wait(self, ahead: float, now: Monotonic) -> Seconds:
+        interval = self._get_latency() / self.limit.value
+        # A target that froze answers nothing, so its average stays good.
+        # The time without any answer shows it at once.
+        stalled = (now - self._released_at) / STALL_FACTOR
+        return Seconds((ahead + 1) * max(interval, stalled))
+
+    def _get_latency(self) -> float:
+        return self._latency.value if self._latency.samples else FIRST_GUESS
+
+    def _is_too_long(self, wait: Seconds, left: float) -> bool:
+        if self.queued >= MAX_QUEUED:
+            return True
+        return wait > (left - self._get_latency()) * SHARE_FOR_QUEUE
+
+    async def _wait_turn(self, waiter: Waiter[_Turn]) -> _Turn:
+        self._queue.push(waiter)
+        timer = get_running_loop().call_at(
+            waiter.deadline,
+            self._expire,
+            waiter,
+        )
+        try:
+            return await waiter.turn
+        except CancelledError:
+            self._give_up(waiter)
+            raise
+        finally:
+            timer.cancel()
+
+    def _give_up(self, waiter: Waiter[_Turn]) -> None:
+        self._queue.remove(waiter)
+        turn = waiter.turn
+        # A turn granted in the very moment in which its caller left would
+        # else keep its place for good, and the target lose it.
+        if turn.done() and not turn.cancelled():
+            granted = turn.result()
+            if isinstance(granted, Ok):
+                granted.ok_value.cancel()
+
+    def _expire(self, waiter: Waiter[_Turn]) -> None:
+        self._queue.remove(waiter)
+        if not waiter.turn.done():
+            reason = 'no turn came before its deadline'
+            waiter.turn.set_result(Err(self._refuse(Cause.DEADLINE, reason)))
+
+    def _grant(self) -> None:
+        while self._queue and self.running < self.limit.value:
+            waiter = self._queue.pop()
+            if waiter is None:
+                return
+            if not waiter.turn.done():
+                waiter.turn.set_result(Ok(self._start(read_clock())))
+
+    def _refuse_overload(self, wait: Seconds) -> NotRun:
+        # Refused callers that all came back at once would be refused again.
+        retry = uniform(0.5, 1.5) * max(SHORTEST_RETRY, wait)
+        return self._refuse(
+            Cause.OVERLOAD,
+            f'about {wait:.3f} s of work wait already',
+            Seconds(min(LONGEST_RETRY, retry)),
+        )
+
+    def _refuse(
+        self,
+        cause: Cause,
+        reason: str,
+        retry: Seconds = SHORTEST_RETRY,
+    ) -> NotRun:
+        return NotRun(cause, f'target {self.target}: {reason}', retry)
--- /dev/null
+++ b/src/sedgeshunt/limits/concurrency.py
@@ -0,0 +1,69 @@
+"""Find out how many statements a target takes at once."""
+
+from collections import deque
+
+from sedgeshunt.identifiers import Monotonic, Seconds
+
+# Statements between two changes of the limit.
+BATCH = 20
+# Latency above the best one seen that still calls for more, or for fewer.
+GROW_BELOW = 2
+SHRINK_ABOVE = 4
+BEST_WINDOW = Seconds(30)
+
+
+class ConcurrencyLimit:
+    """Adapt a limit between 1 and a share by the latencies seen."""
+
+    def __init__(self, share: int, start: int) -> None:
+        """Start at `start` and never exceed `share`."""
+        self.value = min(start, share)
+        self._share = share
+        self._spent: float = 0
+        self._answers = 0
+        self._failures = 0
+        self._was_full = False
+        self._means: deque[tuple[Monotonic, float]] = deque()
+
+    def resize(self, share: int) -> None:
+        """Change the share."""
+        self._share = share
+        self.value = min(self.value, share)
+
+    def note_full(self) -> None:
+        """Take in that a statement found no room."""
+        self._was_full = True
+
+    def note(self, latency: Seconds, *, ok: bool, now: Monotonic) -> None:
+        """Take in the end of one statement."""
+        if ok:
+            self._answers += 1
+            self._spent += latency
+        else:
+            self._failures += 1
+        if self._answers + self._failures >= BATCH:
+            self._adapt(now)
+
+    def _adapt(self, now: Monotonic) -> None:
+        self.value = max(1, min(self._share, self.value + self._choose(now)))
+        self._spent = 0
+        self._answers = 0
+        self._failures = 0
+        self._was_full = False
+
+    def _choose(self, now: Monotonic) -> int:
+        if self._failures > self._answers:
+            return -1
+        mean = self._spent / self._answers
+        best = self._find_best(mean, now)
+        if mean > SHRINK_ABOVE * best:
+            return -1
+        return 1 if self._was_full and mean < GROW_BELOW * best else 0
+
+    def _find_best(self, mean: float, now: Monotonic) -> float:
+        # One statement's latency says little, as some are quick by nature;
+        # so whole batches are compared.
+        self._means.append((now, mean))
+        while self._means[0][0] < now - BEST_WINDOW:
+            self._means.popleft()
+        return min(value for _, value in self._means)
--- /dev/null
+++ b/src/sedgeshunt/membership/questions.py
@@ -0,0 +1,14 @@
+"""Define what operators ask proxies to explain."""
+
+from msgspec import Struct
+
+from sedgeshunt.identifiers import GroupId, TrafficClass
+
+
+class Question(Struct, frozen=True, omit_defaults=True):
+    """Ask how a read of a class would be routed now."""
+
+    group: GroupId
+    traffic_class: TrafficClass = TrafficClass('default')
+    accepted_age_ms: int | None = None
+    token: str | None = None
--- /dev/null
+++ b/src/sedgeshunt/requests/group_service.py
@@ -0,0 +1,277 @@
+"""Serve one group: its targets, what is known of it, and its routes."""
+
+from asyncio import sleep
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.configuration.labels import read_selector
+from sedgeshunt.configuration.objects import Group, Route, Target
+from sedgeshunt.configuration.snapshot import Snapshot
+from sedgeshunt.connections.shares import compute_share
+from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.view import GroupView
+from sedgeshunt.identifiers import (
+    GroupId,
+    Monotonic,
+    Seconds,
+    TargetId,
+    TrafficClass,
+    ZoneId,
+)
+from sedgeshunt.limits.budget import RetryBudget
+from sedgeshunt.requests.outcome import Cause, NotRun
+from sedgeshunt.requests.target_service import TargetService
+from sedgeshunt.routing.catch_up import CatchUp
+from sedgeshunt.routing.choice import Ranking, ReadNeed, ReadRouter
+from sedgeshunt.routing.health import GroupHealth, TargetHealth
+from sedgeshunt.routing.views import Load
+
+CHECK_EVERY = Seconds(0.05)
+RETRY_PAUSE = Seconds(0.02)
+NO_PRIMARY_RETRY = Seconds(0.5)
+# Writes that may wait for a promotion; the rest is refused at the door.
+MAX_WAITING_WRITES = 512
+DEFAULT_ROUTE = Route(name='default', traffic_class=TrafficClass('default'))
+
+ServiceFactory = Callable[[Group, Target, TargetHealth], TargetService]
+
+
+class GroupService:
+    """Hold what one proxy needs to serve one group."""
+
+    def __init__(
+        self,
+        group: Group,
+        view: GroupView,
+        zone: ZoneId,
+        health: GroupHealth,
+        make_service: ServiceFactory,
+    ) -> None:
+        """Start with no targets; apply() brings them."""
+        self.group = group
+        self.view = view
+        self.budget = RetryBudget()
+        self.catch_up = CatchUp()
+        self.targets: list[Target] = []
+        self.services: dict[TargetId, TargetService] = {}
+        self._loads: dict[TargetId, Load] = {}
+        self._router = ReadRouter(zone, health, self._loads)
+        self._make_service = make_service
+        self._routes: dict[TrafficClass, Route] = {}
+        self._waiting_writes = 0
+
+    @property
+    def name(self) -> GroupId:
+        """Name the group."""
+        return self.group.name
+
+    async def apply(self, snapshot: Snapshot) -> None:
+        """Follow a new configuration."""
+        self.group = snapshot.groups[self.name]
+        self.targets = snapshot.list_targets(self.name)
+        self._routes = _pick_routes(self.group, snapshot)
+        wanted = {target.name: target for target in self.targets}
+        for name in set(self.services) - set(wanted):
+            self._loads.pop(name, None)
+            await self.services.pop(name).pool.close()
+        self._router.health.keep_only(wanted)
+        for name, target in wanted.items():
+            await self._apply_target(name, target)
+
+    def find_route(self, traffic_class: TrafficClass) -> Route:
+        """Return the route of a class, or the default one."""
+        found = self._routes.get(traffic_class)
+        return found or self._routes.get(
+            DEFAULT_ROUTE.traffic_class,
+            DEFAULT_ROUTE,
+        )
+
+    def knows_class(self, traffic_class: TrafficClass) -> bool:
+        """Tell whether a route declares the class."""
+        is_default = traffic_class == DEFAULT_ROUTE.traffic_class
+        return is_default or traffic_class in self._routes
+
+    async def find_primary(
+        self,
+        deadline: Monotonic,
+    ) -> Result[TargetService, NotRun]:
+        """Return the primary, waiting for a promotion within `deadline`."""
+        service = self._get_primary()
+        if service is not None:
+            return Ok(service)
+        if self._waiting_writes >= MAX_WAITING_WRITES:
+            return Err(self._refuse_write('too many writes wait already'))
+        self._waiting_writes += 1
+        try:
+            return await self._wait_primary(deadline)
+        finally:
+            self._waiting_writes -= 1
+
+    async def read_tip(
+        self,
+        target: TargetId,
+        deadline: Monotonic,
+    ) -> Point | None:
+        """Return the target's log end as asked for from now on."""
+        since = read_clock()
+        while read_clock() < deadline:
+            seen = self.view.get_observation(target)
+            if seen is not None and seen.asked_at >= since:
+                return seen.status.log_end
+            self.view.request_fresh()
+            await self.view.wait_change(deadline)
+        return None
+
+    async def may_retry(self, deadline: Monotonic) -> bool:
+        """Spend from the retry budget and pause before the next attempt."""
+        if not self.budget.try_spend():
+            return False
+        await sleep(RETRY_PAUSE)
+        return read_clock() < deadline
+
+    def note_targets(self, targets: list[Target]) -> None:
+        """Take the targets with what is known of their leaving."""
+        self.targets = targets
+        for target in targets:
+            self.services[target.name].target = target
+
+    def rank(
+        self,
+        route: Route,
+        need: ReadNeed,
+        now: Monotonic,
+        *,
+        may_probe: bool = True,
+    ) -> Ranking:
+        """Rank the targets for a read."""
+        return self._router.rank(
+            self.view,
+            self.targets,
+            route,
+            need,
+            now,
+            may_probe=may_probe,
+        )
+
+    def find_patience(
+        self,
+        ranking: Ranking,
+        need: ReadNeed,
+        deadline: Monotonic,
+    ) -> Seconds | None:
+        """Return how long to wait for a replica, None to go on now."""
+        replica = ranking.may_catch_up
+        if replica is None:
+            return None
+        now = read_clock()
+        primary_wait = None
+        if ranking.eligible:
+            primary = self.services[ranking.eligible[0]]
+            primary_wait = primary.admission.expected_wait(now)
+        return self.catch_up.should_wait(
+            replica,
+            need.point,
+            now,
+            deadline,
+            primary_wait,
+        )
+
+    def is_heard(self, target: TargetId) -> bool:
+        """Tell whether the target answers at this moment."""
+        return self.view.is_heard(target, read_clock())
+
+    async def watch_targets(self, refresh: Callable[[], None]) -> None:
+        """End waits on targets that are gone, until cancelled."""
+        was_heard: dict[TargetId, bool] = {}
+        while True:
+            refresh()
+            for name, service in tuple(self.services.items()):
+                is_heard = self.is_heard(name)
+                if was_heard.get(name) and not is_heard:
+                    service.abort_in_flight()
+                    await service.pool.drop_idle()
+                was_heard[name] = is_heard
+            await sleep(CHECK_EVERY)
+
+    async def follow_replicas(self) -> None:
+        """Learn how far replicas lag, until cancelled."""
+        await self.catch_up.watch(self.view, lambda: self.services)
+
+    async def resize(self, *, is_seated: bool) -> None:
+        """Follow the seat: a full share with one, the least without."""
+        limits = (self.group.connection_limit, self.group.seats)
+        share = compute_share(*limits)
+        size = share.seated if is_seated else share.unseated
+        for service in self.services.values():
+            await service.resize(size)
+
+    async def close(self) -> None:
+        """Close the connections to all targets."""
+        for service in self.services.values():
+            await service.pool.close()
+
+    def _get_primary(self) -> TargetService | None:
+        primary = self.view.get_primary()
+        if primary is None or not self.view.hears_majority():
+            return None
+        return self.services.get(primary)
+
+    async def _wait_primary(
+        self,
+        deadline: Monotonic,
+    ) -> Result[TargetService, NotRun]:
+        while read_clock() < deadline:
+            # Without a majority in reach no write can be acknowledged, here
+            # or by a promotion: waiting would only delay the refusal.
+            if not self.view.hears_majority():
+                return Err(
+                    self._refuse_write('no majority of its targets answers'),
+                )
+            await self.view.wait_change(deadline)
+            service = self._get_primary()
+            if service is not None:
+                return Ok(service)
+        return Err(self._refuse_write('its primary is being replaced'))
+
+    def _refuse_write(self, reason: str) -> NotRun:
+        return NotRun(
+            Cause.NO_PRIMARY,
+            f'group {self.name} takes no writes now: {reason}',
+            NO_PRIMARY_RETRY,
+        )
+
+    async def _apply_target(self, name: TargetId, target: Target) -> None:
+        known = self.services.get(name)
+        if known is None:
+            self._add_service(name, target)
+            return
+        moved = (known.target.host, known.target.port) != (
+            target.host,
+            target.port,
+        )
+        known.target = target
+        if moved:
+            await known.pool.close()
+            self._add_service(name, target)
+
+    def _add_service(self, name: TargetId, target: Target) -> None:
+        health = self._router.health.get(name)
+        service = self._make_service(self.group, target, health)
+        self.services[name] = service
+        self._loads[name] = service.admission
+
+
+def _pick_routes(
+    group: Group,
+    snapshot: Snapshot,
+) -> dict[TrafficClass, Route]:
+    labels = {**group.labels, 'name': str(group.name)}
+    routes: dict[TrafficClass, Route] = {}
+    for name in sorted(snapshot.routes):
+        route = snapshot.routes[name]
+        selector = read_selector(route.groups)
+        if isinstance(selector, Ok) and selector.ok_value.matches(labels):
+            routes.setdefault(route.traffic_class, route)
+    return routes
--- /dev/null
+++ b/src/sedgeshunt/requests/handler.py
@@ -0,0 +1,197 @@
+"""Answer one caller's requests in order, within its session."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
+
+from result import Err, Ok, Result
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.identifiers import GroupId, Seconds
+from sedgeshunt.requests.gate import CallerSession
+from sedgeshunt.requests.group_service import GroupService
+from sedgeshunt.requests.outcome import (
+    Answer,
+    Cause,
+    NotRun,
+    Refusal,
+    Unknown,
+)
+from sedgeshunt.requests.reads import ReadRunner
+from sedgeshunt.requests.recorder import OutcomeRecorder
+from sedgeshunt.requests.request import Request, StatementKind
+from sedgeshunt.requests.transaction import Transaction
+from sedgeshunt.requests.writes import WriteRunner
+from sedgeshunt.sessions.session import SessionState
+from sedgeshunt.sessions.token import TokenKeys
+
+STOPPING_RETRY = Seconds(0.05)
+
+Boundary = Callable[[Request], Awaitable[Result[Answer, Refusal]]]
+
+
+class RequestHandler(CallerSession):
+    """Serve one caller's connection to one group."""
+
+    def __init__(
+        self,
+        service: GroupService,
+        session: SessionState,
+        keys: TokenKeys,
+        recorder: OutcomeRecorder,
+    ) -> None:
+        """Open with no transaction."""
+        self._service = service
+        self._session = session
+        self._keys = keys
+        self._recorder = recorder
+        self._reads = ReadRunner(service)
+        self._writes = WriteRunner(service)
+        self._transaction: Transaction | None = None
+        self._bounds: dict[StatementKind, Boundary] = {
+            StatementKind.BEGIN: self._begin,
+            StatementKind.COMMIT: self._commit,
+            StatementKind.ROLLBACK: self._rollback,
+        }
+
+    @property
+    def group(self) -> GroupId:
+        """Name the group that the session reads and writes."""
+        return self._service.name
+
+    @property
+    def in_transaction(self) -> bool:
+        """Tell whether a transaction is open."""
+        return self._transaction is not None
+
+    @property
+    def token(self) -> str:
+        """Return the session's points, signed."""
+        return self._keys.sign(self._session.points)
+
+    async def answer(self, request: Request) -> Result[Answer, Refusal]:
+        """Carry one request to its one outcome."""
+        started = read_clock()
+        outcome = await self._answer(request)
+        spent = Seconds(read_clock() - started)
+        self._recorder.record(request, outcome, spent)
+        return outcome
+
+    async def close(self) -> None:
+        """Undo an open transaction; the caller has left."""
+        transaction = self._end_transaction()
+        if transaction is not None:
+            await transaction.abandon()
+
+    async def _answer(self, request: Request) -> Result[Answer, Refusal]:
+        refused = self._check(request)
+        if refused is not None:
+            return Err(refused)
+        bound = self._bounds.get(request.kind)
+        if bound is not None:
+            return await bound(request)
+        if self._transaction is not None:
+            route = self._service.find_route(request.traffic_class)
+            return await self._transaction.run(request, route)
+        return await self._run_single(request)
+
+    def _check(self, request: Request) -> NotRun | None:
+        if self._recorder.is_stopping and self._transaction is None:
+            return NotRun(
+                Cause.STOPPING,
+                'this proxy is shutting down, connect again to reach another',
+                STOPPING_RETRY,
+            )
+        if not self._service.knows_class(request.traffic_class):
+            return NotRun(
+                Cause.ATTRIBUTE,
+                f'no route declares traffic class {request.traffic_class}; '
+                + 'use one that "sedgeshunt get route" lists',
+            )
+        if request.token is None:
+            return None
+        verified = self._keys.verify(request.token)
+        if isinstance(verified, Err):
+            return verified.err_value
+        self._session.merge_token(verified.ok_value)
+        return None
+
+    async def _run_single(self, request: Request) -> Result[Answer, Refusal]:
+        route = self._service.find_route(request.traffic_class)
+        if request.kind is StatementKind.READ:
+            return await self._reads.run(request, route, self._session)
+        return self._note_write(await self._writes.run(request, route))
+
+    async def _begin(self, request: Request) -> Result[Answer, Refusal]:
+        if self._transaction is not None:
+            # As the protocol has it, BEGIN ends an open transaction first.
+            ended = await self._commit(request)
+            if isinstance(ended, Err):
+                return ended
+        self._transaction = Transaction(self._service)
+        self._transaction.note_request_id(request)
+        return Ok(Answer())
+
+    async def _commit(self, request: Request) -> Result[Answer, Refusal]:
+        transaction = self._end_transaction()
+        if transaction is None:
+            return Ok(Answer())
+        return self._note_write(await transaction.commit(request))
+
+    async def _rollback(self, request: Request) -> Result[Answer, Refusal]:
+        transaction = self._end_transaction()
+        if transaction is None:
+            return Ok(Answer())
+        return await transaction.rollback(request)
+
+    def _end_transaction(self) -> Transaction | None:
+        transaction = self._transaction
+        self._transaction = None
+        return transaction
+
+    def _note_write(
+        self,
+        outcome: Result[Answer, Refusal],
+    ) -> Result[Answer, Refusal]:
+        if isinstance(outcome.err(), Unknown):
+            self._session.note_unknown(self.group, read_clock())
+        if isinstance(outcome, Err):
+            return outcome
+        answer = outcome.ok_value
+        if answer.point is None:
+            return outcome
+        self._session.note_write(self.group, answer.point)
+        return Ok(replace(answer, token=self.token))
+
+
+class RefusingSession(CallerSession):
+    """Refuse every request to a group that this proxy does not serve."""
+
+    def __init__(self, group: GroupId, served: Sequence[str]) -> None:
+        """Keep the names of the groups that could be asked for."""
+        self._group = group
+        self._served = served
+
+    @property
+    def in_transaction(self) -> bool:
+        """Tell that no transaction can be open."""
+        return False
+
+    @property
+    def token(self) -> str:
+        """Return no token."""
+        return ''
+
+    async def answer(self, request: Request) -> Result[Answer, Refusal]:
+        """Refuse, naming the groups that are served."""
+        served = ', '.join(self._served) or 'none yet, it is starting'
+        return Err(
+            NotRun(
+                Cause.NO_GROUP,
+                f'this proxy does not serve group "{self._group}" '
+                + f'(it serves {served}); name a group as the database',
+                STOPPING_RETRY,
+            ),
+        )
+
+    async def close(self) -> None:
+        """Close nothing."""
--- /dev/null
+++ b/src/sedgeshunt/requests/reads.py
@@ -0,0 +1,181 @@
+"""Serve reads from the best target that provably may."""
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.configuration.objects import Route
+from sedgeshunt.identifiers import Monotonic, Seconds, TargetId
+from sedgeshunt.requests.group_service import GroupService
+from sedgeshunt.requests.outcome import (
+    Answer,
+    Cause,
+    NotRun,
+    Refusal,
+    Rejected,
+    Unknown,
+)
+from sedgeshunt.requests.request import Request
+from sedgeshunt.routing.choice import Ranking, ReadNeed
+from sedgeshunt.sessions.session import SessionState
+
+STALE_RETRY = Seconds(0.2)
+MILLISECONDS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRunner:
+    """Carry one read to its outcome."""
+
+    service: GroupService
+
+    async def run(
+        self,
+        request: Request,
+        route: Route,
+        session: SessionState,
+    ) -> Result[Answer, Refusal]:
+        """Run the read on replicas first, on another target when one fails."""
+        learnt = await self._learn_need(request, route, session)
+        if isinstance(learnt, Err):
+            return learnt
+        self.service.budget.note_request()
+        return await self._try_targets(request, route, learnt.ok_value)
+
+    async def _try_targets(
+        self,
+        request: Request,
+        route: Route,
+        need: ReadNeed,
+    ) -> Result[Answer, Refusal]:
+        tried: set[TargetId] = set()
+        last: Refusal | None = None
+        while True:
+            found = await self._find_target(request, route, need, tried)
+            if isinstance(found, Err):
+                return Err(last or found.err_value)
+            outcome = await self._run_on(found.ok_value, request, route)
+            refusal = outcome.err()
+            if refusal is None or isinstance(refusal, Rejected):
+                return outcome
+            tried.add(found.ok_value)
+            last = _prefer(last, refusal)
+            if not await self._may_go_on(request, refusal, tried):
+                return Err(last)
+
+    async def _run_on(
+        self,
+        target: TargetId,
+        request: Request,
+        route: Route,
+    ) -> Result[Answer, Refusal]:
+        return await self.service.services[target].run(request, route)
+
+    async def _learn_need(
+        self,
+        request: Request,
+        route: Route,
+        session: SessionState,
+    ) -> Result[ReadNeed, NotRun]:
+        group = self.service.name
+        age = request.accepted_age
+        if age is None and route.accepted_age_ms:
+            age = Seconds(route.accepted_age_ms / MILLISECONDS)
+        if age is None and session.needs_barrier(group):
+            # A caller that brings no token may have written through another
+            # proxy before this session opened; the barrier covers that.
+            barrier = await self._wait_barrier(request, session)
+            if isinstance(barrier, Err):
+                return barrier
+        return Ok(ReadNeed(point=session.need_for(group), accepted_age=age))
+
+    async def _wait_barrier(
+        self,
+        request: Request,
+        session: SessionState,
+    ) -> Result[None, NotRun]:
+        view = self.service.view
+        if not view.hears_majority():
+            return Err(self._refuse_stale('no majority of targets answers'))
+        point = await view.wait_barrier(
+            session.barrier_since(self.service.name),
+            request.deadline,
+        )
+        if point is None:
+            return Err(self._refuse_stale('no majority of targets answered'))
+        session.settle_barrier(self.service.name, point)
+        return Ok(None)
+
+    async def _find_target(
+        self,
+        request: Request,
+        route: Route,
+        need: ReadNeed,
+        tried: set[TargetId],
+    ) -> Result[TargetId, NotRun]:
+        waits_until: Monotonic | None = None
+        while True:
+            now = read_clock()
+            ranking = self.service.rank(route, need, now)
+            choice = _pick(ranking, tried)
+            if choice is not None:
+                if waits_until is None:
+                    waits_until = self._find_wait_end(request, ranking, need)
+                if now >= waits_until:
+                    return Ok(choice)
+            elif not self._is_hopeful(request, now):
+                return Err(self._refuse_stale(ranking.describe()))
+            self.service.view.request_fresh()
+            await self.service.view.wait_change(
+                min(request.deadline, waits_until or request.deadline),
+            )
+
+    def _find_wait_end(
+        self,
+        request: Request,
+        ranking: Ranking,
+        need: ReadNeed,
+    ) -> Monotonic:
+        # Chosen once for each read: renewed at every change, the wait for a
+        # replica that never comes would last to the deadline.
+        wait = self.service.find_patience(ranking, need, request.deadline)
+        return Monotonic(read_clock() + (wait or 0))
+
+    def _is_hopeful(self, request: Request, now: Monotonic) -> bool:
+        # With no majority in reach no age and no barrier can be proved from
+        # now on, so waiting would only delay the refusal.
+        return now < request.deadline and self.service.view.hears_majority()
+
+    async def _may_go_on(
+        self,
+        request: Request,
+        refusal: Refusal,
+        tried: set[TargetId],
+    ) -> bool:
+        if read_clock() >= request.deadline:
+            return False
+        if len(tried) >= len(self.service.services):
+            return False
+        if isinstance(refusal, NotRun):
+            return True
+        return await self.service.may_retry(request.deadline)
+
+    def _refuse_stale(self, detail: str) -> NotRun:
+        return NotRun(
+            Cause.TOO_STALE,
+            f'no target of {self.service.name} may serve this read: {detail}',
+            STALE_RETRY,
+        )
+
+
+def _pick(ranking: Ranking, tried: set[TargetId]) -> TargetId | None:
+    for target in ranking.eligible:
+        if target not in tried:
+            return target
+    return None
+
+
+def _prefer(last: Refusal | None, refusal: Refusal) -> Refusal:
+    # "Not run" may only be said when it is true of every attempt.
+    return last if isinstance(last, Unknown) else refusal
--- /dev/null
+++ b/src/sedgeshunt/requests/recorder.py
@@ -0,0 +1,88 @@
+"""Count and log every outcome."""
+
+from result import Err, Result
+
+from sedgeshunt.burn.tally import Tally
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.identifiers import Seconds
+from sedgeshunt.logs import StatementLog
+from sedgeshunt.metrics import Metrics
+from sedgeshunt.requests.outcome import (
+    Answer,
+    Cause,
+    NotRun,
+    Refusal,
+    Rejected,
+)
+from sedgeshunt.requests.request import Request
+
+DONE = 'done'
+NOT_RUN = 'not-run'
+UNKNOWN = 'unknown'
+REJECTED = 'rejected'
+
+
+class OutcomeRecorder:
+    """Take note of each request's outcome, on every statement's path."""
+
+    def __init__(
+        self,
+        tally: Tally,
+        metrics: Metrics,
+        statements: StatementLog,
+    ) -> None:
+        """Send each outcome to the burn tally, the metrics and the log."""
+        # A stopping proxy opens no new work, and says so to its callers.
+        self.is_stopping = False
+        self.tally = tally
+        self._metrics = metrics
+        self._statements = statements
+
+    def record(
+        self,
+        request: Request,
+        outcome: Result[Answer, Refusal],
+        spent: Seconds,
+    ) -> None:
+        """Note one outcome."""
+        now = read_clock()
+        refusal = outcome.err()
+        name = name_outcome(refusal)
+        target = '' if isinstance(outcome, Err) else outcome.ok_value.served_by
+        cause = _name_cause(refusal)
+        self.tally.note(
+            request.traffic_class,
+            name,
+            cause,
+            target or '',
+            spent,
+            now,
+        )
+        self._metrics.count(f'requests.{name}')
+        self._metrics.time('requests.time', spent)
+        if refusal is not None:
+            self._metrics.count(f'refusals.{cause}')
+        self._statements.note(
+            request.trace,
+            request.group,
+            '' if refusal is None else f'{name}:{cause}',
+            spent,
+            now,
+        )
+
+
+def name_outcome(refusal: Refusal | None) -> str:
+    """Name an outcome as reports and metrics show it."""
+    if refusal is None:
+        return DONE
+    if isinstance(refusal, NotRun):
+        return NOT_RUN
+    return REJECTED if isinstance(refusal, Rejected) else UNKNOWN
+
+
+def _name_cause(refusal: Refusal | None) -> str:
+    if refusal is None:
+        return ''
+    if isinstance(refusal, Rejected):
+        return Cause.STATEMENT.value
+    return refusal.cause.value
--- /dev/null
+++ b/src/sedgeshunt/requests/statements.py
@@ -0,0 +1,174 @@
+"""Tell how a statement has to be routed, by its words alone."""
+
+from dataclasses import dataclass
+from re import DOTALL, IGNORECASE, VERBOSE, compile as compile_pattern
+
+from result import Err, Ok, Result
+
+from sedgeshunt.requests.outcome import Cause, NotRun
+from sedgeshunt.requests.request import StatementKind
+from sedgeshunt.requests.statement_checks import (
+    contains_any,
+    find_refusal,
+    find_single_refusal,
+    strip_quoted,
+)
+
+# Statements remembered, and the longest text worth remembering.
+CACHE_SIZE = 4096
+CACHED_LENGTH = 1024
+
+_FLAGS = IGNORECASE | DOTALL | VERBOSE
+
+# An executable comment runs: a BEGIN inside it would open a transaction that
+# nobody knows of, so it counts by the word it holds.
+_FIRST_WORD = compile_pattern(
+    r"""
+    (?: \s | \( | /\*!\d* | /\*.*?\*/ | --(?=\s)[^\n]* | \#[^\n]* )*+
+    (?P<first>[a-z]+)
+    """,
+    _FLAGS,
+)
+_SESSION_ITEM = r"""
+    (?:
+        @@ [\w.]+
+        | @sedgeshunt_\w+
+        | (?: CONNECTION_ID | CURRENT_USER | DATABASE | LAST_INSERT_ID
+            | SCHEMA | USER | VERSION ) \s* \( \s* \)
+    )
+    (?: \s+ AS \s+ [`'"]?\w+[`'"]? | \s+ (?!LIMIT\b) [`'"]?\w+[`'"]? )?
+"""
+_SESSION_READ = compile_pattern(
+    rf"""
+    \s* {_SESSION_ITEM} (?: \s* , \s* {_SESSION_ITEM} )*
+    (?: \s+ LIMIT \s+ \d+ )? \s* ;? \s*
+    """,
+    _FLAGS,
+)
+_SESSION_SHOW = compile_pattern(
+    r'\s+ (?: COUNT\(\*\) \s+ )? (?: WARNINGS | ERRORS )'
+    + r'(?: \s+ LIMIT [\d\s,]+ )? \s* ;? \s*',
+    _FLAGS,
+)
+_LOCKING_READ = compile_pattern(
+    r'\b(?: FOR \s+ (?:UPDATE|SHARE) | LOCK \s+ IN \s+ SHARE | INTO )\b',
+    _FLAGS,
+)
+_LOCKING_SUSPICIONS = ('FOR', 'LOCK', 'INTO')
+_CHANGE_WORD = compile_pattern(
+    r'\b(?:INSERT|UPDATE|DELETE|REPLACE|MERGE)\b',
+    _FLAGS,
+)
+
+_READING_WORDS = frozenset(
+    ('SELECT', 'SHOW', 'DESCRIBE', 'DESC', 'EXPLAIN', 'TABLE', 'VALUES'),
+)
+_SESSION_WORDS = frozenset(('SET', 'USE'))
+_TRANSACTION_WORDS = frozenset(('BEGIN', 'START', 'COMMIT', 'ROLLBACK'))
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """Hold what one look at a statement's text tells."""
+
+    kind: StatementKind
+    # Why it can't be run at all; empty when it can.
+    refusal: str = ''
+    # Why it can't be run outside a transaction; empty when it can.
+    single_refusal: str = ''
+
+
+_seen: dict[str, Statement] = {}
+
+
+def classify_statement(sql: str) -> StatementKind:
+    """Tell a statement's kind; what is not surely a read is a write."""
+    return inspect_statement(sql).kind
+
+
+def check_statement(
+    sql: str,
+    *,
+    in_transaction: bool,
+) -> Result[StatementKind, NotRun]:
+    """Tell a statement's kind, or why the proxy does not run it."""
+    statement = inspect_statement(sql)
+    reason = statement.refusal
+    if not in_transaction:
+        reason = reason or statement.single_refusal
+    if reason:
+        return Err(NotRun(Cause.STATEMENT, reason))
+    return Ok(statement.kind)
+
+
+def inspect_statement(sql: str) -> Statement:
+    """Look at a statement's text, or recall what an equal one told."""
+    known = _seen.get(sql)
+    if known is not None:
+        return known
+    statement = _inspect(sql)
+    if len(sql) <= CACHED_LENGTH:
+        if len(_seen) >= CACHE_SIZE:
+            _seen.clear()
+        _seen[sql] = statement
+    return statement
+
+
+def split_first_word(sql: str) -> tuple[str, str]:
+    """Return a statement's first word, in capitals, and what follows it."""
+    word = _FIRST_WORD.match(sql)
+    if word is None:
+        return '', sql
+    return word['first'].upper(), sql[word.end() :]
+
+
+def _inspect(sql: str) -> Statement:
+    word = _FIRST_WORD.match(sql)
+    if word is None:
+        return Statement(StatementKind.WRITE)
+    first = word['first'].upper()
+    kind = _tell_kind(sql, first, word.end())
+    if kind is StatementKind.SESSION and first not in _SESSION_WORDS:
+        return Statement(kind)
+    return Statement(
+        kind,
+        find_refusal(sql, first),
+        find_single_refusal(sql),
+    )
+
+
+def _tell_kind(sql: str, first: str, end: int) -> StatementKind:
+    if first in _READING_WORDS:
+        return _tell_read(sql, first, end)
+    if first in _SESSION_WORDS:
+        return StatementKind.SESSION
+    if first in _TRANSACTION_WORDS:
+        return _tell_transaction(sql)
+    if first == 'WITH' and not _CHANGE_WORD.search(sql):
+        return _tell_read(sql, first, end)
+    return StatementKind.WRITE
+
+
+def _tell_read(sql: str, first: str, end: int) -> StatementKind:
+    if first == 'SELECT' and _SESSION_READ.fullmatch(sql, end):
+        return StatementKind.SESSION
+    if first == 'SHOW' and _SESSION_SHOW.fullmatch(sql, end):
+        return StatementKind.SESSION
+    # A replica would take no lock and leave no file: such reads are writes.
+    if not contains_any(sql, _LOCKING_SUSPICIONS):
+        return StatementKind.READ
+    is_locking = _LOCKING_READ.search(strip_quoted(sql))
+    return StatementKind.WRITE if is_locking else StatementKind.READ
+
+
+def _tell_transaction(sql: str) -> StatementKind:
+    words = strip_quoted(sql).upper().strip(' \t\r\n;').split()
+    if words[0] == 'BEGIN' or words[:2] == ['START', 'TRANSACTION']:
+        return StatementKind.BEGIN
+    # Undoing the whole transaction for ROLLBACK TO would lose more than the
+    # caller knows of; the savepoint is the target's to handle.
+    if words[0] == 'ROLLBACK' and 'TO' not in words[1:3]:
+        return StatementKind.ROLLBACK
+    if words[0] == 'COMMIT':
+        return StatementKind.COMMIT
+    return StatementKind.WRITE
--- /dev/null
+++ b/src/sedgeshunt/routing/judging.py
@@ -0,0 +1,119 @@
+"""Judge the targets of a group for one read."""
+
+from dataclasses import dataclass
+
+from result import Ok
+
+from sedgeshunt.configuration.labels import list_labels, read_selector
+from sedgeshunt.configuration.objects import Route, Target
+from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.status import Role, TargetStatus
+from sedgeshunt.identifiers import Monotonic, Seconds, ZoneId
+from sedgeshunt.routing.health import GroupHealth
+from sedgeshunt.routing.verdicts import Facts, Rule, Verdict
+from sedgeshunt.routing.views import FreshnessView
+
+
+@dataclass(frozen=True, slots=True)
+class ReadNeed:
+    """Say what a read has to see."""
+
+    # Always demanded: what the session wrote or has to see.
+    point: Point | None
+    # Demanded besides: data that is provably no older than this.
+    accepted_age: Seconds | None
+
+
+@dataclass(frozen=True, slots=True)
+class Judge:
+    """Hold one read's demands and what is known while it is routed."""
+
+    zone: ZoneId
+    view: FreshnessView
+    health: GroupHealth
+    route: Route
+    need: ReadNeed
+    now: Monotonic
+    may_probe: bool
+
+    def judge(self, target: Target, wait: Seconds) -> Verdict:
+        """Return the first rule that keeps the read from `target`."""
+        if target.is_leaving():
+            return self._bar(target, Rule.LEAVING)
+        if not self._selects(target):
+            return self._bar(target, Rule.NOT_SELECTED)
+        status = self.view.get_status(target.name)
+        if status is None:
+            return self._bar(target, Rule.NO_STATUS)
+        return self._judge_status(target, status, wait)
+
+    def _bar(self, target: Target, rule: Rule) -> Verdict:
+        is_near = target.zone == self.zone
+        facts = Facts(is_near, selector=self.route.targets)
+        return Verdict(target.name, rule, facts)
+
+    def _judge_status(
+        self,
+        target: Target,
+        status: TargetStatus,
+        wait: Seconds,
+    ) -> Verdict:
+        rule = self._find_rule(status)
+        is_probe = rule is Rule.EJECTED and self._claim_probe(target)
+        facts = Facts(
+            is_near=target.zone == self.zone,
+            is_primary=self._is_primary(status),
+            is_probe=is_probe,
+            need=self.need.point,
+            accepted_age=self.need.accepted_age,
+            log_end=status.log_end,
+            age=self.view.measure_age(target.name, self.now),
+            wait=wait,
+        )
+        return Verdict(target.name, None if is_probe else rule, facts)
+
+    def _selects(self, target: Target) -> bool:
+        if not self.route.targets:
+            return True
+        selector = read_selector(self.route.targets)
+        if not isinstance(selector, Ok):
+            return False
+        return selector.ok_value.matches(list_labels(target))
+
+    def _find_rule(self, status: TargetStatus) -> Rule | None:
+        if not self.view.is_heard(status.target, self.now):
+            return Rule.SILENT
+        if self._is_primary(status) and not self.route.primary_reads:
+            return Rule.PRIMARY_NOT_ALLOWED
+        rule = self._find_unmet(status)
+        if rule is None and self.health.is_ejected(status.target):
+            return Rule.EJECTED
+        return rule
+
+    def _find_unmet(self, status: TargetStatus) -> Rule | None:
+        # The point is demanded with an accepted age too: a caller that has
+        # just written must not miss its entry because older data would do.
+        point = self.need.point
+        if point is not None and not self.view.covers(status.target, point):
+            return Rule.NOT_COVERED
+        return Rule.TOO_STALE if self._is_too_stale(status) else None
+
+    def _is_primary(self, status: TargetStatus) -> bool:
+        # A superseded primary still calls itself one. It serves like a
+        # replica, by what it provably holds, and comes last like a primary.
+        if status.role is Role.PRIMARY:
+            return True
+        return status.target == self.view.get_primary()
+
+    def _is_too_stale(self, status: TargetStatus) -> bool:
+        accepted = self.need.accepted_age
+        if accepted is None:
+            return False
+        age = self.view.measure_age(status.target, self.now)
+        return age is None or age > accepted
+
+    def _claim_probe(self, target: Target) -> bool:
+        return self.may_probe and self.health.claim_probe(
+            target.name,
+            self.now,
+        )
--- /dev/null
+++ b/src/sedgeshunt/routing/verdicts.py
@@ -0,0 +1,107 @@
+"""Say of one target whether it may serve a read, and why."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import Seconds, TargetId
+
+MILLISECONDS = 1000
+
+
+class Rule(Enum):
+    """Name the rules that keep a read from a target."""
+
+    LEAVING = 'leaving'
+    NOT_SELECTED = 'not-selected'
+    NO_STATUS = 'no-status'
+    SILENT = 'silent'
+    PRIMARY_NOT_ALLOWED = 'primary-not-allowed'
+    NOT_COVERED = 'not-covered'
+    TOO_STALE = 'too-stale'
+    EJECTED = 'ejected'
+    # The primary may serve, but a replica comes first.
+    LEFT_TO_REPLICAS = 'left-to-replicas'
+
+
+@dataclass(frozen=True, slots=True)
+class Facts:
+    """Hold what was known of a target when it was judged."""
+
+    is_near: bool
+    is_primary: bool = False
+    is_probe: bool = False
+    need: Point | None = None
+    accepted_age: Seconds | None = None
+    log_end: Point | None = None
+    age: Seconds | None = None
+    wait: Seconds = Seconds(0)
+    selector: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Hold the rule that a target fell under; None means it may serve."""
+
+    target: TargetId
+    rule: Rule | None
+    facts: Facts
+
+    @property
+    def detail(self) -> str:
+        """Explain the verdict to an operator."""
+        # Worded only when asked for: a read is routed far more often.
+        if self.rule is None:
+            return _explain_eligible(self.facts)
+        return _TEXTS[self.rule](self.facts)
+
+
+def _explain_eligible(facts: Facts) -> str:
+    place = 'own' if facts.is_near else 'another'
+    parts = [f'may serve from {place} availability zone']
+    parts.append(_show_age(facts.age))
+    parts.append(f'expected wait {_show(facts.wait)}')
+    if facts.is_probe:
+        parts.append('asked again after an ejection')
+    return ', '.join(parts)
+
+
+def _explain_not_covered(facts: Facts) -> str:
+    end = _show_point(facts.log_end)
+    need = _show_point(facts.need)
+    return f'its log ends at {end}, the session has to see {need}'
+
+
+def _explain_stale(facts: Facts) -> str:
+    accepted = _show(facts.accepted_age or Seconds(0))
+    return f'{_show_age(facts.age)}, the read accepts {accepted}'
+
+
+def _show_age(age: Seconds | None) -> str:
+    return 'no provable age' if age is None else f'age {_show(age)}'
+
+
+def _show(span: Seconds) -> str:
+    return f'{span * MILLISECONDS:.0f} ms'
+
+
+def _show_point(point: Point | None) -> str:
+    return '?' if point is None else f'{point.term}:{point.position}'
+
+
+_TEXTS: dict[Rule, Callable[[Facts], str]] = {
+    Rule.LEAVING: lambda _: 'its label says that it is leaving',
+    Rule.NOT_SELECTED: lambda facts: (
+        f'the route selects "{facts.selector}", its labels differ'
+    ),
+    Rule.NO_STATUS: lambda _: 'it has not told its place in the log yet',
+    Rule.SILENT: lambda _: 'it does not answer',
+    Rule.PRIMARY_NOT_ALLOWED: lambda _: (
+        'it is the primary, the route keeps reads from it'
+    ),
+    Rule.NOT_COVERED: _explain_not_covered,
+    Rule.TOO_STALE: _explain_stale,
+    Rule.EJECTED: lambda _: 'it failed or was slow, and is left out a while',
+    Rule.LEFT_TO_REPLICAS: lambda _: 'it is the primary, a replica can serve',
+}
--- /dev/null
+++ b/tests/features/group_bench.py
@@ -0,0 +1,253 @@
+"""Run keepers of one group against databases in memory, in virtual time."""
+
+import random
+from asyncio import Task, create_task, sleep, timeout_at
+from collections.abc import Callable, Coroutine, Sequence
+from contextlib import AsyncExitStack, suppress
+from functools import partial
+from typing import Any, TypeVar
+
+from async_solipsism import EventLoop
+
+from sedgeshunt.clocks import PauseWatch, read_clock
+from sedgeshunt.configuration.objects import LEAVING, STATE_LABEL, Target
+from sedgeshunt.decisions import DecisionKind, MemoryDecisionLog
+from sedgeshunt.exceptions import SedgeshuntError
+from sedgeshunt.groups.keeper import GroupKeeper
+from sedgeshunt.groups.panel import PeerPanel
+from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.view import GroupView
+from sedgeshunt.identifiers import (
+    GroupId,
+    Monotonic,
+    ProxyId,
+    TargetId,
+    ZoneId,
+)
+from sedgeshunt.ports import PrimaryReport
+from tests.standins.engine import DatabaseGroup
+from tests.standins.links import MemoryConnector
+from tests.standins.network import Place
+
+GROUP = GroupId('songbook')
+DATABASES = {'ada': 'east', 'bob': 'north', 'cyd': 'west'}
+PROXIES = {'p1': 'east', 'p2': 'north', 'p3': 'west'}
+SCHEMA = 'CREATE TABLE turns (id INTEGER PRIMARY KEY)'
+WRITE_TIME = 2
+PANEL_TIME = 0.1
+
+Outcome = TypeVar('Outcome')
+
+
+class ReachablePanel(PeerPanel):
+    """Ask the other proxies that no cut separates."""
+
+    def __init__(self, bench: 'GroupBench', own: Place) -> None:
+        """Ask from `own`."""
+        self._bench = bench
+        self._own = own
+
+    async def ask_primary(self, group: GroupId) -> Sequence[PrimaryReport]:
+        """Return the answers; a proxy out of reach costs the whole time."""
+        network = self._bench.databases.network
+        reports = []
+        for node in self._bench.nodes.values():
+            if node.place == self._own:
+                continue
+            if node.stopped or network.is_cut(self._own, node.place):
+                await sleep(PANEL_TIME)
+                continue
+            await sleep(network.read_latency(self._own, node.place) * 2)
+            reports.append(node.view.report_primary())
+        return reports
+
+
+class ProxyNode:
+    """Hold what one proxy has of the group."""
+
+    def __init__(self, bench: 'GroupBench', name: str, zone: str) -> None:
+        """Build the proxy's keeper without starting it."""
+        self.place = Place(name, zone)
+        self.pauses = PauseWatch()
+        self.view = GroupView(GROUP, self.pauses)
+        self.decisions = MemoryDecisionLog()
+        self.connector = MemoryConnector(
+            {GROUP: bench.databases},
+            ZoneId(zone),
+            name,
+        )
+        self.keeper = GroupKeeper(
+            GROUP,
+            self.view,
+            self.connector,
+            ReachablePanel(bench, self.place),
+            ProxyId(name),
+            self.decisions,
+        )
+        self.stopped = True
+        self._running: Task[None] | None = None
+
+    def start(self) -> None:
+        """Run until stopped."""
+        self.stopped = False
+        self._running = create_task(self._run())
+
+    async def stop(self) -> None:
+        """Die at once, wherever its tasks are."""
+        self.stopped = True
+        if self._running is not None:
+            self._running.cancel()
+            with suppress(BaseException):
+                await self._running
+
+    async def write(self, number: int) -> Point | None:
+        """Write one row; return its point once acknowledged."""
+        deadline = Monotonic(read_clock() + WRITE_TIME)
+        primary = self.view.get_primary()
+        if primary is None:
+            await self.view.wait_change(deadline)
+            return None
+        point = await self._send(primary, number, deadline)
+        if point is None:
+            return None
+        if await self.view.wait_durable(point, deadline):
+            return point
+        return None
+
+    def list_kinds(self) -> list[DecisionKind]:
+        """List the kinds of this proxy's decisions."""
+        return [one.kind for one in self.decisions.list_decisions()]
+
+    async def _run(self) -> None:
+        async with AsyncExitStack() as owned:
+            watching = create_task(self.pauses.run())
+            owned.callback(watching.cancel)
+            await owned.enter_async_context(self.keeper)
+            await watching
+
+    async def _send(
+        self,
+        primary: TargetId,
+        number: int,
+        deadline: Monotonic,
+    ) -> Point | None:
+        address = None
+        with suppress(SedgeshuntError, TimeoutError):
+            async with timeout_at(deadline), AsyncExitStack() as owned:
+                connection = await self.connector.connect(
+                    primary,
+                    address,
+                    GROUP,
+                )
+                owned.push_async_callback(connection.close)
+                answer = await connection.execute(
+                    f'INSERT INTO turns (id) VALUES ({number})',
+                )
+                return answer.point
+        return None
+
+
+class GroupBench:
+    """Hold a group, its proxies and what was acknowledged."""
+
+    def __init__(self, seed: int = 1) -> None:
+        """Start the group with a first primary and no proxy."""
+        random.seed(seed)
+        self.loop = EventLoop()
+        self.databases: DatabaseGroup = self.run(self._open())
+        self.nodes: dict[str, ProxyNode] = {}
+        self.leaving: set[str] = set()
+        self.acknowledged: dict[int, float] = {}
+        self._numbers = 0
+        self._writing: list[Task[None]] = []
+
+    def run(self, work: Coroutine[Any, Any, Outcome]) -> Outcome:
+        """Run `work` to its end."""
+        return self.loop.run_until_complete(work)
+
+    def ask(self, question: Callable[[], Outcome]) -> Outcome:
+        """Call what needs the running loop's clock."""
+        return self.run(_call(question))
+
+    def wait(self, seconds: float) -> None:
+        """Let the time pass."""
+        self.run(sleep(seconds))
+
+    def pause(self, seconds: float) -> None:
+        """Freeze the process: time passes and no task runs."""
+        self.loop._selector.clock.advance(seconds)
+
+    def start_proxies(self, *names: str) -> None:
+        """Start proxies and let them connect."""
+        for name in names:
+            self.nodes[name] = ProxyNode(self, name, PROXIES[name])
+        self.configure()
+        for name in names:
+            self.ask(self.nodes[name].start)
+        self.wait(0.3)
+
+    def configure(self) -> None:
+        """Hand the configuration to all proxies."""
+        targets = [
+            Target(
+                name=TargetId(name),
+                group=GROUP,
+                host='',
+                port=0,
+                zone=ZoneId(zone),
+                labels={STATE_LABEL: LEAVING} if name in self.leaving else {},
+            )
+            for name, zone in DATABASES.items()
+        ]
+        proxies = [ProxyId(name) for name in self.nodes]
+        for node in self.nodes.values():
+            self.ask(partial(node.keeper.set_targets, targets, proxies))
+
+    def start_writing(self, name: str) -> None:
+        """Write one row after the other through a proxy."""
+        self._writing.append(self.loop.create_task(self._write(name)))
+
+    def list_lost(self) -> set[int]:
+        """Return the acknowledged rows that the primary doesn't have."""
+        leader = self.databases.find_leader()
+        rows = self.databases.select(leader.name, 'SELECT id FROM turns')
+        return set(self.acknowledged) - {row[0] for row in rows}
+
+    def measure_gap(self) -> float:
+        """Return the longest time without an acknowledgement."""
+        moments = [*self.acknowledged.values(), self.loop.time()]
+        return max(
+            later - earlier
+            for earlier, later in zip(moments, moments[1:], strict=False)
+        )
+
+    def close(self) -> None:
+        """Stop everything."""
+        self.run(self._close())
+        self.loop.close()
+
+    async def _open(self) -> DatabaseGroup:
+        databases = DatabaseGroup(DATABASES)
+        databases.load_schema([SCHEMA])
+        databases.start('ada')
+        return databases
+
+    async def _write(self, name: str) -> None:
+        while True:
+            self._numbers += 1
+            number = self._numbers
+            if await self.nodes[name].write(number) is not None:
+                self.acknowledged[number] = read_clock()
+            await sleep(0.005)
+
+    async def _close(self) -> None:
+        for writing in self._writing:
+            writing.cancel()
+        for node in self.nodes.values():
+            await node.stop()
+        self.databases.close()
+        await sleep(0)
+
+
+async def _call(question: Callable[[], Outcome]) -> Outcome:
+    return question()
--- /dev/null
+++ b/tests/main.py
@@ -0,0 +1,98 @@
+"""Run every check and print one line with the real counts."""
+
+import json
+import subprocess  # the test runner starts checkers, no product process does
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+PATHS = ('src', 'tests', 'benchmarks', 'examples')
+FEATURES = 'tests/features'
+KNOWN_RED = 'KNOWN-RED.txt'
+BEHAVE_LIMIT = 780
+
+
+@dataclass(frozen=True)
+class Check:
+    """Name one command whose exit code is its verdict."""
+
+    name: str
+    arguments: tuple[str, ...]
+
+
+CHECKS = (
+    Check('format', ('ruff', 'format', '--check', '.')),
+    Check('lint', ('flake8', *PATHS)),
+    Check('types', ('mypy', *PATHS)),
+)
+
+
+def run_check(check: Check) -> bool:
+    """Run one checker and tell whether it passed."""
+    tool = Path(sys.executable).parent / check.arguments[0]
+    done = subprocess.run([str(tool), *check.arguments[1:]], cwd=ROOT)
+    verdict = 'passed' if done.returncode == 0 else 'failed'
+    print(f'{check.name}: {verdict}', flush=True)
+    return done.returncode == 0
+
+
+def run_behave() -> dict[str, str]:
+    """Run the scenarios and return the status of each by name."""
+    report = ROOT / 'build' / 'behave.json'
+    report.parent.mkdir(exist_ok=True)
+    report.unlink(missing_ok=True)
+    tool = Path(sys.executable).parent / 'behave'
+    command = [str(tool), FEATURES, '--format', 'json', '--outfile']
+    command += [str(report), '--format', 'progress', '--no-capture']
+    subprocess.run(command, cwd=ROOT, timeout=BEHAVE_LIMIT)
+    return read_statuses(report)
+
+
+def read_statuses(report: Path) -> dict[str, str]:
+    """Read each scenario's status from the runner's report."""
+    statuses: dict[str, str] = {}
+    for feature in json.loads(report.read_text()):
+        for element in feature.get('elements', ()):
+            if element['type'] != 'scenario':
+                continue
+            name = f'{element["location"]} {element["name"]}'
+            statuses[name] = element.get('status', 'untested')
+    return statuses
+
+
+def read_known_red() -> list[str]:
+    """Return the names of tests that fail for a known fault."""
+    listed = ROOT / KNOWN_RED
+    if not listed.exists():
+        return []
+    lines = listed.read_text().splitlines()
+    return [line.split(',')[0].strip() for line in lines if line.strip()]
+
+
+def is_known(name: str, known: list[str]) -> bool:
+    """Tell whether a failed scenario is listed as known."""
+    return any(entry in name for entry in known)
+
+
+def main() -> int:
+    """Run everything and return the exit code."""
+    results = [run_check(check) for check in CHECKS]
+    passed = results.count(True)
+    failed = results.count(False)
+    known = read_known_red()
+    for name, status in run_behave().items():
+        if status == 'passed':
+            passed += 1
+            continue
+        if is_known(name, known):
+            print(f'known red: {name}')
+            continue
+        print(f'failed: {name} ({status})')
+        failed += 1
+    print(f'{passed} passed, {failed} failed', flush=True)
+    return 1 if failed or not passed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/standins/keyvalues.py
@@ -0,0 +1,142 @@
+"""Keep revisions, leases and changes of the key-value stand-in."""
+
+from asyncio import TimerHandle, get_running_loop
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from sedgeshunt.exceptions import PlatformUnavailable
+from sedgeshunt.identifiers import Revision
+from sedgeshunt.ports import (
+    CommitResult,
+    Compare,
+    Delete,
+    KeyValue,
+    Listing,
+    Put,
+    WatchCompacted,
+    WatchEvent,
+)
+from tests.standins.network import Signal
+
+Matcher = Callable[[str], bool]
+
+
+class LeaseNotFound(PlatformUnavailable):
+    """Say that a key can't be bound to a lapsed lease."""
+
+
+@dataclass(slots=True)
+class Lease:
+    """Hold a lease's time to live in seconds, its timer and its keys."""
+
+    ttl: float
+    timer: TimerHandle
+    keys: set[str] = field(default_factory=set)
+
+
+class KeyValueStore:
+    """Apply transactions to all keys, one revision each."""
+
+    def __init__(self) -> None:
+        """Start empty at revision 1, as a new service does."""
+        self.revision = Revision(1)
+        self.compacted = Revision(0)
+        self.changed = Signal()
+        self._pairs: dict[str, KeyValue] = {}
+        self._events: list[WatchEvent] = []
+        self._leases: dict[int, Lease] = {}
+        self._last_lease = 0
+
+    def list_matching(self, matches: Matcher) -> Listing:
+        """Read the pairs whose keys match, in the order of keys."""
+        keys = sorted(filter(matches, self._pairs))
+        return Listing(self.revision, [self._pairs[key] for key in keys])
+
+    def commit(
+        self,
+        compares: Iterable[Compare],
+        changes: Sequence[Put | Delete],
+    ) -> CommitResult:
+        """Apply all or nothing; raise LeaseNotFound."""
+        leases = {change.lease for change in changes if isinstance(change, Put)}
+        if not leases <= {None, *self._leases}:
+            raise LeaseNotFound('requested lease not found')
+        if not all(map(self._holds, compares)):
+            return CommitResult(succeeded=False, revision=self.revision)
+        self._apply(changes)
+        return CommitResult(succeeded=True, revision=self.revision)
+
+    def list_events(
+        self,
+        after: Revision,
+        matches: Matcher,
+    ) -> list[WatchEvent]:
+        """List the changes past `after`; raise WatchCompacted."""
+        if after < self.compacted:
+            raise WatchCompacted
+        return [
+            event
+            for event in self._events
+            if event.revision > after and matches(event.key)
+        ]
+
+    def compact(self) -> None:
+        """Forget all changes up to now."""
+        self.compacted = self.revision
+        self._events.clear()
+
+    def grant_lease(self, ttl: float) -> int:
+        """Return a new lease's id."""
+        self._last_lease += 1
+        lease = self._last_lease
+        self._leases[lease] = Lease(ttl, self._start_timer(lease, ttl))
+        return lease
+
+    def keep_lease(self, lease: int) -> float:
+        """Renew a lease and return its time to live, 0 if it has lapsed."""
+        kept = self._leases.get(lease)
+        if kept is None:
+            return 0
+        kept.timer.cancel()
+        kept.timer = self._start_timer(lease, kept.ttl)
+        return kept.ttl
+
+    def revoke_lease(self, lease: int) -> bool:
+        """End a lease with its keys; tell whether there was one."""
+        ended = self._leases.pop(lease, None)
+        if ended is None:
+            return False
+        ended.timer.cancel()
+        self._apply([Delete(key) for key in sorted(ended.keys)])
+        return True
+
+    def _start_timer(self, lease: int, ttl: float) -> TimerHandle:
+        return get_running_loop().call_later(ttl, self.revoke_lease, lease)
+
+    def _holds(self, compare: Compare) -> bool:
+        pair = self._pairs.get(compare.key)
+        revision = 0 if pair is None else pair.revision
+        return compare.revision == revision
+
+    def _apply(self, changes: Sequence[Put | Delete]) -> None:
+        revision = Revision(self.revision + 1)
+        events = len(self._events)
+        for change in changes:
+            self._apply_one(change, revision)
+        # Deleting what isn't there makes no revision.
+        if len(self._events) > events:
+            self.revision = revision
+            self.changed.fire()
+
+    def _apply_one(self, change: Put | Delete, revision: Revision) -> None:
+        known = self._pairs.pop(change.key, None)
+        for lease in self._leases.values():
+            lease.keys.discard(change.key)
+        if isinstance(change, Delete):
+            if known is not None:
+                self._events.append(WatchEvent(change.key, None, revision))
+            return
+        self._pairs[change.key] = KeyValue(change.key, change.value, revision)
+        self._events.append(WatchEvent(change.key, change.value, revision))
+        if change.lease is not None:
+            self._leases[change.lease].keys.add(change.key)
--- /dev/null
+++ b/tests/standins/peers.py
@@ -0,0 +1,140 @@
+"""Connect proxies to each other in memory."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypeVar
+
+from sedgeshunt.exceptions import PeerUnreachable
+from sedgeshunt.identifiers import GroupId, Revision
+from sedgeshunt.ports import (
+    Address,
+    ConfigurationCopy,
+    PeerConnection,
+    PeerConnector,
+    PrimaryReport,
+    ProxyReport,
+)
+from tests.standins.network import Network, Place
+
+Value = TypeVar('Value')
+
+
+class PeerService(Protocol):
+    """Answer other proxies; a proxy's own peer service does."""
+
+    async def report(self) -> ProxyReport:
+        """Tell what the proxy runs with."""
+
+    async def report_primary(self, group: GroupId) -> PrimaryReport:
+        """Tell when the proxy heard the primary."""
+
+    async def copy_configuration(
+        self,
+        known: Revision,
+    ) -> ConfigurationCopy | None:
+        """Return a newer configuration than `known`."""
+
+    async def announce_leaving(self, name: str) -> None:
+        """Hear that an instance is leaving."""
+
+    async def explain(self, question: bytes) -> bytes:
+        """Tell how the proxy would route."""
+
+
+class MemoryPeers:
+    """Know which proxy listens at which address."""
+
+    def __init__(self, network: Network | None = None) -> None:
+        """Start with no proxy."""
+        self.network = network or Network()
+        self._services: dict[Address, tuple[Place, PeerService]] = {}
+
+    def add(self, address: Address, place: Place, service: PeerService) -> None:
+        """Let the proxy at `place` listen at `address`."""
+        self._services[address] = (place, service)
+
+    def remove(self, address: Address) -> None:
+        """Refuse calls to `address` from now on."""
+        self._services.pop(address, None)
+
+    async def call(
+        self,
+        caller: Place,
+        address: Address,
+        action: Callable[[PeerService], Awaitable[Value]],
+    ) -> Value:
+        """Run `action` at a proxy; hang in a cut until cancelled."""
+        place, _ = self._find(address)
+        await self.network.cross(caller, place)
+        answer = await action(self._find(address)[1])
+        await self.network.cross(place, caller)
+        self._find(address)
+        return answer
+
+    def _find(self, address: Address) -> tuple[Place, PeerService]:
+        found = self._services.get(address)
+        if found is None:
+            peer = f'{address.host}:{address.port}'
+            raise PeerUnreachable(peer, 'connection refused')
+        return found
+
+
+class MemoryPeerConnection(PeerConnection):
+    """Call one proxy through the registry."""
+
+    def __init__(self, peers: MemoryPeers, caller: Place, address: Address):
+        """Call the proxy at `address` as `caller`."""
+        self._peers = peers
+        self._caller = caller
+        self._address = address
+
+    async def report(self) -> ProxyReport:
+        """Ask what the proxy runs with."""
+        return await self.call(lambda peer: peer.report())
+
+    async def report_primary(self, group: GroupId) -> PrimaryReport:
+        """Ask when the proxy heard the primary."""
+        return await self.call(lambda peer: peer.report_primary(group))
+
+    async def copy_configuration(
+        self,
+        known: Revision,
+    ) -> ConfigurationCopy | None:
+        """Ask for a newer configuration than `known`."""
+        return await self.call(lambda peer: peer.copy_configuration(known))
+
+    async def announce_leaving(self, name: str) -> None:
+        """Tell the proxy that an instance is leaving."""
+        await self.call(lambda peer: peer.announce_leaving(name))
+
+    async def explain(self, question: bytes) -> bytes:
+        """Ask how the proxy would route."""
+        return await self.call(lambda peer: peer.explain(question))
+
+    async def close(self) -> None:
+        """Hold nothing that needs closing."""
+
+    async def call(
+        self,
+        action: Callable[[PeerService], Awaitable[Value]],
+    ) -> Value:
+        """Run `action` at the proxy."""
+        return await self._peers.call(self._caller, self._address, action)
+
+
+class MemoryPeerConnector(PeerConnector):
+    """Open connections as one proxy."""
+
+    def __init__(self, peers: MemoryPeers, caller: Place) -> None:
+        """Connect from `caller`."""
+        self._peers = peers
+        self._caller = caller
+
+    async def connect(self, address: Address) -> MemoryPeerConnection:
+        """Open a connection; raise PeerUnreachable."""
+        connection = MemoryPeerConnection(self._peers, self._caller, address)
+        await connection.call(_greet)
+        return connection
+
+
+async def _greet(peer: PeerService) -> None:
+    """Take one round trip to connect."""
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,140 @@
+"""Stand in for the key-value service and the list of instances."""
+
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import TypeVar
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.exceptions import PlatformUnavailable
+from sedgeshunt.identifiers import Revision, Seconds
+from sedgeshunt.ports import (
+    CommitResult,
+    Compare,
+    Delete,
+    InstanceList,
+    KeyValueService,
+    ListedInstance,
+    Listing,
+    Put,
+    WatchEvent,
+)
+from tests.standins.keyvalues import Matcher
+from tests.standins.network import PLATFORM, Network, Place
+from tests.standins.service import KeyValueStandIn
+
+__all__ = (
+    'InstanceListStandIn',
+    'KeyValueStandIn',
+    'MemoryInstanceList',
+    'MemoryKeyValue',
+)
+
+Value = TypeVar('Value')
+
+
+class MemoryKeyValue(KeyValueService):
+    """Call the stand-in as a client in one zone."""
+
+    def __init__(self, service: KeyValueStandIn, client: Place) -> None:
+        """Stand at `client`."""
+        self._service = service
+        self._store = service.store
+        self._client = client
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        """Read all pairs under `prefix`."""
+        return await self._call(
+            'list',
+            lambda: self._store.list_matching(_match_prefix(prefix)),
+        )
+
+    async def commit(
+        self,
+        compares: Sequence[Compare],
+        changes: Sequence[Put | Delete],
+    ) -> CommitResult:
+        """Apply all or nothing; the answer may get lost."""
+        return await self._call(
+            'commit',
+            lambda: self._store.commit(compares, changes),
+        )
+
+    def watch(
+        self,
+        prefix: str,
+        after: Revision,
+    ) -> AsyncIterator[Sequence[WatchEvent]]:
+        """Yield changes past `after`."""
+        return self._service.watch(self._client, _match_prefix(prefix), after)
+
+    async def grant_lease(self, ttl: Seconds) -> int:
+        """Return a new lease's id."""
+        return await self._call('grant', lambda: self._store.grant_lease(ttl))
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; tell False when it has lapsed."""
+        return await self._call(
+            'keep',
+            lambda: self._store.keep_lease(lease) > 0,
+        )
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and remove the keys bound to it."""
+        await self._call('revoke', lambda: self._store.revoke_lease(lease))
+
+    async def _call(self, name: str, action: Callable[[], Value]) -> Value:
+        return await self._service.answer(self._client, name, action)
+
+
+class InstanceListStandIn:
+    """Tell the instances as they were some time ago."""
+
+    def __init__(self, network: Network | None = None) -> None:
+        """Start with an empty list that is up to date."""
+        self.network = network or Network()
+        self.lateness = float(0)
+        self.down = False
+        self._versions: list[tuple[float, tuple[ListedInstance, ...]]] = []
+
+    def outage(self) -> None:
+        """Refuse all readers."""
+        self.down = True
+
+    def recover(self) -> None:
+        """Answer again."""
+        self.down = False
+
+    def publish(self, instances: Sequence[ListedInstance]) -> None:
+        """Replace the list; readers see it `lateness` seconds later."""
+        self._versions.append((read_clock(), tuple(instances)))
+
+    def list_newest(self) -> tuple[ListedInstance, ...]:
+        """Return the list as it truly is."""
+        return self._versions[-1][1] if self._versions else ()
+
+    def list_instances(self) -> tuple[ListedInstance, ...]:
+        """Return the list as of `lateness` seconds ago."""
+        seen = read_clock() - self.lateness
+        known = [listed for at, listed in self._versions if at <= seen]
+        return known[-1] if known else ()
+
+
+class MemoryInstanceList(InstanceList):
+    """Read the stand-in's list as a client in one zone."""
+
+    def __init__(self, service: InstanceListStandIn, client: Place) -> None:
+        """Stand at `client`."""
+        self._service = service
+        self._client = client
+
+    async def read_instances(self) -> Sequence[ListedInstance]:
+        """Return the list; hang in a cut until cancelled."""
+        network = self._service.network
+        await network.cross(self._client, PLATFORM)
+        if self._service.down:
+            raise PlatformUnavailable('connection refused')
+        await network.cross(PLATFORM, self._client)
+        return self._service.list_instances()
+
+
+def _match_prefix(prefix: str) -> Matcher:
+    return lambda key: key.startswith(prefix)
