Stop a read from spinning when its waited-for target drops out

Cause: a read that waited for a replica kept the end of that wait; when the only other choice became ineligible, it waited for a change up to a moment already past, again and again until its deadline, and held the whole loop. Found by a random history whose virtual clock stood still.

--- a/src/sedgeshunt/adapters/target_errors.py
+++ b/src/sedgeshunt/adapters/target_errors.py
@@ -3,6 +3,7 @@
 from sedgeshunt.exceptions import (
     SedgeshuntError,
     TargetBusy,
+    TargetGone,
     TargetLost,
     TargetReadOnly,
     TargetRejected,
@@ -22,17 +23,6 @@
 CLIENT_ERRORS = range(2000, 3000)
 
 
-class TargetGone(TargetLost):
-    """Say that the connection was closed before the call was sent."""
-
-    def format_message(self) -> str:
-        """Name the target and the remedy."""
-        return (
-            f'target {self.target} had closed the connection '
-            + f'({self.reason}); nothing was sent, ask again'
-        )
-
-
 def explain_connecting(
     target: TargetId,
     failure: Exception,
--- a/src/sedgeshunt/adapters/targets.py
+++ b/src/sedgeshunt/adapters/targets.py
@@ -4,12 +4,12 @@
 
 from sedgeshunt.adapters.controls import MysqlControl
 from sedgeshunt.adapters.target_errors import (
-    TargetGone,
     explain_answer,
     explain_connecting,
 )
 from sedgeshunt.adapters.target_link import SeveralResults, TargetLink
 from sedgeshunt.exceptions import (
+    TargetGone,
     TargetBusy,
     TargetLost,
     TargetRejected,
--- a/src/sedgeshunt/connections/pool.py
+++ b/src/sedgeshunt/connections/pool.py
@@ -9,7 +9,6 @@
 from sedgeshunt.exceptions import (
     TargetBusy,
     TargetLost,
-    TargetReadOnly,
     TargetRejected,
     TargetUnreachable,
 )
@@ -118,7 +117,7 @@
             return Err(self._refuse(Cause.DEADLINE, 'no connection was free'))
         except TargetBusy as busy:
             return Err(self._refuse(Cause.OVERLOAD, busy.reason))
-        except (TargetUnreachable, TargetLost, TargetReadOnly) as error:
+        except (TargetUnreachable, TargetLost, TargetRejected) as error:
             reason = error.format_message()
             return Err(
                 NotRun(Cause.CONNECTION_LOST, reason, UNREACHABLE_RETRY),
--- a/src/sedgeshunt/exceptions.py
+++ b/src/sedgeshunt/exceptions.py
@@ -121,6 +121,17 @@
         )
 
 
+class TargetGone(TargetLost):
+    """Say that the connection was closed before the call was sent."""
+
+    def format_message(self) -> str:
+        """Name the target and the remedy."""
+        return (
+            f'target {self.target} had closed the connection '
+            + f'({self.reason}); nothing was sent, ask again'
+        )
+
+
 class TargetRejected(SedgeshuntError):
     """Carry a target's own refusal; the statement left nothing behind."""
 
--- a/src/sedgeshunt/explanation.py
+++ b/src/sedgeshunt/explanation.py
@@ -9,27 +9,14 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.group_runtime import GroupRuntime
 from sedgeshunt.groups.points import Point
-from sedgeshunt.identifiers import (
-    GroupId,
-    ProxyId,
-    Seconds,
-    TrafficClass,
-)
+from sedgeshunt.identifiers import GroupId, ProxyId, Seconds
+from sedgeshunt.membership.questions import Question
 from sedgeshunt.requests.group_service import GroupService
 from sedgeshunt.requests.reads import MILLISECONDS
 from sedgeshunt.routing.choice import ReadNeed
 from sedgeshunt.sessions.token import TokenKeys
 
 
-class Question(Struct, frozen=True):
-    """Ask how a read of a class would be routed now."""
-
-    group: GroupId
-    traffic_class: TrafficClass = TrafficClass('default')
-    accepted_age_ms: int | None = None
-    token: str | None = None
-
-
 class TargetLine(Struct, frozen=True, omit_defaults=True):
     """Tell whether one target could serve the read, and why not."""
 
--- a/src/sedgeshunt/requests/handler.py
+++ b/src/sedgeshunt/requests/handler.py
@@ -6,7 +6,7 @@
 from result import Err, Ok, Result
 
 from sedgeshunt.clocks import read_clock
-from sedgeshunt.identifiers import GroupId, Seconds
+from sedgeshunt.identifiers import GroupId, Seconds, TrafficClass
 from sedgeshunt.requests.gate import CallerSession
 from sedgeshunt.requests.group_service import GroupService
 from sedgeshunt.requests.outcome import (
@@ -16,7 +16,7 @@
     Refusal,
     Unknown,
 )
-from sedgeshunt.requests.reads import ReadRunner
+from sedgeshunt.requests.reads import MILLISECONDS, ReadRunner
 from sedgeshunt.requests.recorder import OutcomeRecorder
 from sedgeshunt.requests.request import Request, StatementKind
 from sedgeshunt.requests.transaction import Transaction
@@ -68,6 +68,11 @@
         """Return the session's points, signed."""
         return self._keys.sign(self._session.points)
 
+    def find_deadline(self, traffic_class: TrafficClass) -> Seconds:
+        """Return the time to answer that the class's route gives."""
+        route = self._service.find_route(traffic_class)
+        return Seconds(route.deadline_ms / MILLISECONDS)
+
     async def answer(self, request: Request) -> Result[Answer, Refusal]:
         """Carry one request to its one outcome."""
         started = read_clock()
--- a/src/sedgeshunt/requests/reads.py
+++ b/src/sedgeshunt/requests/reads.py
@@ -119,17 +119,20 @@
             now = read_clock()
             ranking = self.service.rank(route, need, now)
             choice = _pick(ranking, tried)
-            if choice is not None:
-                if waits_until is None:
-                    waits_until = self._find_wait_end(request, ranking, need)
-                if now >= waits_until:
-                    return Ok(choice)
-            elif not self._is_hopeful(request, now):
-                return Err(self._refuse_stale(ranking.describe()))
-            self.service.view.request_fresh()
-            await self.service.view.wait_change(
-                min(request.deadline, waits_until or request.deadline),
-            )
+            if choice is None:
+                if not self._is_hopeful(request, now):
+                    return Err(self._refuse_stale(ranking.describe()))
+                await self._wait_change(request.deadline)
+                continue
+            if waits_until is None:
+                waits_until = self._find_wait_end(request, ranking, need)
+            if now >= waits_until:
+                return Ok(choice)
+            await self._wait_change(min(request.deadline, waits_until))
+
+    async def _wait_change(self, until: Monotonic) -> None:
+        self.service.view.request_fresh()
+        await self.service.view.wait_change(until)
 
     def _find_wait_end(
         self,
--- a/src/sedgeshunt/requests/recorder.py
+++ b/src/sedgeshunt/requests/recorder.py
@@ -2,7 +2,7 @@
 
 from result import Err, Result
 
-from sedgeshunt.burn.tally import Tally
+from sedgeshunt.burn.tally import NO_TARGET, Tally
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.logs import StatementLog
@@ -54,7 +54,7 @@
             request.traffic_class,
             name,
             cause,
-            target or '',
+            target or NO_TARGET,
             spent,
             now,
         )
--- a/src/sedgeshunt/requests/target_service.py
+++ b/src/sedgeshunt/requests/target_service.py
@@ -7,7 +7,12 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.configuration.objects import Route, Target
 from sedgeshunt.connections.pool import Loan, TargetPool
-from sedgeshunt.exceptions import TargetLost, TargetReadOnly, TargetRejected
+from sedgeshunt.exceptions import (
+    TargetGone,
+    TargetLost,
+    TargetReadOnly,
+    TargetRejected,
+)
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.limits.admission import TargetAdmission
 from sedgeshunt.requests.outcome import (
@@ -90,8 +95,7 @@
         except TargetRejected as refusal:
             return Err(_describe_rejection(refusal))
         except TargetLost as loss:
-            reason = loss.format_message()
-            return Err(Unknown(Cause.CONNECTION_LOST, reason))
+            return Err(_describe_loss(loss))
         except TimeoutError:
             return Err(
                 Unknown(
@@ -119,6 +123,13 @@
                 self._in_flight.discard(timeout)
 
 
+def _describe_loss(loss: TargetLost) -> Refusal:
+    reason = loss.format_message()
+    if isinstance(loss, TargetGone):
+        return NotRun(Cause.CONNECTION_LOST, reason, SUPERSEDED_RETRY)
+    return Unknown(Cause.CONNECTION_LOST, reason)
+
+
 def _describe_rejection(refusal: TargetRejected) -> Refusal:
     if isinstance(refusal, TargetReadOnly):
         # The target proved that it no longer leads: nothing ran.
