--- a/tests/features/group_bench.py
+++ b/tests/features/group_bench.py
@@ -11,11 +11,11 @@
 
 from sedgeshunt.clocks import PauseWatch, read_clock
 from sedgeshunt.configuration.objects import LEAVING, STATE_LABEL, Target
-from sedgeshunt.decisions import DecisionKind, MemoryDecisionLog
+from sedgeshunt.decisions import Decision, DecisionKind, MemoryDecisionLog
 from sedgeshunt.exceptions import SedgeshuntError
 from sedgeshunt.groups.keeper import GroupKeeper
 from sedgeshunt.groups.panel import PeerPanel
-from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.points import ORIGIN, Point
 from sedgeshunt.groups.view import GroupView
 from sedgeshunt.identifiers import (
     GroupId,
@@ -24,7 +24,7 @@
     TargetId,
     ZoneId,
 )
-from sedgeshunt.ports import PrimaryReport
+from sedgeshunt.ports import Address, PrimaryReport
 from tests.standins.engine import DatabaseGroup
 from tests.standins.links import MemoryConnector
 from tests.standins.network import Place
@@ -33,7 +33,8 @@
 DATABASES = {'ada': 'east', 'bob': 'north', 'cyd': 'west'}
 PROXIES = {'p1': 'east', 'p2': 'north', 'p3': 'west'}
 SCHEMA = 'CREATE TABLE turns (id INTEGER PRIMARY KEY)'
-WRITE_TIME = 2
+ADDRESS = Address('', 0)
+WRITE_TIME = 0.5
 PANEL_TIME = 0.1
 
 Outcome = TypeVar('Outcome')
@@ -84,6 +85,8 @@
             ProxyId(name),
             self.decisions,
         )
+        # Rows that were committed and never acknowledged.
+        self.unknown: set[int] = set()
         self.stopped = True
         self._running: Task[None] | None = None
 
@@ -112,12 +115,9 @@
             return None
         if await self.view.wait_durable(point, deadline):
             return point
+        self.unknown.add(number)
         return None
 
-    def list_kinds(self) -> list[DecisionKind]:
-        """List the kinds of this proxy's decisions."""
-        return [one.kind for one in self.decisions.list_decisions()]
-
     async def _run(self) -> None:
         async with AsyncExitStack() as owned:
             watching = create_task(self.pauses.run())
@@ -131,12 +131,11 @@
         number: int,
         deadline: Monotonic,
     ) -> Point | None:
-        address = None
         with suppress(SedgeshuntError, TimeoutError):
             async with timeout_at(deadline), AsyncExitStack() as owned:
                 connection = await self.connector.connect(
                     primary,
-                    address,
+                    ADDRESS,
                     GROUP,
                 )
                 owned.push_async_callback(connection.close)
@@ -159,7 +158,10 @@
         self.leaving: set[str] = set()
         self.acknowledged: dict[int, float] = {}
         self._numbers = 0
-        self._writing: list[Task[None]] = []
+        self.points: list[Point] = []
+        # Barriers below what was acknowledged before their session opened.
+        self.stale: list[Point] = []
+        self._tasks: list[Task[None]] = []
 
     def run(self, work: Coroutine[Any, Any, Outcome]) -> Outcome:
         """Run `work` to its end."""
@@ -186,6 +188,30 @@
             self.ask(self.nodes[name].start)
         self.wait(0.3)
 
+    def cut(self, one: str, other: str) -> None:
+        """Let nothing pass between two places or zones."""
+        self.ask(partial(self.databases.network.cut, one, other))
+
+    def slow_zone(self, zone: str, latency: float) -> None:
+        """Let each message to or from a zone take `latency` seconds."""
+        for other in PROXIES.values():
+            self.databases.network.set_latency(zone, other, latency)
+
+    def revive(self) -> None:
+        """Restart and thaw all databases."""
+        for database in self.databases.databases.values():
+            self.ask(database.restart)
+            self.ask(database.thaw)
+
+    def mend(self) -> None:
+        """End all faults."""
+        self.ask(self.databases.network.heal)
+        self.revive()
+        for database in self.databases.databases.values():
+            self.ask(partial(database.set_lag, 0))
+        self.leaving.clear()
+        self.configure()
+
     def configure(self) -> None:
         """Hand the configuration to all proxies."""
         targets = [
@@ -205,14 +231,29 @@
 
     def start_writing(self, name: str) -> None:
         """Write one row after the other through a proxy."""
-        self._writing.append(self.loop.create_task(self._write(name)))
+        self._tasks.append(self.loop.create_task(self._write(name)))
 
     def list_lost(self) -> set[int]:
-        """Return the acknowledged rows that the primary doesn't have."""
+        """Return the acknowledged rows that the newest primary lacks."""
         leader = self.databases.find_leader()
+        if leader is None:
+            return set(self.acknowledged)
         rows = self.databases.select(leader.name, 'SELECT id FROM turns')
         return set(self.acknowledged) - {row[0] for row in rows}
 
+    def list_unknown(self) -> set[int]:
+        """Return the rows that were committed and never acknowledged."""
+        unknown = [node.unknown for node in self.nodes.values()]
+        return set().union(*unknown)
+
+    def list_decisions(self, kind: DecisionKind) -> list[Decision]:
+        """List one kind of decisions of all proxies."""
+        return [
+            decision
+            for node in self.nodes.values()
+            for decision in node.decisions.list_decisions(kind)
+        ]
+
     def measure_gap(self) -> float:
         """Return the longest time without an acknowledgement."""
         moments = [*self.acknowledged.values(), self.loop.time()]
@@ -226,6 +267,10 @@
         self.run(self._close())
         self.loop.close()
 
+    def start_reading(self, name: str) -> None:
+        """Open one session after the other, and check its barrier."""
+        self._tasks.append(self.loop.create_task(self._read(name)))
+
     async def _open(self) -> DatabaseGroup:
         databases = DatabaseGroup(DATABASES)
         databases.load_schema([SCHEMA])
@@ -236,13 +281,25 @@
         while True:
             self._numbers += 1
             number = self._numbers
-            if await self.nodes[name].write(number) is not None:
+            point = await self.nodes[name].write(number)
+            if point is not None:
                 self.acknowledged[number] = read_clock()
+                self.points.append(point)
             await sleep(0.005)
 
+    async def _read(self, name: str) -> None:
+        while True:
+            await sleep(0.03)
+            opened = read_clock()
+            highest = max(self.points, default=ORIGIN)
+            deadline = Monotonic(opened + WRITE_TIME)
+            point = await self.nodes[name].view.wait_barrier(opened, deadline)
+            if point is not None and point < highest:
+                self.stale.append(point)
+
     async def _close(self) -> None:
-        for writing in self._writing:
-            writing.cancel()
+        for task in self._tasks:
+            task.cancel()
         for node in self.nodes.values():
             await node.stop()
         self.databases.close()
--- a/tests/features/steps/driver_targets_steps.py
+++ b/tests/features/steps/driver_targets_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from sedgeshunt.adapters.target_errors import TargetGone
+from sedgeshunt.exceptions import TargetGone
 from sedgeshunt.adapters.targets import MysqlConnector
 from sedgeshunt.exceptions import (
     FenceRefused,
--- /dev/null
+++ b/tests/features/steps/read_steps.py
@@ -0,0 +1,101 @@
+"""Check how reads find their target."""
+
+from asyncio import Runner, create_task, sleep
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.requests.group_service import GroupService
+from tests.deployment import Deployment, Profile
+from tests.ledger import LATENESS
+from tests.virtual_time import make_loop
+
+PATIENCE = 0.05
+WRITE_DEADLINE = 0.2
+
+
+class LookCounter:
+    """Count the rankings and stop a loop that never ends."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.looks = 0
+        self._rank = GroupService.rank
+
+    def rank(self, service: GroupService, *needs: Any, **options: Any) -> Any:
+        """Rank as the product does."""
+        self.looks += 1
+        if self.looks > 10_000:
+            raise AssertionError('the read looks for a target without end')
+        return self._rank(service, *needs, **options)
+
+
+async def read_in_failure(lag: float, deadline: float) -> tuple[float, int]:
+    """Return how long the read took and how often it looked."""
+    counter = LookCounter()
+    async with Deployment(Profile(lag=lag, proxies=1)) as deployment:
+        group = next(iter(deployment.groups.values()))
+        caller = deployment.open_caller()
+        await caller.connect('p1')
+        await caller.ask(
+            "INSERT INTO turns (ref) VALUES ('a')",
+            deadline=WRITE_DEADLINE,
+        )
+        primary = group.find_leader()
+        if primary is None:
+            raise AssertionError('the group has no primary')
+        keys = deployment.nodes['p1'].proxy.keys
+        caller.token = keys.sign(
+            {next(iter(deployment.groups)): primary.log_end}
+        )
+        with (
+            patch.object(
+                GroupService,
+                'rank',
+                lambda *needs, **options: counter.rank(*needs, **options),
+            ),
+            patch.object(GroupService, 'find_patience', return_value=PATIENCE),
+        ):
+            started = read_clock()
+            reading = create_task(
+                caller.ask('SELECT ref FROM turns', deadline=deadline),
+            )
+            await sleep(PATIENCE / 5)
+            primary.kill()
+            await reading
+            return read_clock() - started, counter.looks
+
+
+@given(
+    'replicas that lag by {lag:d} s and a token that only the primary covers'
+)
+def declare_lag(context: Any, lag: int) -> None:
+    """Keep the lag for the deployment."""
+    context.lag = lag
+
+
+@when(
+    'a read with a deadline of {deadline:d} s begins and the primary dies in '
+    'its wait',
+)
+def read_through_failure(context: Any, deadline: int) -> None:
+    """Run the read in virtual time."""
+    context.deadline = deadline
+    with Runner(loop_factory=make_loop) as runner:
+        measured = runner.run(read_in_failure(context.lag, deadline))
+    context.spent = measured[0]
+    context.looks = measured[1]
+
+
+@then('the read is answered by its deadline')
+def check_deadline(context: Any) -> None:
+    """Compare the time spent with the deadline."""
+    assert context.spent <= context.deadline + LATENESS, context.spent
+
+
+@then('the proxy looked for a target fewer than {limit:d} times')
+def check_looks(context: Any, limit: int) -> None:
+    """Compare the number of rankings with the limit."""
+    assert context.looks < limit, context.looks
--- /dev/null
+++ b/tests/features/steps/routing_steps.py
@@ -0,0 +1,317 @@
+"""Check how reads are routed, in virtual time."""
+
+from asyncio import sleep
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from functools import partial
+from typing import Any
+
+from async_solipsism import EventLoop
+from behave import given, then, when
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.configuration.objects import (
+    LEAVING,
+    STATE_LABEL,
+    Route,
+    Target,
+)
+from sedgeshunt.decisions import DecisionKind, MemoryDecisionLog
+from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.status import Role, TargetStatus
+from sedgeshunt.identifiers import (
+    GroupId,
+    Monotonic,
+    Position,
+    Seconds,
+    TargetId,
+    Term,
+    TrafficClass,
+    ZoneId,
+)
+from sedgeshunt.routing.catch_up import CatchUp
+from sedgeshunt.routing.choice import Ranking, ReadNeed, ReadRouter
+from sedgeshunt.routing.health import GroupHealth
+from sedgeshunt.routing.views import FreshnessView, Load
+
+GROUP = GroupId('songbook')
+TERM = Term(3)
+
+
+@dataclass
+class KnownTarget(Load):
+    """Hold what a test says of one target."""
+
+    status: TargetStatus | None
+    age: float | None
+    wait: float
+    is_heard: bool = True
+
+    def expected_wait(self, now: Monotonic) -> Seconds:
+        return Seconds(self.wait)
+
+
+class KnownView(FreshnessView):
+    """Answer from what a test says."""
+
+    def __init__(self) -> None:
+        self.known: dict[TargetId, KnownTarget] = {}
+
+    def get_status(self, target: TargetId) -> TargetStatus | None:
+        return self.known[target].status
+
+    def get_primary(self) -> TargetId | None:
+        return TargetId('ada')
+
+    def is_heard(self, target: TargetId, now: Monotonic) -> bool:
+        return self.known[target].is_heard
+
+    def covers(self, target: TargetId, point: Point) -> bool:
+        status = self.known[target].status
+        return status is not None and point <= status.log_end
+
+    def measure_age(self, target: TargetId, now: Monotonic) -> Seconds | None:
+        age = self.known[target].age
+        return None if age is None else Seconds(age)
+
+
+class RoutingBench:
+    """Hold a router and all that it looks at."""
+
+    def __init__(self, zone: str) -> None:
+        self.loop = EventLoop()
+        self.view = KnownView()
+        self.targets: dict[str, Target] = {}
+        self.decisions = MemoryDecisionLog()
+        self.health = GroupHealth(GROUP, self.decisions)
+        self.router = ReadRouter(ZoneId(zone), self.health, self.view.known)
+        self.route = Route(name='r', traffic_class=TrafficClass('status'))
+        self.catch_up = CatchUp()
+        self.need = ReadNeed(None, None)
+
+    def run(self, act: Callable[[], Any]) -> Any:
+        async def call() -> Any:
+            return act()
+
+        return self.loop.run_until_complete(call())
+
+    def rank(self, *, may_probe: bool = True) -> Ranking:
+        return self.run(
+            lambda: self.router.rank(
+                self.view,
+                list(self.targets.values()),
+                self.route,
+                self.need,
+                read_clock(),
+                may_probe=may_probe,
+            ),
+        )
+
+    def answer(self, target: str, count: int, spent: float, ok: bool) -> None:
+        note = partial(
+            self.health.get(TargetId(target)).note,
+            Seconds(spent),
+            ok=ok,
+        )
+        for _ in range(count):
+            self.run(note)
+
+
+def parse_point(text: str) -> Point:
+    term, position = text.split(':')
+    return Point(Term(int(term)), Position(int(position)))
+
+
+@given('a router in zone "{zone}" and these targets')
+def make_router(context: Any, zone: str) -> None:
+    bench = RoutingBench(zone)
+    context.bench = bench
+    context.add_cleanup(bench.loop.close)
+    for row in context.table:
+        name = TargetId(row['target'])
+        bench.targets[name] = Target(name, GROUP, '', 0, ZoneId(row['zone']))
+        bench.view.known[name] = KnownTarget(
+            TargetStatus(
+                name,
+                TERM,
+                parse_point(row['log end']),
+                Role(row['role']),
+            ),
+            int(row['age ms']) / 1000,
+            int(row['wait ms']) / 1000,
+        )
+        bench.health.get(name)
+
+
+@when('the expected wait at "{target}" is {wait:d} ms')
+def set_wait(context: Any, target: str, wait: int) -> None:
+    context.bench.view.known[target].wait = wait / 1000
+
+
+@when('nothing else')
+def change_nothing(context: Any) -> None:
+    assert context.bench.targets
+
+
+@when('"{target}" is leaving')
+def set_leaving(context: Any, target: str) -> None:
+    context.bench.targets[target].labels[STATE_LABEL] = LEAVING
+
+
+@when('the route selects "{selector}"')
+def set_selector(context: Any, selector: str) -> None:
+    context.bench.route = Route('r', TrafficClass('status'), targets=selector)
+
+
+@when('the route keeps off the primary')
+def forbid_primary(context: Any) -> None:
+    context.bench.route = Route(
+        'r',
+        TrafficClass('status'),
+        primary_reads=False,
+    )
+
+
+@when('"{target}" has told nothing')
+def forget_status(context: Any, target: str) -> None:
+    context.bench.view.known[target].status = None
+
+
+@when('"{target}" is silent')
+def silence(context: Any, target: str) -> None:
+    context.bench.view.known[target].is_heard = False
+
+
+@when('the log of "{target}" ends at {point}')
+def set_log_end(context: Any, target: str, point: str) -> None:
+    known = context.bench.view.known[target]
+    known.status = replace(known.status, log_end=parse_point(point))
+
+
+@when('the age of "{target}" is {age:d} ms')
+def set_age(context: Any, target: str, age: int) -> None:
+    context.bench.view.known[target].age = age / 1000
+
+
+@when('the age of "{target}" is not provable')
+def remove_age(context: Any, target: str) -> None:
+    context.bench.view.known[target].age = None
+
+
+@when('{count:d} statements fail at "{target}"')
+def fail(context: Any, count: int, target: str) -> None:
+    context.bench.answer(target, count, 0.1, ok=False)
+
+
+@when(
+    'every target but "{target}" answers {count:d} statements in {spent:d} ms'
+)
+def answer_all(context: Any, target: str, count: int, spent: int) -> None:
+    for name in set(context.bench.targets) - {target}:
+        context.bench.answer(name, count, spent / 1000, ok=True)
+
+
+@when('"{target}" answers {count:d} statements in {spent:d} ms')
+def answer_one(context: Any, target: str, count: int, spent: int) -> None:
+    context.bench.answer(target, count, spent / 1000, ok=True)
+
+
+@when('{seconds:g} s pass')
+def let_pass(context: Any, seconds: float) -> None:
+    context.bench.loop.run_until_complete(sleep(seconds))
+
+
+@when('{count:d} probes of "{target}" are answered, {seconds:g} s apart')
+def pass_probes(context: Any, count: int, target: str, seconds: float) -> None:
+    for _ in range(count):
+        assert context.bench.rank().eligible[0] == target
+        context.bench.answer(target, 1, 0.005, ok=True)
+        let_pass(context, seconds)
+
+
+@when('an operator asks for the route')
+def explain(context: Any) -> None:
+    assert context.bench.rank(may_probe=False).eligible[0] == 'cyd'
+
+
+@then('a read goes to "{order}"')
+@then('the next read goes to "{order}"')
+def check_order(context: Any, order: str) -> None:
+    context.ranking = context.bench.rank()
+    assert ', '.join(context.ranking.eligible) == order, context.ranking
+
+
+@then('a read that needs {point} and accepts {age:d} ms goes to "{order}"')
+def check_needed(context: Any, point: str, age: int, order: str) -> None:
+    context.bench.need = ReadNeed(parse_point(point), Seconds(age / 1000))
+    check_order(context, order)
+
+
+@then('a read that accepts {age:d} ms goes to "{order}"')
+def check_aged(context: Any, age: int, order: str) -> None:
+    context.bench.need = ReadNeed(None, Seconds(age / 1000))
+    check_order(context, order)
+
+
+@then('the verdict on "{target}" is "{rule}" and tells "{detail}"')
+def check_verdict(context: Any, target: str, rule: str, detail: str) -> None:
+    verdicts = {each.target: each for each in context.ranking.verdicts}
+    assert verdicts[target].rule.value == rule, verdicts[target]
+    assert detail in verdicts[target].detail, verdicts[target].detail
+    assert verdicts[target].detail in context.ranking.describe()
+
+
+@then('"{target}" may catch up')
+def check_nearest(context: Any, target: str) -> None:
+    assert context.ranking.may_catch_up == target
+
+
+@then('the decision "{kind}" is recorded for "{target}"')
+def check_decision(context: Any, kind: str, target: str) -> None:
+    decisions = context.bench.decisions.list_decisions(DecisionKind(kind))
+    assert [each.target for each in decisions][-1:] == [target], decisions
+
+
+@given('replicas that apply each record {lag:d} ms after the primary')
+def replicate(context: Any, lag: int) -> None:
+    context.now = 0
+    for number in range(50):
+        point = Point(TERM, Position(number))
+        context.newest = point
+        for name, delay in (('ada', 0), ('bob', lag), ('cyd', lag)):
+            moment = Monotonic(context.now + delay / 1000)
+            if number < 49 or not delay:
+                context.bench.catch_up.note_log_end(name, point, moment)
+        context.now += 0.02
+    context.now -= 0.02
+
+
+def ask_wait(context: Any, left: float) -> Seconds | None:
+    now = Monotonic(context.now)
+    return context.bench.catch_up.should_wait(
+        TargetId('bob'),
+        context.newest,
+        now,
+        Monotonic(now + left),
+        Seconds(0),
+    )
+
+
+@then('a read of the newest record waits for "bob" at most {wait:d} ms')
+def check_wait(context: Any, wait: int) -> None:
+    assert ask_wait(context, 1) == wait / 1000
+
+
+@then('a read of the newest record with {left:d} ms left goes elsewhere')
+def check_short_wait(context: Any, left: int) -> None:
+    assert ask_wait(context, left / 1000) is None
+
+
+@when('"bob" stops applying and {span:d} ms pass')
+def stop_applying(context: Any, span: int) -> None:
+    context.now += span / 1000
+
+
+@then('a read of the newest record goes elsewhere')
+def check_stuck(context: Any) -> None:
+    assert ask_wait(context, 1) is None
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -22,7 +22,8 @@
 CALLERS = 6
 LENGTH = 8
 SETTLE = 12
-RUN_LIMIT = 300
+TOKEN_LOSS = 0.3
+ROLLBACK_SHARE = 0.2
 
 
 @dataclass(frozen=True)
@@ -85,7 +86,7 @@
                     await self.caller.connect(self.random.choice(running))
                     break
             await sleep(0.05)
-        if self.random.random() < 0.3:
+        if self.random.random() < TOKEN_LOSS:
             self.caller.token = None
             self.carried.clear()
 
@@ -124,7 +125,7 @@
             is_whole = is_whole and outcome.is_ok()
             await sleep(self.random.uniform(0, 0.02))
         end = 'COMMIT'
-        if not is_whole or self.random.random() < 0.2:
+        if not is_whole or self.random.random() < ROLLBACK_SHARE:
             end = 'ROLLBACK'
         await self._end_transaction(end, first, second)
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -54,10 +54,8 @@
             ('outcome', self.outcomes),
             ('decision', self.decisions),
         ):
-            lines += [
-                f'  {name} {key}: {count}'
-                for key, count in sorted(counter.items())
-            ]
+            for key, count in sorted(counter.items()):
+                lines.append(f'  {name} {key}: {count}')
         lines.append(f'violations {len(self.violations)}')
         return lines + self.violations[:SHOWN_VIOLATIONS]
 
--- a/tests/standins/executors.py
+++ b/tests/standins/executors.py
@@ -63,7 +63,9 @@
             raise refuse_read_only()
         if statement.kind is Kind.WRITE:
             return self._write(statement)
-        answer = self._open_worker().run(statement.sql)
+        answer = statement.select_variable()
+        if answer is None:
+            answer = self._open_worker().run(statement.sql)
         self._note(EventKind.RAN, statement.sql, None)
         return answer
 
--- a/tests/standins/main.py
+++ b/tests/standins/main.py
@@ -23,6 +23,9 @@
 from tests.standins.platform import InstanceListStandIn, KeyValueStandIn
 from tests.standins.platform_front import GatewayFront
 
+# A transaction carries values of up to 1 MB each, a third larger in base64.
+MAX_BODY = 16 * 2**20
+
 
 class DatabaseEntry(Struct, forbid_unknown_fields=True):
     """Describe one database; port 0 takes a free one."""
@@ -93,7 +96,7 @@
             groups[entry.name] = await self._serve_group(entry, owned)
         service = KeyValueStandIn(self._network)
         gateway = GatewayFront(service)
-        application = Application()
+        application = Application(client_max_size=MAX_BODY)
         gateway.add_routes(application)
         faults = FaultFront(groups, gateway, self._build_list())
         faults.add_routes(application)
--- a/tests/standins/mysql_front.py
+++ b/tests/standins/mysql_front.py
@@ -23,6 +23,7 @@
 from sedgeshunt.exceptions import SedgeshuntError, TargetRejected
 from sedgeshunt.requests.outcome import Answer, Column
 from tests.standins.databases import Database
+from tests.standins.logins import OpenDoor
 from tests.standins.network import Place
 from tests.standins.sessions import Session
 
@@ -130,7 +131,7 @@
 
     def __init__(self, database: Database, port: int = 0) -> None:
         """Serve `database`; port 0 takes a free one at the first start."""
-        super().__init__()
+        super().__init__(identity_provider=OpenDoor())
         self.database = database
         self.port = port
         self._connections: set[FrontConnection] = set()
--- a/tests/standins/statements.py
+++ b/tests/standins/statements.py
@@ -6,9 +6,23 @@
 from re import compile as compile_pattern
 
 from sedgeshunt.exceptions import TargetReadOnly, TargetRejected
+from sedgeshunt.requests.outcome import Answer, Column
 
 LEADING = compile_pattern(r'^(?:\s|\(|/\*.*?\*/|--[^\n]*\n|;)*')
 CALL = compile_pattern(r'CALL\s+group_(\w+)\s*\(([^)]*)\)', IGNORECASE)
+VARIABLE = compile_pattern(
+    r'SELECT\s+(@@(?:session\.|global\.)?(\w+))\s*;?\s*$',
+    IGNORECASE,
+)
+# What drivers ask before their first statement with parameters.
+VARIABLES = {
+    'sql_mode': 'STRICT_TRANS_TABLES,NO_ENGINE_SUBSTITUTION',
+    'lower_case_table_names': '0',
+    'tx_isolation': 'REPEATABLE-READ',
+    'transaction_isolation': 'REPEATABLE-READ',
+    'version_comment': 'stand-in',
+}
+VARIABLE_TYPE = 253
 AUTOCOMMIT = compile_pattern(r'autocommit\s*=\s*(\w+)', IGNORECASE)
 
 
@@ -53,6 +67,20 @@
             raise TargetRejected(1064, '42000', 'no such procedure')
         return call
 
+    def select_variable(self) -> Answer | None:
+        """Answer if a server variable is asked for; raise TargetRejected."""
+        asked = VARIABLE.match(LEADING.sub('', self.sql, count=1))
+        if self.kind is not Kind.READ or asked is None:
+            return None
+        name = asked[2].lower()
+        if name not in VARIABLES:
+            reason = f"Unknown system variable '{name}'"
+            raise TargetRejected(1193, 'HY000', reason)
+        return Answer(
+            columns=(Column(asked[1], VARIABLE_TYPE),),
+            rows=((VARIABLES[name],),),
+        )
+
     def read_autocommit(self, current: bool) -> bool:
         """Return the autocommit mode after this statement."""
         setting = AUTOCOMMIT.search(self.sql)
