Keep a repeat from vouching for a run that its group dropped

Cause: a repeat found its first run on a superseded primary, then read that target's log end after it had followed the new primary and dropped the run; the new log end was durable, so the run was acknowledged and lost. Ruled out: evidence of terms and positions (the point was held by a majority, it was just the wrong history). Change: the log end counts only while the target leads in the term in which the row was seen; an undone transaction is told as 'not run' only once the new primary's log is durable; an attempt that may have run outweighs every later proof. The wait for a connection, not only for an answer, now ends when its target is suspected: the repeat had waited 1.5 s on a frozen primary. Before: both scenarios of repeats.feature fail (lost run; 'no connection was free' after 20 s).

--- a/src/sedgeshunt/requests/group_service.py
+++ b/src/sedgeshunt/requests/group_service.py
@@ -11,12 +11,14 @@
 from sedgeshunt.configuration.snapshot import Snapshot
 from sedgeshunt.connections.shares import compute_share
 from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.status import Role
 from sedgeshunt.groups.view import GroupView
 from sedgeshunt.identifiers import (
     GroupId,
     Monotonic,
     Seconds,
     TargetId,
+    Term,
     TrafficClass,
     ZoneId,
 )
@@ -109,17 +111,29 @@
         finally:
             self._waiting_writes -= 1
 
+    def find_leading_term(self, target: TargetId) -> Term | None:
+        """Return the term in which the target is known to lead."""
+        status = self.view.get_status(target)
+        if status is None or status.role is not Role.PRIMARY:
+            return None
+        return status.fencing_term
+
     async def read_tip(
         self,
         target: TargetId,
+        term: Term,
         deadline: Monotonic,
     ) -> Point | None:
-        """Return the target's log end as asked for from now on."""
+        """Return the primary's log end as asked for from now on.
+
+        None when it does not lead in `term` any more.
+        """
         since = read_clock()
         while read_clock() < deadline:
             seen = self.view.get_observation(target)
             if seen is not None and seen.asked_at >= since:
-                return seen.status.log_end
+                is_leading = self.find_leading_term(target) == term
+                return seen.status.log_end if is_leading else None
             self.view.request_fresh()
             await self.view.wait_change(deadline)
         return None
@@ -189,8 +203,10 @@
             refresh()
             for name, service in tuple(self.services.items()):
                 is_heard = self.is_heard(name)
-                if was_heard.get(name) and not is_heard:
-                    service.abort_in_flight()
+                if is_heard:
+                    service.note_heard()
+                elif was_heard.get(name):
+                    service.note_gone()
                     await service.pool.drop_idle()
                 was_heard[name] = is_heard
             await sleep(CHECK_EVERY)
--- a/src/sedgeshunt/requests/target_service.py
+++ b/src/sedgeshunt/requests/target_service.py
@@ -1,6 +1,8 @@
 """Serve one target: admission, connections and health in one place."""
 
 from asyncio import Timeout, timeout_at
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 from result import Err, Ok, Result
 
@@ -44,10 +46,16 @@
         self.pool = pool
         self.admission = admission
         self.health = health
+        self._is_gone = False
         self._in_flight: set[Timeout] = set()
 
-    def abort_in_flight(self) -> None:
-        """End the wait of every statement sent to a target that is gone."""
+    def note_heard(self) -> None:
+        """Take in that the target answers."""
+        self._is_gone = False
+
+    def note_gone(self) -> None:
+        """End every wait for a target that stopped answering."""
+        self._is_gone = True
         # A frozen target breaks no connection: its callers would hold their
         # microphones until their deadlines. Their outcome is unknown at
         # once, and what is safe to repeat runs elsewhere.
@@ -80,8 +88,14 @@
         await self.pool.resize(share)
 
     async def lend(self, request: Request) -> Result[Loan, NotRun]:
-        """Lend a connection for a transaction."""
-        return await self.pool.lend(request.deadline)
+        """Lend a connection, unless the target is gone."""
+        if self._is_gone:
+            return Err(self._refuse_gone())
+        try:
+            async with self._watch(request):
+                return await self.pool.lend(request.deadline)
+        except TimeoutError:
+            return Err(self._refuse_gone())
 
     async def run_on(
         self,
@@ -108,20 +122,32 @@
         self,
         request: Request,
     ) -> Result[Answer, Refusal]:
-        lent = await self.pool.lend(request.deadline)
+        lent = await self.lend(request)
         if isinstance(lent, Err):
             return lent
         async with lent.ok_value as loan:
             return await self.run_on(loan, request, request.sql)
 
     async def _execute(self, loan: Loan, request: Request, sql: str) -> Answer:
+        async with self._watch(request):
+            return await loan.execute(sql)
+
+    @asynccontextmanager
+    async def _watch(self, request: Request) -> AsyncIterator[None]:
         async with timeout_at(request.deadline) as timeout:
             self._in_flight.add(timeout)
             try:
-                return await loan.execute(sql)
+                yield
             finally:
                 self._in_flight.discard(timeout)
 
+    def _refuse_gone(self) -> NotRun:
+        return NotRun(
+            Cause.CONNECTION_LOST,
+            f'target {self.target.name} stopped answering',
+            SUPERSEDED_RETRY,
+        )
+
 
 def _describe_loss(loss: TargetLost) -> Refusal:
     reason = loss.format_message()
--- a/src/sedgeshunt/requests/writes.py
+++ b/src/sedgeshunt/requests/writes.py
@@ -7,7 +7,8 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.configuration.objects import Route
 from sedgeshunt.connections.pool import Loan
-from sedgeshunt.identifiers import RequestId, Seconds
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import RequestId, Seconds, Term
 from sedgeshunt.requests.group_service import GroupService
 from sedgeshunt.requests.outcome import (
     Answer,
@@ -56,10 +57,12 @@
             if isinstance(outcome, Ok):
                 return outcome
             refusal = outcome.err_value
+            # An attempt that may have run outweighs every later proof that
+            # another one did not.
             if isinstance(refusal, Unknown):
                 unsure = refusal
             if not await self._may_repeat(request, refusal):
-                return Err(self._conclude(request, refusal, unsure))
+                return Err(unsure or refusal)
 
     async def confirm(
         self,
@@ -108,6 +111,10 @@
         request_id: RequestId,
     ) -> Result[Answer, Refusal] | None:
         """Return the stored result of an earlier run, None if none ran."""
+        # A superseded primary may still hold a first run that its group has
+        # dropped, and follow the new one a moment later. Its log end counts
+        # only while it leads in the term in which the row was seen.
+        term = self.service.find_leading_term(service.target.name)
         found = await service.run_on(
             loan,
             request,
@@ -118,17 +125,28 @@
             return found
         if not found.ok_value.rows:
             return None
-        affected, inserted = found.ok_value.rows[0]
+        return await self._confirm_recalled(
+            service,
+            request,
+            found.ok_value,
+            term,
+        )
+
+    async def _confirm_recalled(
+        self,
+        service: TargetService,
+        request: Request,
+        found: Answer,
+        term: Term | None,
+    ) -> Result[Answer, Refusal]:
         # The earlier run may not be durable yet: its place in the log is at
         # or before the primary's end as read after the row was seen.
-        tip = await self.service.read_tip(
-            service.target.name,
-            request.deadline,
-        )
+        tip = await self._read_tip(service, request, term)
         if tip is None:
             return Err(
                 Unknown(Cause.NOT_DURABLE, 'the first run is not confirmed'),
             )
+        affected, inserted = found.rows[0]
         answer = Answer(
             affected_rows=int(str(affected)),
             last_insert_id=int(str(inserted)),
@@ -137,6 +155,20 @@
         )
         return await self.confirm(request, answer)
 
+    async def _read_tip(
+        self,
+        service: TargetService,
+        request: Request,
+        term: Term | None,
+    ) -> Point | None:
+        if term is None:
+            return None
+        return await self.service.read_tip(
+            service.target.name,
+            term,
+            request.deadline,
+        )
+
     async def settle(
         self,
         request: Request,
@@ -160,6 +192,7 @@
         request: Request,
         unsure: Unknown,
     ) -> Result[Answer, Refusal]:
+        term = self.service.find_leading_term(target.target.name)
         begun = await target.run_on(loan, request, 'BEGIN')
         if isinstance(begun, Err):
             return Err(unsure)
@@ -171,7 +204,7 @@
             loan.taint()
             return Err(unsure)
         if isinstance(probe, Ok):
-            return Err(NotRun(unsure.cause, unsure.reason, FAILOVER_RETRY))
+            return Err(await self._prove_undone(target, request, unsure, term))
         if request.request_id is None:
             return Err(unsure)
         recalled = await self.recall(
@@ -182,6 +215,24 @@
         )
         return Err(unsure) if recalled is None else recalled
 
+    async def _prove_undone(
+        self,
+        target: TargetService,
+        request: Request,
+        unsure: Unknown,
+        term: Term | None,
+    ) -> Refusal:
+        # A new primary that dies before anybody has its opening record
+        # leaves the choice to logs of the earlier term, and the transaction
+        # may come back with them. Once a majority holds this primary's log
+        # it can't, and only then is "not run" true.
+        tip = await self._read_tip(target, request, term)
+        if tip is None:
+            return unsure
+        if not await self.service.view.wait_durable(tip, request.deadline):
+            return unsure
+        return NotRun(unsure.cause, unsure.reason, FAILOVER_RETRY)
+
     async def _attempt(
         self,
         service: TargetService,
@@ -291,21 +342,6 @@
             }
         return repeatable and await self.service.may_retry(request.deadline)
 
-    def _conclude(
-        self,
-        request: Request,
-        refusal: Refusal,
-        unsure: Unknown | None,
-    ) -> Refusal:
-        # An earlier attempt that may have run outweighs a later proof that
-        # the last one did not.
-        if unsure is None or refusal is unsure:
-            return refusal
-        is_settled = request.request_id is not None
-        return (
-            refusal if is_settled and isinstance(refusal, Rejected) else unsure
-        )
-
 
 def _note_not_run(refusal: Refusal) -> Refusal:
     if isinstance(refusal, Unknown):
