--- a/src/sedgeshunt/burn/buckets.py
+++ b/src/sedgeshunt/burn/buckets.py
@@ -91,7 +91,8 @@
     # The proxy's clock when it wrote the document.
     clock: Monotonic
     buckets: list[Raw]
-    # Time since then, set by a peer that passes on its copy.
+    # Set by a peer that passes on its copy, with the time since it came.
+    is_copy: bool = False
     waited: Seconds = Seconds(0)
 
 
--- a/src/sedgeshunt/burn/copies.py
+++ b/src/sedgeshunt/burn/copies.py
@@ -73,7 +73,8 @@
                     copy.document.incarnation,
                     copy.document.clock,
                     list(copy.buckets.values()),
-                    Seconds(now - copy.received_at),
+                    is_copy=True,
+                    waited=Seconds(now - copy.received_at),
                 ),
             )
             for copy in self._copies.values()
@@ -126,7 +127,7 @@
             merged[run, dated.key] = dated
     return MergedTallies(
         tuple(merged.values()),
-        frozenset(each.proxy for each in documents if not each.waited),
+        frozenset(each.proxy for each in documents if not each.is_copy),
     )
 
 
--- a/src/sedgeshunt/burn/tally.py
+++ b/src/sedgeshunt/burn/tally.py
@@ -66,7 +66,7 @@
         traffic_class: TrafficClass,
         outcome: str,
         cause: str,
-        target: TargetId,
+        target: str,
         latency: Seconds,
         now: Monotonic,
     ) -> None:
@@ -77,11 +77,10 @@
             # The class itself may be wrong: one made up for each request
             # would fill the memory with counts of one.
             traffic_class = OTHER_CLASS
-        cell = self._fine.cells.get((traffic_class, outcome, cause, target))
+        kind = (traffic_class, outcome, cause, TargetId(target))
+        cell = self._fine.cells.get(kind)
         if cell is None:
-            cell = self._add_cell(
-                OutcomeKind(traffic_class, outcome, cause, target),
-            )
+            cell = self._add_cell(OutcomeKind(*kind))
         cell.count += 1
         if outcome in ANSWERED:
             step = compute_step(latency)
--- a/src/sedgeshunt/groups/causes.py
+++ b/src/sedgeshunt/groups/causes.py
@@ -1,14 +1,23 @@
 """Judge whether a group needs another primary, and why."""
 
+from collections import deque
 from collections.abc import Set
 from dataclasses import dataclass
 from enum import Enum
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.groups.liveness import SUSPICION_TIME
+from sedgeshunt.groups.points import ORIGIN, Point
 from sedgeshunt.groups.stall import StallWatch
 from sedgeshunt.groups.view import GroupView
-from sedgeshunt.identifiers import Monotonic, TargetId, Term
+from sedgeshunt.identifiers import Monotonic, Seconds, TargetId, Term
+
+# A replica that lags by at most this many judgements copies the rest during
+# a planned move.
+MOVE_LAG = 8
+# A leaving primary whose replicas lag is replaced after this time; its last
+# records, which nobody was promised, are left behind.
+MOVE_PATIENCE = Seconds(3)
 
 
 class Cause(Enum):
@@ -19,6 +28,7 @@
     MISSING = 'no primary is known in the newest term'
     STALLED = 'the group copies nothing from the primary'
     LEAVING = 'the primary is leaving'
+    LEFT_BEHIND = 'the primary is leaving and all others lag'
 
 
 # Peers may have heard a primary that this proxy cannot reach.
@@ -41,15 +51,18 @@
     def __init__(self, view: GroupView) -> None:
         """Judge the group of `view`."""
         self.leaving: Set[TargetId] = frozenset()
-        self.stall = StallWatch(view)
+        self._stall = StallWatch(view)
         self._view = view
+        self._leaving_since: Monotonic | None = None
+        # The primary's log ends as seen by the last judgements.
+        self._tips: deque[Point] = deque(maxlen=MOVE_LAG)
 
     def judge(self) -> Suspicion | None:
         """Return the first cause for another primary that stands now."""
         # A proxy that was frozen sees old answers and expired timers only,
         # and would replace a healthy primary; all counts start anew.
         self._view.pauses.check()
-        stalled_since = self.stall.find_stall()
+        stalled_since = self._stall.find_stall()
         # A proxy that hears no majority can only fence a minority, which
         # stops the writes of everyone else without electing anybody.
         if not self._view.hears_majority():
@@ -99,11 +112,27 @@
     def _judge_leaving(self, leader: TargetId) -> Suspicion | None:
         now = read_clock()
         if leader not in self.leaving:
+            self._leaving_since = None
+            self._tips.clear()
             return None
-        heard = set(self._view.states.list_heard(now))
-        if heard <= self.leaving:
+        if self._leaving_since is None:
+            self._leaving_since = now
+        heard = self._view.states.list_heard(now)
+        staying = [target for target in heard if target not in self.leaving]
+        # A move stops the writes. It is not begun before it can succeed, or
+        # a leaving primary without a successor would stop them for ever.
+        tip = self._note_tip(leader)
+        if any(self._view.covers(target, tip) for target in staying):
+            return self._suspect(Cause.LEAVING, leader, now)
+        is_patient = now - self._leaving_since <= MOVE_PATIENCE
+        if is_patient or len(staying) < self._view.states.majority:
             return None
-        return self._suspect(Cause.LEAVING, leader, now)
+        return self._suspect(Cause.LEFT_BEHIND, leader, now)
+
+    def _note_tip(self, leader: TargetId) -> Point:
+        status = self._view.get_status(leader)
+        self._tips.append(ORIGIN if status is None else status.log_end)
+        return self._tips[0]
 
     def _suspect(
         self,
--- a/src/sedgeshunt/groups/promoter.py
+++ b/src/sedgeshunt/groups/promoter.py
@@ -30,9 +30,6 @@
 FIRST_RETRY = Seconds(0.05)
 # A replica gets this long to copy the last records of a leaving primary.
 CATCH_UP_TIME = Seconds(0.3)
-# After this many tries a leaving primary's last records, which nobody was
-# promised, are left behind.
-GENTLE_MOVES = 2
 
 
 class Promoter:
@@ -55,7 +52,6 @@
         self._backoff = Backoff(FIRST_RETRY)
         self._suspicion: Suspicion | None = None
         self._suspected_at = Monotonic(0)
-        self._moves = 0
 
     async def run(self) -> None:
         """Watch and act until cancelled."""
@@ -145,7 +141,6 @@
         # writes that one of them had not copied yet would end as unknown.
         if suspicion.cause is not Cause.LEAVING or suspicion.leader is None:
             return []
-        self._moves += 1
         try:
             status = await self._links[suspicion.leader].fence(term)
         except (KeyError, SedgeshuntError, OSError):
@@ -167,12 +162,11 @@
 
     def _list_avoided(self, suspicion: Suspicion) -> Set[TargetId]:
         if suspicion.cause is Cause.STALLED and suspicion.leader:
-            self.judge.stall.note_replaced()
             return {suspicion.leader}
-        if suspicion.cause is Cause.LEAVING and self._moves <= GENTLE_MOVES:
-            return frozenset()
-        self._moves = 0
-        return self.judge.leaving
+        # A planned move that was not caught up with promotes the leaving
+        # primary again, and the next try comes after a while.
+        is_gentle = suspicion.cause is Cause.LEAVING
+        return frozenset() if is_gentle else self.judge.leaving
 
     def _decide(
         self,
--- a/src/sedgeshunt/groups/stall.py
+++ b/src/sedgeshunt/groups/stall.py
@@ -30,18 +30,19 @@
         now = read_clock()
         durable = self._view.evidence.find_durable()
         seen = (self._view.newest_term, durable)
-        has_progressed = seen != self._seen
         is_paused = self._since < self._view.pauses.resumed_at
-        if has_progressed or is_paused or self._is_durable(durable):
+        if seen != self._seen or is_paused or self._is_durable(durable):
+            self._note_term(seen[0])
             self._seen = seen
             self._since = now
         return self._since if now - self._since > self._limit else None
 
-    def note_replaced(self) -> None:
-        """Wait longer before the next replacement for a stall."""
+    def _note_term(self, term: Term) -> None:
         # A group that copies nothing from any primary would otherwise go
-        # from one to the next without end.
-        self._limit = min(LONGEST_STALL_TIME, Seconds(GROWTH * self._limit))
+        # from one to the next without end, each proxy in its turn.
+        if self._seen is not None and self._seen[0] != term:
+            longer = Seconds(GROWTH * self._limit)
+            self._limit = min(LONGEST_STALL_TIME, longer)
 
     def _is_durable(self, durable: Point | None) -> bool:
         leader = self._view.find_leader()
--- a/src/sedgeshunt/limits/admission.py
+++ b/src/sedgeshunt/limits/admission.py
@@ -19,11 +19,14 @@
 from sedgeshunt.requests.outcome import Cause, NotRun
 
 MAX_QUEUED = 1000
+# With less time left than this share of the usual latency, a statement that
+# has waited for its turn is not sent any more.
+HOPELESS_SHARE = 0.5
 # Share of the time left that a queued statement may spend on waiting. With
 # more, benchmarks/overload.py shows answers that come too late; so it does
 # when the newest waiter goes first, and then refusals come late as well.
 SHARE_FOR_QUEUE = 0.5
-FIRST_GUESS = Seconds(0.01)
+FIRST_GUESS = Seconds(0.02)
 WEIGHT = 0.1
 # With no answer for this many times the usual interval, the target stalls.
 STALL_FACTOR = 4
@@ -81,9 +84,10 @@
         if self._has_room():
             return Ok(self._start(now))
         self.limit.note_full()
-        ahead = self._queue.count_ahead(traffic_class, weight)
+        ahead = self._queue.count_ahead(traffic_class, weight, now)
         wait = self._estimate_wait(ahead, now)
         if self._is_too_long(wait, deadline - now):
+            self._queue.note_refused(traffic_class, now)
             return Err(self._refuse_overload(wait))
         turn = get_running_loop().create_future()
         return await self._wait_turn(
@@ -161,7 +165,16 @@
             if waiter is None:
                 return
             if not waiter.turn.done():
-                waiter.turn.set_result(Ok(self._start(read_clock())))
+                waiter.turn.set_result(self._admit_waiter(waiter))
+
+    def _admit_waiter(self, waiter: Waiter[_Turn]) -> _Turn:
+        # Sent with too little time left, its outcome would be unknown and
+        # its work wasted; until now it is surely not run.
+        now = read_clock()
+        if waiter.deadline - now < self._get_latency() * HOPELESS_SHARE:
+            reason = 'its turn came too late to be answered in time'
+            return Err(self._refuse(Cause.DEADLINE, reason))
+        return Ok(self._start(now))
 
     def _refuse_overload(self, wait: Seconds) -> NotRun:
         # Refused callers that all came back at once would be refused again.
--- a/src/sedgeshunt/limits/fair_queue.py
+++ b/src/sedgeshunt/limits/fair_queue.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-from sedgeshunt.identifiers import Monotonic, TrafficClass
+from sedgeshunt.identifiers import Monotonic, Seconds, TrafficClass
+
+# A class stays known for asking too much this long after a refusal.
+OVERFULL_FOR = Seconds(1)
 
 Outcome = TypeVar('Outcome')
 
@@ -28,11 +31,17 @@
         self.waiters: OrderedDict[Waiter[Outcome], None] = OrderedDict()
         # Virtual time at which the class's last turn is paid for.
         self.paid_until: float = 0
+        self.overfull_until = Monotonic(0)
 
-    def count_turns(self, virtual_span: float) -> float:
-        """Return how many turns the waiters take in a virtual span."""
-        weight = next(iter(self.waiters)).weight
-        return min(len(self.waiters), virtual_span * weight)
+    def count_turns(self, virtual_span: float, now: Monotonic) -> float:
+        """Return how many turns the class takes in a virtual span."""
+        turns = virtual_span * next(iter(self.waiters)).weight
+        # A class that was just refused some will be back before its turns
+        # are over; counting only those that wait now would promise others a
+        # turn that comes too late.
+        if now < self.overfull_until:
+            return turns
+        return min(len(self.waiters), turns)
 
 
 class FairQueue(Generic[Outcome]):
@@ -79,14 +88,29 @@
         lane.waiters.pop(waiter)
         self._size -= 1
 
-    def count_ahead(self, traffic_class: TrafficClass, weight: int) -> float:
+    def note_refused(
+        self,
+        traffic_class: TrafficClass,
+        now: Monotonic,
+    ) -> None:
+        """Take in that the class asks for more than its share."""
+        lane = self._lanes.get(traffic_class)
+        if lane is not None:
+            lane.overfull_until = Monotonic(now + OVERFULL_FOR)
+
+    def count_ahead(
+        self,
+        traffic_class: TrafficClass,
+        weight: int,
+        now: Monotonic,
+    ) -> float:
         """Return how many turns come before that of a new arrival."""
         own = self._lanes.get(traffic_class)
         before = 0 if own is None else len(own.waiters)
         ahead: float = before
         for name, lane in self._lanes.items():
             if name != traffic_class and lane.waiters:
-                ahead += lane.count_turns((before + 1) / weight)
+                ahead += lane.count_turns((before + 1) / weight, now)
         return ahead
 
     def _choose_lane(self) -> _Lane[Outcome] | None:
--- /dev/null
+++ b/src/sedgeshunt/requests/confirmation.py
@@ -0,0 +1,53 @@
+"""Let committed writes out once they cannot be lost any more."""
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import Term
+from sedgeshunt.requests.group_service import GroupService
+from sedgeshunt.requests.outcome import Answer, Cause, Refusal, Unknown
+from sedgeshunt.requests.request import Request
+from sedgeshunt.requests.target_service import TargetService
+
+
+@dataclass(frozen=True, slots=True)
+class Confirmation:
+    """Wait for a majority of one group."""
+
+    service: GroupService
+
+    async def confirm(
+        self,
+        request: Request,
+        answer: Answer,
+    ) -> Result[Answer, Refusal]:
+        """Let a committed write out once it is durable in its own term."""
+        if answer.point is None:
+            return Ok(answer)
+        if await self.service.view.wait_durable(answer.point, request.deadline):
+            return Ok(answer)
+        # The record is on a primary that lost its term or cannot reach a
+        # majority: acknowledging it would lose it with that primary.
+        return Err(
+            Unknown(
+                Cause.NOT_DURABLE,
+                'the write reached its primary but no majority confirmed it',
+            ),
+        )
+
+    async def read_tip(
+        self,
+        service: TargetService,
+        request: Request,
+        term: Term | None,
+    ) -> Point | None:
+        """Return the target's log end, None unless it leads in `term`."""
+        if term is None:
+            return None
+        return await self.service.read_tip(
+            service.target.name,
+            term,
+            request.deadline,
+        )
--- a/src/sedgeshunt/requests/handler.py
+++ b/src/sedgeshunt/requests/handler.py
@@ -45,7 +45,7 @@
         self._keys = keys
         self._recorder = recorder
         self._reads = ReadRunner(service)
-        self._writes = WriteRunner(service)
+        self._writes = WriteRunner.of(service)
         self._transaction: Transaction | None = None
         self._bounds: dict[StatementKind, Boundary] = {
             StatementKind.BEGIN: self._begin,
--- a/src/sedgeshunt/requests/transaction.py
+++ b/src/sedgeshunt/requests/transaction.py
@@ -9,6 +9,7 @@
 from sedgeshunt.configuration.objects import Route
 from sedgeshunt.connections.pool import Loan
 from sedgeshunt.identifiers import RequestId, Seconds
+from sedgeshunt.requests.confirmation import Confirmation
 from sedgeshunt.requests.group_service import GroupService
 from sedgeshunt.requests.outcome import (
     Answer,
@@ -19,8 +20,8 @@
     Unknown,
 )
 from sedgeshunt.requests.request import Request
+from sedgeshunt.requests.request_ids import RequestIds
 from sedgeshunt.requests.target_service import TargetService
-from sedgeshunt.requests.writes import WriteRunner
 
 LOST_RETRY = Seconds(0.1)
 
@@ -43,7 +44,8 @@
         """Hold no connection before the first statement."""
         self.state = TransactionState.DECLARED
         self._service = service
-        self._writes = WriteRunner(service)
+        self._confirmation = Confirmation(service)
+        self._ids = RequestIds(service, self._confirmation)
         self._owned = AsyncExitStack()
         self._loan: Loan | None = None
         self._target: TargetService | None = None
@@ -159,7 +161,7 @@
         loan, target = self._loan, self._target
         if loan is None or target is None:
             return Err(_refuse_lost())
-        recorded = await self._writes.record_request(
+        recorded = await self._ids.record(
             target,
             loan,
             request,
@@ -170,7 +172,7 @@
         committed = await target.run_on(loan, request, 'COMMIT')
         if isinstance(committed, Ok):
             self.state = TransactionState.ENDED
-            committed = await self._writes.confirm(
+            committed = await self._confirmation.confirm(
                 request,
                 committed.ok_value,
             )
@@ -183,7 +185,7 @@
     ) -> Result[Answer, Refusal]:
         refusal = committed.err()
         if isinstance(refusal, Unknown) and request.request_id:
-            return await self._writes.settle(request, refusal)
+            return await self._ids.settle(request, refusal)
         return committed
 
     async def _explain(
@@ -202,7 +204,7 @@
         if isinstance(undone, Err):
             return Err(_describe_loss(undone.err_value))
         self.state = TransactionState.ENDED
-        recalled = await self._writes.recall(
+        recalled = await self._ids.recall(
             target,
             loan,
             request,
--- a/src/sedgeshunt/requests/writes.py
+++ b/src/sedgeshunt/requests/writes.py
@@ -1,14 +1,14 @@
 """Run writes on the current primary, at most once where that is asked."""
 
 from dataclasses import dataclass
+from typing import Self
 
 from result import Err, Ok, Result
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.configuration.objects import Route
 from sedgeshunt.connections.pool import Loan
-from sedgeshunt.groups.points import Point
-from sedgeshunt.identifiers import RequestId, Seconds, Term
+from sedgeshunt.requests.confirmation import Confirmation
 from sedgeshunt.requests.group_service import GroupService
 from sedgeshunt.requests.outcome import (
     Answer,
@@ -19,17 +19,9 @@
     Unknown,
 )
 from sedgeshunt.requests.request import Request
+from sedgeshunt.requests.request_ids import FAILOVER_RETRY, RequestIds
 from sedgeshunt.requests.target_service import TargetService
 
-BACKSLASH = chr(92)
-FAILOVER_RETRY = Seconds(0.25)
-
-
-def quote_text(text: str) -> str:
-    """Quote `text` as a SQL string."""
-    escaped = text.replace(BACKSLASH, BACKSLASH * 2).replace("'", "''")
-    return f"'{escaped}'"
-
 
 def is_repeatable(request: Request) -> bool:
     """Tell whether the request may be sent a second time."""
@@ -41,6 +33,14 @@
     """Carry one write to its outcome."""
 
     service: GroupService
+    confirmation: Confirmation
+    ids: RequestIds
+
+    @classmethod
+    def of(cls, service: GroupService) -> Self:
+        """Make a runner for one group."""
+        confirmation = Confirmation(service)
+        return cls(service, confirmation, RequestIds(service, confirmation))
 
     async def run(
         self,
@@ -64,175 +64,6 @@
             if not await self._may_repeat(request, refusal):
                 return Err(unsure or refusal)
 
-    async def confirm(
-        self,
-        request: Request,
-        answer: Answer,
-    ) -> Result[Answer, Refusal]:
-        """Let a committed write out once it is durable in its own term."""
-        if answer.point is None:
-            return Ok(answer)
-        if await self.service.view.wait_durable(answer.point, request.deadline):
-            return Ok(answer)
-        # The record is on a primary that lost its term or cannot reach a
-        # majority: acknowledging it would lose it with that primary.
-        return Err(
-            Unknown(
-                Cause.NOT_DURABLE,
-                'the write reached its primary but no majority confirmed it',
-            ),
-        )
-
-    async def record_request(
-        self,
-        service: TargetService,
-        loan: Loan,
-        request: Request,
-        answer: Answer,
-    ) -> Result[Answer, Refusal]:
-        """Insert the request id into the write's own transaction."""
-        if request.request_id is None:
-            return Ok(answer)
-        request_id = quote_text(request.request_id)
-        inserted = await service.run_on(
-            loan,
-            request,
-            'INSERT INTO request_ids (id, affected_rows, last_insert_id) '
-            + f'VALUES ({request_id}, {answer.affected_rows}, '
-            + f'{answer.last_insert_id})',
-        )
-        return Ok(answer) if isinstance(inserted, Ok) else inserted
-
-    async def recall(
-        self,
-        service: TargetService,
-        loan: Loan,
-        request: Request,
-        request_id: RequestId,
-    ) -> Result[Answer, Refusal] | None:
-        """Return the stored result of an earlier run, None if none ran."""
-        # A superseded primary may still hold a first run that its group has
-        # dropped, and follow the new one a moment later. Its log end counts
-        # only while it leads in the term in which the row was seen.
-        term = self.service.find_leading_term(service.target.name)
-        found = await service.run_on(
-            loan,
-            request,
-            'SELECT affected_rows, last_insert_id FROM request_ids '
-            + f'WHERE id = {quote_text(request_id)}',
-        )
-        if isinstance(found, Err):
-            return found
-        if not found.ok_value.rows:
-            return None
-        return await self._confirm_recalled(
-            service,
-            request,
-            found.ok_value,
-            term,
-        )
-
-    async def _confirm_recalled(
-        self,
-        service: TargetService,
-        request: Request,
-        found: Answer,
-        term: Term | None,
-    ) -> Result[Answer, Refusal]:
-        # The earlier run may not be durable yet: its place in the log is at
-        # or before the primary's end as read after the row was seen.
-        tip = await self._read_tip(service, request, term)
-        if tip is None:
-            return Err(
-                Unknown(Cause.NOT_DURABLE, 'the first run is not confirmed'),
-            )
-        affected, inserted = found.rows[0]
-        answer = Answer(
-            affected_rows=int(str(affected)),
-            last_insert_id=int(str(inserted)),
-            point=tip,
-            served_by=service.target.name,
-        )
-        return await self.confirm(request, answer)
-
-    async def _read_tip(
-        self,
-        service: TargetService,
-        request: Request,
-        term: Term | None,
-    ) -> Point | None:
-        if term is None:
-            return None
-        return await self.service.read_tip(
-            service.target.name,
-            term,
-            request.deadline,
-        )
-
-    async def settle(
-        self,
-        request: Request,
-        unsure: Unknown,
-    ) -> Result[Answer, Refusal]:
-        """Find out by its id whether a transaction was committed."""
-        found = await self.service.find_primary(request.deadline)
-        if isinstance(found, Err):
-            return Err(unsure)
-        target = found.ok_value
-        lent = await target.lend(request)
-        if isinstance(lent, Err):
-            return Err(unsure)
-        async with lent.ok_value as loan:
-            return await self._probe(target, loan, request, unsure)
-
-    async def _probe(
-        self,
-        target: TargetService,
-        loan: Loan,
-        request: Request,
-        unsure: Unknown,
-    ) -> Result[Answer, Refusal]:
-        term = self.service.find_leading_term(target.target.name)
-        begun = await target.run_on(loan, request, 'BEGIN')
-        if isinstance(begun, Err):
-            return Err(unsure)
-        # The insert waits for an open transaction with the same id, so its
-        # success proves that the first one was undone for good.
-        probe = await self.record_request(target, loan, request, Answer())
-        undone = await target.run_on(loan, request, 'ROLLBACK')
-        if isinstance(undone, Err):
-            loan.taint()
-            return Err(unsure)
-        if isinstance(probe, Ok):
-            return Err(await self._prove_undone(target, request, unsure, term))
-        if request.request_id is None:
-            return Err(unsure)
-        recalled = await self.recall(
-            target,
-            loan,
-            request,
-            request.request_id,
-        )
-        return Err(unsure) if recalled is None else recalled
-
-    async def _prove_undone(
-        self,
-        target: TargetService,
-        request: Request,
-        unsure: Unknown,
-        term: Term | None,
-    ) -> Refusal:
-        # A new primary that dies before anybody has its opening record
-        # leaves the choice to logs of the earlier term, and the transaction
-        # may come back with them. Once a majority holds this primary's log
-        # it can't, and only then is "not run" true.
-        tip = await self._read_tip(target, request, term)
-        if tip is None:
-            return unsure
-        if not await self.service.view.wait_durable(tip, request.deadline):
-            return unsure
-        return NotRun(unsure.cause, unsure.reason, FAILOVER_RETRY)
-
     async def _attempt(
         self,
         service: TargetService,
@@ -245,7 +76,7 @@
             outcome = await self._run_identified(service, request, route)
         if isinstance(outcome, Err):
             return outcome
-        return await self.confirm(request, outcome.ok_value)
+        return await self.confirmation.confirm(request, outcome.ok_value)
 
     async def _run_identified(
         self,
@@ -280,7 +111,7 @@
             return Err(_note_not_run(begun.err_value))
         outcome = await service.run_on(loan, request, request.sql)
         if isinstance(outcome, Ok):
-            outcome = await self.record_request(
+            outcome = await self.ids.record(
                 service,
                 loan,
                 request,
@@ -320,7 +151,7 @@
         if isinstance(refusal, Rejected) and request.request_id:
             # A repeat meets its own first run in the caller's unique keys
             # or in the id's: both mean that the first run's result stands.
-            recalled = await self.recall(
+            recalled = await self.ids.recall(
                 service,
                 loan,
                 request,
--- a/src/sedgeshunt/routing/choice.py
+++ b/src/sedgeshunt/routing/choice.py
@@ -1,9 +1,10 @@
 """Rank the targets that may serve a read."""
 
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
 from random import random
 
+from msgspec import Struct
+
 from sedgeshunt.configuration.objects import Route, Target
 from sedgeshunt.identifiers import Monotonic, Seconds, TargetId, ZoneId
 from sedgeshunt.routing.health import GroupHealth
@@ -22,8 +23,7 @@
 UNKNOWN_AGE = Seconds(3600)
 
 
-@dataclass(frozen=True, slots=True)
-class Ranking:
+class Ranking(Struct, frozen=True):
     """Hold the targets to try, best first, and a verdict on each."""
 
     # Ejected targets are in it only when there is nobody else.
@@ -119,7 +119,7 @@
     distance = 0 if facts.is_near else ZONE_COST
     age = UNKNOWN_AGE if facts.age is None else facts.age
     return (
-        not facts.is_probe,
+        not verdict.is_probe,
         int((facts.wait + distance) / WAIT_STEP),
         int(age / AGE_STEP),
         random(),
--- a/src/sedgeshunt/routing/judging.py
+++ b/src/sedgeshunt/routing/judging.py
@@ -1,21 +1,19 @@
 """Judge the targets of a group for one read."""
 
-from dataclasses import dataclass
-
+from msgspec import Struct
 from result import Ok
 
 from sedgeshunt.configuration.labels import list_labels, read_selector
 from sedgeshunt.configuration.objects import Route, Target
 from sedgeshunt.groups.points import Point
 from sedgeshunt.groups.status import Role, TargetStatus
-from sedgeshunt.identifiers import Monotonic, Seconds, ZoneId
+from sedgeshunt.identifiers import Monotonic, Seconds, TargetId, ZoneId
 from sedgeshunt.routing.health import GroupHealth
 from sedgeshunt.routing.verdicts import Facts, Rule, Verdict
 from sedgeshunt.routing.views import FreshnessView
 
 
-@dataclass(frozen=True, slots=True)
-class ReadNeed:
+class ReadNeed(Struct, frozen=True):
     """Say what a read has to see."""
 
     # Always demanded: what the session wrote or has to see.
@@ -24,8 +22,7 @@
     accepted_age: Seconds | None
 
 
-@dataclass(frozen=True, slots=True)
-class Judge:
+class Judge(Struct, frozen=True):
     """Hold one read's demands and what is known while it is routed."""
 
     zone: ZoneId
@@ -58,19 +55,19 @@
         status: TargetStatus,
         wait: Seconds,
     ) -> Verdict:
-        rule = self._find_rule(status)
-        is_probe = rule is Rule.EJECTED and self._claim_probe(target)
         facts = Facts(
             is_near=target.zone == self.zone,
             is_primary=self._is_primary(status),
-            is_probe=is_probe,
             need=self.need.point,
             accepted_age=self.need.accepted_age,
             log_end=status.log_end,
             age=self.view.measure_age(target.name, self.now),
             wait=wait,
         )
-        return Verdict(target.name, None if is_probe else rule, facts)
+        rule = self._find_rule(target.name, facts)
+        if rule is Rule.EJECTED and self._claim_probe(target.name):
+            return Verdict(target.name, None, facts, is_probe=True)
+        return Verdict(target.name, rule, facts)
 
     def _selects(self, target: Target) -> bool:
         if not self.route.targets:
@@ -80,23 +77,27 @@
             return False
         return selector.ok_value.matches(list_labels(target))
 
-    def _find_rule(self, status: TargetStatus) -> Rule | None:
-        if not self.view.is_heard(status.target, self.now):
+    def _find_rule(self, target: TargetId, facts: Facts) -> Rule | None:
+        if not self.view.is_heard(target, self.now):
             return Rule.SILENT
-        if self._is_primary(status) and not self.route.primary_reads:
+        if facts.is_primary and not self.route.primary_reads:
             return Rule.PRIMARY_NOT_ALLOWED
-        rule = self._find_unmet(status)
-        if rule is None and self.health.is_ejected(status.target):
+        rule = self._find_unmet(target, facts)
+        if rule is None and self.health.is_ejected(target):
             return Rule.EJECTED
         return rule
 
-    def _find_unmet(self, status: TargetStatus) -> Rule | None:
+    def _find_unmet(self, target: TargetId, facts: Facts) -> Rule | None:
         # The point is demanded with an accepted age too: a caller that has
         # just written must not miss its entry because older data would do.
-        point = self.need.point
-        if point is not None and not self.view.covers(status.target, point):
+        point = facts.need
+        if point is not None and not self.view.covers(target, point):
             return Rule.NOT_COVERED
-        return Rule.TOO_STALE if self._is_too_stale(status) else None
+        accepted = facts.accepted_age
+        if accepted is None:
+            return None
+        is_proven = facts.age is not None and facts.age <= accepted
+        return None if is_proven else Rule.TOO_STALE
 
     def _is_primary(self, status: TargetStatus) -> bool:
         # A superseded primary still calls itself one. It serves like a
@@ -105,15 +106,5 @@
             return True
         return status.target == self.view.get_primary()
 
-    def _is_too_stale(self, status: TargetStatus) -> bool:
-        accepted = self.need.accepted_age
-        if accepted is None:
-            return False
-        age = self.view.measure_age(status.target, self.now)
-        return age is None or age > accepted
-
-    def _claim_probe(self, target: Target) -> bool:
-        return self.may_probe and self.health.claim_probe(
-            target.name,
-            self.now,
-        )
+    def _claim_probe(self, target: TargetId) -> bool:
+        return self.may_probe and self.health.claim_probe(target, self.now)
--- a/src/sedgeshunt/routing/verdicts.py
+++ b/src/sedgeshunt/routing/verdicts.py
@@ -1,9 +1,10 @@
 """Say of one target whether it may serve a read, and why."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import Seconds, TargetId
 
@@ -25,13 +26,13 @@
     LEFT_TO_REPLICAS = 'left-to-replicas'
 
 
-@dataclass(frozen=True, slots=True)
-class Facts:
+class Facts(Struct, frozen=True):
     """Hold what was known of a target when it was judged."""
 
+    # A Struct is made in a fraction of a dataclass's time, and one is made
+    # for each target on the path of every read.
     is_near: bool
     is_primary: bool = False
-    is_probe: bool = False
     need: Point | None = None
     accepted_age: Seconds | None = None
     log_end: Point | None = None
@@ -40,29 +41,30 @@
     selector: str = ''
 
 
-@dataclass(frozen=True, slots=True)
-class Verdict:
+class Verdict(Struct, frozen=True):
     """Hold the rule that a target fell under; None means it may serve."""
 
     target: TargetId
     rule: Rule | None
     facts: Facts
+    # An ejected target that gets one read, to see whether it is well again.
+    is_probe: bool = False
 
     @property
     def detail(self) -> str:
         """Explain the verdict to an operator."""
         # Worded only when asked for: a read is routed far more often.
         if self.rule is None:
-            return _explain_eligible(self.facts)
+            return _explain_eligible(self.facts, is_probe=self.is_probe)
         return _TEXTS[self.rule](self.facts)
 
 
-def _explain_eligible(facts: Facts) -> str:
+def _explain_eligible(facts: Facts, *, is_probe: bool) -> str:
     place = 'own' if facts.is_near else 'another'
     parts = [f'may serve from {place} availability zone']
     parts.append(_show_age(facts.age))
     parts.append(f'expected wait {_show(facts.wait)}')
-    if facts.is_probe:
+    if is_probe:
         parts.append('asked again after an ejection')
     return ', '.join(parts)
 
