--- /dev/null
+++ b/examples/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Show the whole path: stand-ins, proxies, callers and failures."""
--- a/src/sedgeshunt/groups/watermarks.py
+++ b/src/sedgeshunt/groups/watermarks.py
@@ -1,6 +1,7 @@
 """Keep the watermarks of the last minutes to date what a replica holds."""
 
 from bisect import bisect_left, bisect_right
+from itertools import pairwise
 
 from sedgeshunt.groups.points import Point
 from sedgeshunt.groups.quorum import Watermark
@@ -31,7 +32,8 @@
                 return
         last = bisect_right(self._marks, mark.moment, key=_get_moment)
         start = bisect_left(self._marks, mark.point, hi=last, key=_get_point)
-        self._marks = [*self._marks[:start], mark, *self._marks[last:]]
+        del self._marks[start:last]
+        self._marks.insert(start, mark)
         if len(self._marks) > LIMIT:
             self._thin()
 
@@ -56,12 +58,13 @@
     def _thin(self) -> None:
         newest = self._marks[-1]
         kept = [newest]
-        for mark in reversed(self._marks):
+        for older, mark in reversed(tuple(pairwise(self._marks[:-1]))):
             age = newest.moment - mark.moment
-            if age > HORIZON:
-                break
-            if kept[-1].moment - mark.moment > SPACING * age:
+            # A mark goes only if its neighbours stay close to each other.
+            if kept[-1].moment - older.moment > SPACING * age:
                 kept.append(mark)
+        if newest.moment - self._marks[0].moment <= HORIZON:
+            kept.append(self._marks[0])
         self._marks = list(reversed(kept))
 
 
--- a/tests/features/promises_reads.feature
+++ b/tests/features/promises_reads.feature
@@ -103,3 +103,23 @@
       | safeguard | told    | verdict |
       | none      | not run | kept    |
       | barrier   | done    | broken  |
+
+  Scenario Outline: A read after an unknown outcome shows what became of it, without <safeguard>
+    The write ran, its answer was lost, and the caller is told to look with a
+    read. A replica that lags would show it the state before its write, and
+    the caller would write again.
+    Given proxies in three zones, with the safeguard "<safeguard>" taken out
+    And the replica in zone b lags 3 s
+    When caller "ana" comes to "p2"
+    And caller "ana" writes "warm"
+    And it goes on for 4 s
+    And caller "ana" starts to write "song" within 2 s
+    And the connections of "p2" break once "song" has run
+    Then caller "ana" is told "unknown"
+    When caller "ana" reads "song"
+    Then the promise "read-your-writes" is <verdict>
+
+    Examples:
+      | safeguard             | verdict |
+      | none                  | kept    |
+      | barrier after unknown | broken  |
--- a/tests/features/promises_writes.feature
+++ b/tests/features/promises_writes.feature
@@ -123,3 +123,22 @@
       | safeguard  | verdict |
       | none       | kept    |
       | request id | broken  |
+
+  Scenario Outline: A primary is superseded while it works on a write, without <safeguard>
+    The write takes a second. Meanwhile the primary is cut off with its zone,
+    another one is promoted, and the write ends on the old one. Its record is in a log that will be dropped.
+    Given proxies in three zones, with the safeguard "<safeguard>" taken out
+    When caller "ana" comes to "p1"
+    And caller "ana" writes "warm"
+    And the primary takes 1000 times as long
+    And caller "ana" starts to write "song" within 10 s
+    And it goes on for 0.1 s
+    And zone a is cut off from the other zones
+    And a new primary leads
+    Then caller "ana" is told "<told>"
+    And the promise "acknowledged writes are kept" is <verdict>
+
+    Examples:
+      | safeguard         | told    | verdict |
+      | none              | unknown | kept    |
+      | majority evidence | done    | broken  |
