Tell pauses and cut zones truly, and learn nothing from what never ran

A paused process now leaves a decision line (a 2 s SIGSTOP had left none); a zone whose proxies have not started is no longer called cut off; a statement that got no connection no longer counts as a quick answer of its target, which had drawn more statements to a target out of connections.

--- a/src/sedgeshunt/clocks.py
+++ b/src/sedgeshunt/clocks.py
@@ -1,6 +1,7 @@
 """Read the monotonic clock and notice when the process was paused."""
 
 from asyncio import get_running_loop, sleep
+from collections.abc import Callable
 
 from sedgeshunt.identifiers import Monotonic, Seconds
 
@@ -16,9 +17,14 @@
 class PauseWatch:
     """Notice pauses of the whole process by a late timer."""
 
-    def __init__(self, tolerance: Seconds = PAUSE_TOLERANCE) -> None:
+    def __init__(
+        self,
+        tolerance: Seconds = PAUSE_TOLERANCE,
+        on_pause: Callable[[Seconds], None] | None = None,
+    ) -> None:
         """Count a timer that is later than `tolerance` as a pause."""
         self._tolerance = tolerance
+        self._on_pause = on_pause
         self._last_check: Monotonic | None = None
         self.resumed_at: Monotonic = Monotonic(0)
         self.pauses = 0
@@ -41,4 +47,6 @@
             return False
         self.resumed_at = now
         self.pauses += 1
+        if self._on_pause is not None:
+            self._on_pause(Seconds(now - last))
         return True
--- a/src/sedgeshunt/membership/zones.py
+++ b/src/sedgeshunt/membership/zones.py
@@ -14,15 +14,20 @@
         """Take every zone for reachable at first."""
         self.cut_zones: frozenset[ZoneId] = frozenset()
         self._suspected: frozenset[ZoneId] = frozenset()
+        self._seen: frozenset[ZoneId] = frozenset()
         self._own_zone = own_zone
         self._decisions = decisions
 
     def look(self, states: Mapping[ZoneId, Sequence[PeerState]]) -> None:
         """Compare the states of the asked peers in each zone."""
+        self._seen |= frozenset(
+            zone for zone, found in states.items() if PeerState.ALIVE in found
+        )
+        # A zone whose proxies have not started yet is not cut off.
         unreachable = frozenset(
             zone
             for zone, found in states.items()
-            if zone != self._own_zone and _is_cut(found)
+            if zone in self._seen - {self._own_zone} and _is_cut(found)
         )
         # One lost answer looks like a cut where one peer stands for a zone.
         is_cut = unreachable & self._suspected
--- a/src/sedgeshunt/proxy.py
+++ b/src/sedgeshunt/proxy.py
@@ -16,7 +16,7 @@
 from sedgeshunt.connections.pool import TargetPool
 from sedgeshunt.connections.seats import SeatHolder
 from sedgeshunt.connections.shares import compute_share
-from sedgeshunt.decisions import DecisionLog
+from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
 from sedgeshunt.explanation import Explainer
 from sedgeshunt.group_runtime import GroupRuntime
 from sedgeshunt.groups.keeper import GroupKeeper
@@ -25,6 +25,7 @@
     GroupId,
     ProxyId,
     Revision,
+    Seconds,
     Term,
     TraceId,
 )
@@ -73,7 +74,7 @@
         """Bring the parts together; nothing runs before it is entered."""
         self.name = settings.proxy
         self.zone = settings.zone_id
-        self.pauses = PauseWatch()
+        self.pauses = PauseWatch(on_pause=self._note_pause)
         self.runtimes: dict[GroupId, GroupRuntime] = {}
         self.keys = TokenKeys(
             [
@@ -215,6 +216,10 @@
         self.seat.seats = min(seats, default=0)
         self._changed.set()
 
+    def _note_pause(self, length: Seconds) -> None:
+        reasons = {'length': f'{length:.3f} s'}
+        self._decisions.record(Decision(DecisionKind.PAUSED, reasons=reasons))
+
     def _note_seat(self) -> None:
         self._changed.set()
 
--- a/src/sedgeshunt/requests/target_service.py
+++ b/src/sedgeshunt/requests/target_service.py
@@ -76,10 +76,17 @@
         )
         if isinstance(admitted, Err):
             return admitted
-        with admitted.ok_value.measure() as measured:
+        permit = admitted.ok_value
+        with permit.measure() as measured:
             outcome = await self._run_admitted(request)
-            measured.ok = not isinstance(outcome.err(), Unknown)
-            self.health.note(measured.read_spent(), ok=measured.ok)
+            refusal = outcome.err()
+            measured.ok = not isinstance(refusal, Unknown)
+            if isinstance(refusal, NotRun):
+                # Nothing ran: the short time would make the target look
+                # quick, and draw more statements to it.
+                permit.cancel()
+            else:
+                self.health.note(measured.read_spent(), ok=measured.ok)
         return outcome
 
     async def resize(self, share: int) -> None:
