--- a/src/sedgeshunt/explanation.py
+++ b/src/sedgeshunt/explanation.py
@@ -96,7 +96,7 @@
         asked: Question,
         point: Point | None,
     ) -> Routing:
-        route = service.find_route(asked.traffic_class)
+        route = service.routes.find(asked.traffic_class)
         age = route.accepted_age_ms
         if asked.accepted_age_ms is not None:
             age = asked.accepted_age_ms
--- a/src/sedgeshunt/requests/group_service.py
+++ b/src/sedgeshunt/requests/group_service.py
@@ -6,7 +6,6 @@
 from result import Err, Ok, Result
 
 from sedgeshunt.clocks import read_clock
-from sedgeshunt.configuration.labels import read_selector
 from sedgeshunt.configuration.objects import Group, Route, Target
 from sedgeshunt.configuration.snapshot import Snapshot
 from sedgeshunt.connections.shares import compute_share
@@ -19,11 +18,11 @@
     Seconds,
     TargetId,
     Term,
-    TrafficClass,
     ZoneId,
 )
 from sedgeshunt.limits.budget import RetryBudget
 from sedgeshunt.requests.outcome import Cause, NotRun
+from sedgeshunt.requests.routes import RouteTable
 from sedgeshunt.requests.target_service import TargetService
 from sedgeshunt.routing.catch_up import CatchUp
 from sedgeshunt.routing.choice import Ranking, ReadNeed, ReadRouter
@@ -35,7 +34,6 @@
 NO_PRIMARY_RETRY = Seconds(0.5)
 # Writes that may wait for a promotion; the rest is refused at the door.
 MAX_WAITING_WRITES = 512
-DEFAULT_ROUTE = Route(name='default', traffic_class=TrafficClass('default'))
 
 ServiceFactory = Callable[[Group, Target, TargetHealth], TargetService]
 
@@ -61,7 +59,7 @@
         self._loads: dict[TargetId, Load] = {}
         self._router = ReadRouter(zone, health, self._loads)
         self._make_service = make_service
-        self._routes: dict[TrafficClass, Route] = {}
+        self.routes = RouteTable()
         self._waiting_writes = 0
 
     @property
@@ -73,7 +71,7 @@
         """Follow a new configuration."""
         self.group = snapshot.groups[self.name]
         self.targets = snapshot.list_targets(self.name)
-        self._routes = _pick_routes(self.group, snapshot)
+        self.routes.apply(self.group, snapshot)
         wanted = {target.name: target for target in self.targets}
         for name in set(self.services) - set(wanted):
             self._loads.pop(name, None)
@@ -82,19 +80,6 @@
         for name, target in wanted.items():
             await self._apply_target(name, target)
 
-    def find_route(self, traffic_class: TrafficClass) -> Route:
-        """Return the route of a class, or the default one."""
-        found = self._routes.get(traffic_class)
-        return found or self._routes.get(
-            DEFAULT_ROUTE.traffic_class,
-            DEFAULT_ROUTE,
-        )
-
-    def knows_class(self, traffic_class: TrafficClass) -> bool:
-        """Tell whether a route declares the class."""
-        is_default = traffic_class == DEFAULT_ROUTE.traffic_class
-        return is_default or traffic_class in self._routes
-
     async def find_primary(
         self,
         deadline: Monotonic,
@@ -277,17 +262,3 @@
         service = self._make_service(self.group, target, health)
         self.services[name] = service
         self._loads[name] = service.admission
-
-
-def _pick_routes(
-    group: Group,
-    snapshot: Snapshot,
-) -> dict[TrafficClass, Route]:
-    labels = {**group.labels, 'name': str(group.name)}
-    routes: dict[TrafficClass, Route] = {}
-    for name in sorted(snapshot.routes):
-        route = snapshot.routes[name]
-        selector = read_selector(route.groups)
-        if isinstance(selector, Ok) and selector.ok_value.matches(labels):
-            routes.setdefault(route.traffic_class, route)
-    return routes
--- a/src/sedgeshunt/requests/handler.py
+++ b/src/sedgeshunt/requests/handler.py
@@ -70,7 +70,7 @@
 
     def find_deadline(self, traffic_class: TrafficClass) -> Seconds:
         """Return the time to answer that the class's route gives."""
-        route = self._service.find_route(traffic_class)
+        route = self._service.routes.find(traffic_class)
         return Seconds(route.deadline_ms / MILLISECONDS)
 
     async def answer(self, request: Request) -> Result[Answer, Refusal]:
@@ -95,7 +95,7 @@
         if bound is not None:
             return await bound(request)
         if self._transaction is not None:
-            route = self._service.find_route(request.traffic_class)
+            route = self._service.routes.find(request.traffic_class)
             return await self._transaction.run(request, route)
         return await self._run_single(request)
 
@@ -106,7 +106,7 @@
                 'this proxy is shutting down, connect again to reach another',
                 STOPPING_RETRY,
             )
-        if not self._service.knows_class(request.traffic_class):
+        if not self._service.routes.has_class(request.traffic_class):
             return NotRun(
                 Cause.ATTRIBUTE,
                 f'no route declares traffic class {request.traffic_class}; '
@@ -121,7 +121,7 @@
         return None
 
     async def _run_single(self, request: Request) -> Result[Answer, Refusal]:
-        route = self._service.find_route(request.traffic_class)
+        route = self._service.routes.find(request.traffic_class)
         if request.kind is StatementKind.READ:
             return await self._reads.run(request, route, self._session)
         return self._note_write(await self._writes.run(request, route))
