--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(BIN)/python -m benchmarks.main
 
 soak: setup
-	$(BIN)/python -m tests.soak --histories $(or $(HISTORIES),1000) --first-seed $(or $(SEED),1)
+	PYTHONHASHSEED=0 $(BIN)/python -m tests.soak --histories $(or $(HISTORIES),1000) --first-seed $(or $(SEED),1)
 
 capacity: setup
 	$(BIN)/python -m benchmarks.capacity
--- a/tests/features/fleet_bench.py
+++ b/tests/features/fleet_bench.py
@@ -200,6 +200,14 @@
         """Repeat the question."""
         return question
 
+    async def copy_tallies(
+        self,
+        since: Seconds,
+        proxies: Sequence[ProxyId] = (),
+    ) -> Sequence[bytes]:
+        """Have counted nothing."""
+        return ()
+
     def _note_snapshot(self, snapshot: Snapshot) -> None:
         self.applied.append(snapshot.revision)
         self.roster.apply(snapshot)
--- a/tests/features/steps/driver_services_steps.py
+++ b/tests/features/steps/driver_services_steps.py
@@ -164,6 +164,14 @@
             await sleep(0.5)
         return question
 
+    async def copy_tallies(
+        self,
+        since: Seconds,
+        proxies: Sequence[ProxyId] = (),
+    ) -> Sequence[bytes]:
+        """Repeat what was asked for."""
+        return [*map(str.encode, proxies), f'{since}\xff'.encode()]
+
 
 @given('two proxies are linked by thrift')
 def link_proxies(context: Any) -> None:
@@ -189,6 +197,9 @@
             assert await link.copy_configuration(known) == copied
         await link.announce_leaving('p9')
         assert peer.left == 'p9'
+        for proxies in ((), (ProxyId('p1'), ProxyId('p2'))):
+            counted = await peer.copy_tallies(Seconds(600), proxies)
+            assert await link.copy_tallies(Seconds(600), proxies) == counted
         failed = await expect(PeerUnreachable, link.explain(b'fail'))
         assert 'a fault of the peer' in failed.reason, failed
         questions = [b'a', b'\xff', b'']
--- a/tests/standins/peers.py
+++ b/tests/standins/peers.py
@@ -1,10 +1,10 @@
 """Connect proxies to each other in memory."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol, TypeVar
 
 from sedgeshunt.exceptions import PeerUnreachable
-from sedgeshunt.identifiers import GroupId, Revision
+from sedgeshunt.identifiers import GroupId, ProxyId, Revision, Seconds
 from sedgeshunt.ports import (
     Address,
     ConfigurationCopy,
@@ -39,6 +39,13 @@
     async def explain(self, question: bytes) -> bytes:
         """Tell how the proxy would route."""
 
+    async def copy_tallies(
+        self,
+        since: Seconds,
+        proxies: Sequence[ProxyId] = (),
+    ) -> Sequence[bytes]:
+        """Return counts and copies."""
+
 
 class MemoryPeers:
     """Know which proxy listens at which address."""
@@ -110,6 +117,14 @@
         """Ask how the proxy would route."""
         return await self.call(lambda peer: peer.explain(question))
 
+    async def copy_tallies(
+        self,
+        since: Seconds,
+        proxies: Sequence[ProxyId] = (),
+    ) -> Sequence[bytes]:
+        """Ask for counts and copies."""
+        return await self.call(lambda peer: peer.copy_tallies(since, proxies))
+
     async def close(self) -> None:
         """Hold nothing that needs closing."""
 
