--- a/benchmarks/capacity_callers.py
+++ b/benchmarks/capacity_callers.py
@@ -9,7 +9,7 @@
 from asyncmy import connect
 
 from benchmarks.capacity_fit import Fit, fit_line
-from benchmarks.capacity_stage import Stage
+from benchmarks.capacity_stage import Stage, Usage
 from benchmarks.documents import HOST
 from benchmarks.figures import print_progress
 
@@ -37,10 +37,8 @@
 
 async def measure_statements(stage: Stage) -> list[Fit]:
     """Measure CPU time for each statement at several rates."""
-    return [
-        await _measure_rates(stage, 'read', READ, READ_RATES),
-        await _measure_rates(stage, 'write', WRITE, WRITE_RATES),
-    ]
+    fits = await _measure_rates(stage, 'read', READ, READ_RATES)
+    return fits + await _measure_rates(stage, 'write', WRITE, WRITE_RATES)
 
 
 async def measure_callers(stage: Stage) -> list[Fit]:
@@ -79,24 +77,26 @@
     name: str,
     sql: str,
     rates: Sequence[int],
-) -> Fit:
+) -> list[Fit]:
     reached: list[float] = []
-    cpu: list[float] = []
+    usages: list[Usage] = []
     async with AsyncExitStack() as owned:
         callers = await open_callers(stage, SENDERS, owned)
         for rate in rates:
             print_progress(f'capacity: {rate} {name}s a second')
-            before = stage.proxy.read_cpu()
-            started = monotonic()
-            sent = await gather(
-                *[_send(caller, sql, rate / SENDERS) for caller in callers]
+            usage, *sent = await gather(
+                stage.measure(SENDING),
+                *[_send(caller, sql, rate / SENDERS) for caller in callers],
             )
-            spent = monotonic() - started
-            reached.append(sum(sent) / spent)
-            used = stage.proxy.read_cpu() - before
-            cpu.append(used / spent * MILLISECONDS)
-    title = f'CPU of a proxy, {name}s'
-    return fit_line(title, 'ms/s', 'statement/s', reached, cpu)
+            reached.append(sum(sent) / SENDING)
+            usages.append(usage)
+    cpu = [usage.cpu * MILLISECONDS for usage in usages]
+    messages = [usage.messages for usage in usages]
+    per = f'{name}/s'
+    return [
+        fit_line('CPU of a proxy', 'ms/s', per, reached, cpu),
+        fit_line('messages sent', '1/s', per, reached, messages),
+    ]
 
 
 async def _send(caller: Any, sql: str, rate: float) -> int:
--- a/benchmarks/capacity_daemon.py
+++ b/benchmarks/capacity_daemon.py
@@ -16,7 +16,8 @@
 from sedgeshunt.adapters.peer_server import ThriftPeerServer
 from sedgeshunt.ports import Address
 
-GROUPS = (1, 2, 4, 8, 16)
+# At 1,500 nodes and 800 groups a node serves three or four.
+GROUPS = (0, 1, 2, 4, 8)
 PEERS = (1, 2, 4, 8)
 LINES = (250, 500, 1000, 2000)
 WATCHING = 6
--- a/benchmarks/capacity_documents.py
+++ b/benchmarks/capacity_documents.py
@@ -92,7 +92,8 @@
         )
         for group in plan.list_groups()
     ]
-    return SCENARIO.format(instances=lines) + ''.join(groups)
+    described = ''.join(groups) or 'groups = []\n'
+    return SCENARIO.format(instances=lines) + described
 
 
 def write_objects(plan: Plan, ports: dict[str, int], peer: int) -> str:
--- a/benchmarks/capacity_fleet.py
+++ b/benchmarks/capacity_fleet.py
@@ -5,16 +5,22 @@
 from enum import Enum
 from statistics import mean
 
+from msgspec.structs import replace as change
+
 from benchmarks.capacity_fit import Fit, fit_line
 from benchmarks.capacity_idle_peer import IdlePeer
 from benchmarks.figures import print_progress
 from benchmarks.trials import run_trials
 from sedgeshunt.clocks import read_clock
-from sedgeshunt.configuration.objects import Proxy
+from sedgeshunt.configuration.objects import (
+    ConfigurationObject,
+    Group,
+    Proxy,
+)
 from sedgeshunt.identifiers import ZoneId
 from sedgeshunt.ports import Address
 from sedgeshunt.requests.outcome import NotRun
-from tests.deployment import HOST, URUGUAY, Deployment
+from tests.deployment import HOST, URUGUAY, Deployment, Profile
 from tests.standins.network import Place
 
 PROXIES = (2, 4, 8, 16)
@@ -22,6 +28,8 @@
 DECLARED = (6, 12, 24, 48, 96)
 SEEDS = (1, 2, 3, 4, 5)
 IDLE = 60
+# Proxies without a seat try again within this time.
+FIRST_SECONDS = 1.2
 WARM_UP = 2
 LIMIT = 60
 PAUSE = 0.05
@@ -33,6 +41,7 @@
     """Name what a trial measures."""
 
     CALLS = 'calls to the key-value service'
+    RETURN = 'calls after an outage of the service'
     GAP = 'failover gap'
 
 
@@ -45,9 +54,26 @@
     groups: int = 1
     # Proxies declared in all; those past `proxies` serve other groups.
     declared: int = 0
+    # Seats of each group; 0 stands for one for each proxy.
+    seats: int = 0
     seed: int = 1
 
 
+class SeatedDeployment(Deployment):
+    """Declare groups with as many seats as a trial wants."""
+
+    def __init__(self, profile: Profile, trial: FleetTrial) -> None:
+        """Lay out what the trial describes."""
+        super().__init__(profile, trial.seed)
+        self._seats = trial.seats or trial.proxies
+
+    def _declare(self) -> list[ConfigurationObject]:
+        return [
+            change(each, seats=self._seats) if isinstance(each, Group) else each
+            for each in super()._declare()
+        ]
+
+
 async def play(trial: FleetTrial) -> float:
     """Run one deployment and return the figure."""
     # Other names give other ranks, and with them other delays.
@@ -55,30 +81,53 @@
         f'lease-{trial.seed}-{number + 1}' for number in range(trial.groups)
     )
     profile = replace(URUGUAY, groups=names, proxies=trial.proxies)
-    async with Deployment(profile, trial.seed) as deployment:
+    async with SeatedDeployment(profile, trial) as deployment:
         _declare_others(deployment, trial)
         await sleep(WARM_UP)
         if trial.kind is Kind.CALLS:
-            return await _count_calls(deployment)
+            return await _count_calls(deployment, IDLE)
+        if trial.kind is Kind.RETURN:
+            deployment.platform.outage()
+            await sleep(IDLE)
+            deployment.platform.recover()
+            return await _count_calls(deployment, FIRST_SECONDS)
         return await _fail_over(deployment, trial)
 
 
 def measure_fleet() -> list[Fit]:
     """Measure calls and failover gaps over several sizes."""
     print_progress('capacity: calls to the key-value service')
-    calls = list(
-        run_trials(
-            play,
-            [FleetTrial(Kind.CALLS, proxies=count) for count in PROXIES],
+    kinds = (
+        ('with a seat', [FleetTrial(Kind.CALLS, each) for each in PROXIES]),
+        (
+            'most without a seat',
+            [FleetTrial(Kind.CALLS, each, seats=1) for each in PROXIES],
+        ),
+        (
+            'first 1.2 s after an outage',
+            [FleetTrial(Kind.RETURN, each) for each in PROXIES],
         ),
     )
-    print_progress('capacity: primaries that fail at once')
+    calls = [
+        fit_line(
+            f'calls to the service, {name}',
+            '1/s',
+            'proxy',
+            PROXIES,
+            list(run_trials(play, trials)),
+        )
+        for name, trials in kinds
+    ]
+    return calls + _measure_gaps()
+
+
+def _measure_gaps() -> list[Fit]:
+    print_progress('capacity: failovers')
     failed = [
         FleetTrial(Kind.GAP, groups=count, seed=seed)
         for count in FAILED_GROUPS
         for seed in SEEDS
     ]
-    print_progress('capacity: failover in a fleet that serves other groups')
     others = [
         FleetTrial(Kind.GAP, declared=count, seed=seed)
         for count in DECLARED
@@ -86,13 +135,6 @@
     ]
     gaps = list(run_trials(play, [*failed, *others]))
     return [
-        fit_line(
-            'calls to the key-value service',
-            '1/s',
-            'proxy',
-            PROXIES,
-            calls,
-        ),
         fit_line(
             'slowest failover of 5 runs',
             's',
@@ -145,10 +187,10 @@
         )
 
 
-async def _count_calls(deployment: Deployment) -> float:
+async def _count_calls(deployment: Deployment, seconds: float) -> float:
     before = deployment.platform.counts.total()
-    await sleep(IDLE)
-    return (deployment.platform.counts.total() - before) / IDLE
+    await sleep(seconds)
+    return (deployment.platform.counts.total() - before) / seconds
 
 
 async def _fail_over(deployment: Deployment, trial: FleetTrial) -> float:
--- a/benchmarks/capacity_idle_peer.py
+++ b/benchmarks/capacity_idle_peer.py
@@ -1,6 +1,15 @@
 """Answer other proxies as one with nothing new does."""
 
-from sedgeshunt.identifiers import GroupId, ProxyId, Revision, Term, ZoneId
+from collections.abc import Sequence
+
+from sedgeshunt.identifiers import (
+    GroupId,
+    ProxyId,
+    Revision,
+    Seconds,
+    Term,
+    ZoneId,
+)
 from sedgeshunt.membership.peer_service import PeerService
 from sedgeshunt.ports import ConfigurationCopy, PrimaryReport, ProxyReport
 
@@ -38,3 +47,11 @@
     async def explain(self, question: bytes) -> bytes:
         """Explain nothing."""
         return b'{}'
+
+    async def copy_tallies(
+        self,
+        since: Seconds,
+        proxies: Sequence[ProxyId] = (),
+    ) -> Sequence[bytes]:
+        """Have counted nothing."""
+        return ()
