Count a read's patience from the moment of its ranking

Cause: the end of the wait was read off the clock again after the ranking; with no patience at all it lay a little ahead, so over half of the reads asked for fresh answers, waited for one and ranked a second time. Virtual time hides it, since its clock stands still between two lines.

--- a/src/sedgeshunt/requests/reads.py
+++ b/src/sedgeshunt/requests/reads.py
@@ -125,7 +125,15 @@
                 await self._wait_change(request.deadline)
                 continue
             if waits_until is None:
-                waits_until = self._find_wait_end(request, ranking, need)
+                wait = self.service.find_patience(
+                    ranking,
+                    need,
+                    request.deadline,
+                )
+                # Chosen once for each read: renewed at every change, the
+                # wait for a replica that never comes would last to the
+                # deadline. Counted from `now`, so that no wait is none.
+                waits_until = Monotonic(now + (wait or 0))
             if now >= waits_until:
                 return Ok(choice)
             await self._wait_change(min(request.deadline, waits_until))
@@ -134,17 +142,6 @@
         self.service.view.request_fresh()
         await self.service.view.wait_change(until)
 
-    def _find_wait_end(
-        self,
-        request: Request,
-        ranking: Ranking,
-        need: ReadNeed,
-    ) -> Monotonic:
-        # Chosen once for each read: renewed at every change, the wait for a
-        # replica that never comes would last to the deadline.
-        wait = self.service.find_patience(ranking, need, request.deadline)
-        return Monotonic(read_clock() + (wait or 0))
-
     def _is_hopeful(self, request: Request, now: Monotonic) -> bool:
         # With no majority in reach no age and no barrier can be proved from
         # now on, so waiting would only delay the refusal.
