Give a burst of reads the replica of the last one, checked anew

Cause: ranking three targets for each read took more than the rest of its routing. A read of stated age is checked once more at the last moment before it is sent, as data grows old in the queue. An idle connection is lent without timers.

--- a/src/sedgeshunt/connections/pool.py
+++ b/src/sedgeshunt/connections/pool.py
@@ -108,6 +108,12 @@
         """Count the connections that are open or being opened."""
         return self._open
 
+    def take_idle(self) -> Loan | None:
+        """Lend an idle connection if there is one and nobody waits."""
+        if self._waiters or not self._idle:
+            return None
+        return Loan(self, self._idle.pop())
+
     async def lend(self, deadline: Monotonic) -> Result[Loan, NotRun]:
         """Lend a connection, waiting for one until `deadline` at most."""
         try:
--- a/src/sedgeshunt/limits/admission.py
+++ b/src/sedgeshunt/limits/admission.py
@@ -67,7 +67,7 @@
 
     def expected_wait(self, now: Monotonic) -> Seconds:
         """Return how long a new statement would wait for its turn."""
-        if self._has_room():
+        if self.has_room():
             return Seconds(0)
         return self._estimate_wait(self.queued, now)
 
@@ -81,7 +81,7 @@
         now = read_clock()
         if now >= deadline:
             return Err(self._refuse(Cause.DEADLINE, 'its deadline has passed'))
-        if self._has_room():
+        if self.has_room():
             return Ok(self._start(now))
         self.limit.note_full()
         ahead = self._queue.count_ahead(traffic_class, weight, now)
@@ -94,7 +94,8 @@
             Waiter(traffic_class, weight, deadline, turn),
         )
 
-    def _has_room(self) -> bool:
+    def has_room(self) -> bool:
+        """Tell whether a statement would be admitted without any wait."""
         return not self._queue and self.running < self.limit.value
 
     def _start(self, now: Monotonic) -> Permit:
--- a/src/sedgeshunt/requests/group_service.py
+++ b/src/sedgeshunt/requests/group_service.py
@@ -27,6 +27,8 @@
 from sedgeshunt.routing.catch_up import CatchUp
 from sedgeshunt.routing.choice import Ranking, ReadNeed, ReadRouter
 from sedgeshunt.routing.health import GroupHealth, TargetHealth
+from sedgeshunt.routing.judging import meets_need
+from sedgeshunt.routing.recent import RecentChoices
 from sedgeshunt.routing.views import Load
 
 CHECK_EVERY = Seconds(0.05)
@@ -60,6 +62,7 @@
         self._router = ReadRouter(zone, health, self._loads)
         self._make_service = make_service
         self.routes = RouteTable()
+        self._recent = RecentChoices()
         self._waiting_writes = 0
 
     @property
@@ -145,7 +148,7 @@
         may_probe: bool = True,
     ) -> Ranking:
         """Rank the targets for a read."""
-        return self._router.rank(
+        ranking = self._router.rank(
             self.view,
             self.targets,
             route,
@@ -153,6 +156,32 @@
             now,
             may_probe=may_probe,
         )
+        self._recent.note(route.traffic_class, ranking, now)
+        return ranking
+
+    def pick_recent(
+        self,
+        route: Route,
+        need: ReadNeed,
+        now: Monotonic,
+    ) -> TargetId | None:
+        """Return the last read's replica if it is as good for this one."""
+        name = self._recent.find(route.traffic_class, now)
+        service = None if name is None else self.services.get(name)
+        if service is None or not service.is_free():
+            return None
+        if not self.view.is_heard(service.target.name, now):
+            return None
+        return name if self.meets_need(service, need, now) else None
+
+    def meets_need(
+        self,
+        service: TargetService,
+        need: ReadNeed,
+        now: Monotonic,
+    ) -> bool:
+        """Tell whether a target holds all that a read has to see."""
+        return meets_need(self.view, service.target.name, need, now)
 
     def find_patience(
         self,
--- a/src/sedgeshunt/requests/reads.py
+++ b/src/sedgeshunt/requests/reads.py
@@ -55,7 +55,12 @@
             found = await self._find_target(request, route, need, tried)
             if isinstance(found, Err):
                 return Err(last or found.err_value)
-            outcome = await self._run_on(found.ok_value, request, route)
+            outcome = await self._run_on(
+                found.ok_value,
+                request,
+                route,
+                need,
+            )
             refusal = outcome.err()
             if refusal is None or isinstance(refusal, Rejected):
                 return outcome
@@ -69,8 +74,16 @@
         target: TargetId,
         request: Request,
         route: Route,
+        need: ReadNeed,
     ) -> Result[Answer, Refusal]:
-        return await self.service.services[target].run(request, route)
+        service = self.service.services[target]
+        if need.accepted_age is None:
+            return await service.run(request, route)
+        return await service.run(
+            request,
+            route,
+            lambda: self.service.meets_need(service, need, read_clock()),
+        )
 
     async def _learn_need(
         self,
@@ -113,6 +126,19 @@
         route: Route,
         need: ReadNeed,
         tried: set[TargetId],
+    ) -> Result[TargetId, NotRun]:
+        if not tried:
+            recent = self.service.pick_recent(route, need, read_clock())
+            if recent is not None:
+                return Ok(recent)
+        return await self._rank_targets(request, route, need, tried)
+
+    async def _rank_targets(
+        self,
+        request: Request,
+        route: Route,
+        need: ReadNeed,
+        tried: set[TargetId],
     ) -> Result[TargetId, NotRun]:
         waits_until: Monotonic | None = None
         while True:
--- a/src/sedgeshunt/requests/target_service.py
+++ b/src/sedgeshunt/requests/target_service.py
@@ -1,7 +1,7 @@
 """Serve one target: admission, connections and health in one place."""
 
 from asyncio import Timeout, timeout_at
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from result import Err, Ok, Result
@@ -30,6 +30,8 @@
 
 SUPERSEDED_RETRY = Seconds(0.2)
 
+Check = Callable[[], bool]
+
 
 class TargetService:
     """Run statements on one target within its limits."""
@@ -63,12 +65,22 @@
         for timeout in tuple(self._in_flight):
             timeout.reschedule(now)
 
+    def is_free(self) -> bool:
+        """Tell whether a statement would be sent without any wait."""
+        if self._is_gone or self.target.is_leaving():
+            return False
+        return self.admission.has_room() and not self.health.is_suspected()
+
     async def run(
         self,
         request: Request,
         route: Route,
+        still_serves: Check | None = None,
     ) -> Result[Answer, Refusal]:
-        """Run one statement on a connection of its own."""
+        """Run one statement on a connection of its own.
+
+        Ask `still_serves` at the last moment before it is sent.
+        """
         admitted = await self.admission.admit(
             route.traffic_class,
             route.weight,
@@ -78,7 +90,7 @@
             return admitted
         permit = admitted.ok_value
         with permit.measure() as measured:
-            outcome = await self._run_admitted(request)
+            outcome = await self._run_admitted(request, still_serves)
             refusal = outcome.err()
             measured.ok = not isinstance(refusal, Unknown)
             if isinstance(refusal, NotRun):
@@ -98,6 +110,9 @@
         """Lend a connection, unless the target is gone."""
         if self._is_gone:
             return Err(self._refuse_gone())
+        idle = self.pool.take_idle()
+        if idle is not None:
+            return Ok(idle)
         try:
             async with self._watch(request):
                 return await self.pool.lend(request.deadline)
@@ -128,11 +143,14 @@
     async def _run_admitted(
         self,
         request: Request,
+        still_serves: Check | None,
     ) -> Result[Answer, Refusal]:
         lent = await self.lend(request)
         if isinstance(lent, Err):
             return lent
         async with lent.ok_value as loan:
+            if still_serves is not None and not still_serves():
+                return Err(self._refuse_stale())
             return await self.run_on(loan, request, request.sql)
 
     async def _execute(self, loan: Loan, request: Request, sql: str) -> Answer:
@@ -148,6 +166,15 @@
             finally:
                 self._in_flight.discard(timeout)
 
+    def _refuse_stale(self) -> NotRun:
+        # Data that was young enough when the target was chosen grows old
+        # while the read waits for its turn.
+        return NotRun(
+            Cause.TOO_STALE,
+            f'target {self.target.name} fell behind while the read waited',
+            SUPERSEDED_RETRY,
+        )
+
     def _refuse_gone(self) -> NotRun:
         return NotRun(
             Cause.CONNECTION_LOST,
--- a/src/sedgeshunt/routing/choice.py
+++ b/src/sedgeshunt/routing/choice.py
@@ -31,6 +31,8 @@
     verdicts: tuple[Verdict, ...]
     # The replica that is nearest to what no replica can serve yet.
     may_catch_up: TargetId | None
+    # The first is a replica in good health, not a probe nor the primary.
+    leads_with_replica: bool = False
 
     def describe(self) -> str:
         """Explain the ranking in one line."""
@@ -103,6 +105,7 @@
             for verdict in verdicts
         ),
         may_catch_up=None if replicas else _find_nearest(verdicts),
+        leads_with_replica=bool(replicas) and not order[0].is_probe,
     )
 
 
--- a/src/sedgeshunt/routing/health.py
+++ b/src/sedgeshunt/routing/health.py
@@ -63,6 +63,10 @@
         elif self.state is HealthState.PROBATION and ok:
             self._pass_probe()
 
+    def is_suspected(self) -> bool:
+        """Tell whether the target is left out, but for probes."""
+        return self.state is not HealthState.HEALTHY
+
     def claim_probe(self, now: Monotonic) -> bool:
         """Tell whether the next read may be a probe, and count it as one."""
         if self.state is HealthState.HEALTHY or now < self._next_probe:
--- a/src/sedgeshunt/routing/judging.py
+++ b/src/sedgeshunt/routing/judging.py
@@ -22,6 +22,23 @@
     accepted_age: Seconds | None
 
 
+def meets_need(
+    view: FreshnessView,
+    target: TargetId,
+    need: ReadNeed,
+    now: Monotonic,
+) -> bool:
+    """Tell whether `target` holds all that the read has to see."""
+    # The point is demanded with an accepted age too: a caller that has just
+    # written must not miss its entry because older data would do.
+    if need.point is not None and not view.covers(target, need.point):
+        return False
+    if need.accepted_age is None:
+        return True
+    age = view.measure_age(target, now)
+    return age is not None and age <= need.accepted_age
+
+
 class Judge(Struct, frozen=True):
     """Hold one read's demands and what is known while it is routed."""
 
