Refuse a read at once when all that may serve it are full

Cause: after overload refusals the read went on to wait for a replica that might catch up, until its deadline; one refusal in sixteen came that late. Ruled out: the queue (its refusals come at the door).

--- a/src/sedgeshunt/requests/reads.py
+++ b/src/sedgeshunt/requests/reads.py
@@ -68,6 +68,19 @@
             last = _prefer(last, refusal)
             if not await self._may_go_on(request, refusal, tried):
                 return Err(last)
+            if _is_overload(refusal) and self._is_last(route, need, tried):
+                # Every target that may serve is full: waiting for another
+                # one to catch up would only delay the refusal.
+                return Err(last)
+
+    def _is_last(
+        self,
+        route: Route,
+        need: ReadNeed,
+        tried: set[TargetId],
+    ) -> bool:
+        ranking = self.service.rank(route, need, read_clock())
+        return _pick(ranking, tried) is None
 
     async def _run_on(
         self,
@@ -202,6 +215,12 @@
     return None
 
 
+def _is_overload(refusal: Refusal) -> bool:
+    if not isinstance(refusal, NotRun):
+        return False
+    return refusal.cause in {Cause.OVERLOAD, Cause.DEADLINE}
+
+
 def _prefer(last: Refusal | None, refusal: Refusal) -> Refusal:
     # "Not run" may only be said when it is true of every attempt.
     return last if isinstance(last, Unknown) else refusal
--- a/tests/features/burn.feature
+++ b/tests/features/burn.feature
@@ -53,3 +53,27 @@
     When "p1" counts 1000 "done" of "status" in 20 ms
     Then the burn report of "p1" is "met"
     And it is drawn as PNG and SVG
+
+  Scenario: The operator asks a running fleet while a proxy is lost
+    The operator sees every proxy's counts, the failover as one gap, and whose
+    counts may be missing. A primary dies, writes wait for the next one; a
+    proxy is replaced after others fetched its counts, later one is lost.
+    Given a running fleet with an objective for "default"
+    When 20 writes are made at "p1" and a minute and a half goes by
+    And the primary dies, 5 writes are made at "p2" and "p1" is restarted
+    Then "burn --class default --output json" ends with code 0
+    And it shows 25 requests and a gap of "lease" between 0.05 and 2 s
+    And only "p1" is known to have had an earlier run
+    When proxy "p2" of the fleet is killed
+    Then "burn --group lease" ends with code 7
+    And its output has "unknown, lease, default, within"
+    And its messages have "proxy p2 is missing, new, or restarted, p3"
+    And "burn --class other" ends with code 2
+    And "burn --plot burn.txt" ends with code 2
+
+  Scenario: Copies outlive a restart of all proxies, one after another
+    The operator still sees what was counted before a new release came. Each
+    proxy keeps nothing, and the holders of its copies are replaced too; a new
+    holder first fetches what the other holder has.
+    When 6 proxies count 10 requests each and are replaced, one every 80 s
+    Then their copies show 60 requests and 6 proxies with an earlier run
--- a/tests/features/steps/read_steps.py
+++ b/tests/features/steps/read_steps.py
@@ -5,15 +5,19 @@
 from unittest.mock import patch
 
 from behave import given, then, when
+from result import Err
 
 from sedgeshunt.clocks import read_clock
+from sedgeshunt.limits.admission import TargetAdmission
 from sedgeshunt.requests.group_service import GroupService
+from sedgeshunt.requests.outcome import Cause, NotRun
 from tests.deployment import Deployment, Profile
 from tests.ledger import LATENESS
 from tests.virtual_time import make_loop
 
 PATIENCE = 0.05
 WRITE_DEADLINE = 0.2
+READING_ERROR = 1e-6
 
 
 class LookCounter:
@@ -99,3 +103,50 @@
 def check_looks(context: Any, limit: int) -> None:
     """Compare the number of rankings with the limit."""
     assert context.looks < limit, context.looks
+
+
+async def read_in_overload(lag: float, deadline: float) -> tuple[Any, float]:
+    """Read while the targets that may serve are full."""
+    async with Deployment(Profile(proxies=1)) as deployment:
+        group = next(iter(deployment.groups.values()))
+        caller = deployment.open_caller()
+        await caller.connect('p1')
+        *_, behind = group.databases.values()
+        behind.set_lag(lag)
+        await caller.ask("INSERT INTO turns (ref) VALUES ('a')")
+        with patch.object(TargetAdmission, 'admit', refuse_at_door):
+            started = read_clock()
+            outcome = await caller.ask(
+                'SELECT ref FROM turns',
+                deadline=deadline,
+            )
+            return outcome, read_clock() - started
+
+
+async def refuse_at_door(*_: Any) -> Any:
+    """Refuse as a full target does."""
+    return Err(NotRun(Cause.OVERLOAD, 'full'))
+
+
+@given(
+    'a replica that lags by {lag:d} s and two targets that refuse at the door',
+)
+def declare_overload(context: Any, lag: int) -> None:
+    """Keep the lag for the deployment."""
+    context.lag = lag
+
+
+@when('a read with a deadline of {deadline:d} s is sent')
+def read_when_full(context: Any, deadline: int) -> None:
+    """Run the read in virtual time."""
+    with Runner(loop_factory=make_loop) as runner:
+        measured = runner.run(read_in_overload(context.lag, deadline))
+    context.outcome = measured[0]
+    context.spent = measured[1]
+
+
+@then('it is refused before any time has passed')
+def check_refusal(context: Any) -> None:
+    """Look at the outcome; virtual time stands still without a wait."""
+    assert isinstance(context.outcome.err(), NotRun), context.outcome
+    assert context.spent < READING_ERROR, context.spent
