Let a small fleet find the key-value service again within a second

Cause: after an outage each proxy paused up to 5 s between tries, so that the last one learnt of a change late.

--- a/src/sedgeshunt/configuration/feed.py
+++ b/src/sedgeshunt/configuration/feed.py
@@ -27,6 +27,8 @@
 LIST_TIMEOUT = Seconds(5)
 FIRST_PAUSE = Seconds(0.2)
 LONGEST_PAUSE = Seconds(5)
+SHORTEST_CEILING = Seconds(1)
+TRIES_A_SECOND = 200
 DOUBLINGS = 6
 NOTHING = Revision(0)
 
@@ -136,6 +138,12 @@
             self._watch_is_up = False
 
     async def _pause(self) -> None:
-        longest = min(LONGEST_PAUSE, FIRST_PAUSE * 2**self._failures)
+        longest = min(self._find_longest(), FIRST_PAUSE * 2**self._failures)
         self._failures = min(DOUBLINGS, self._failures + 1)
         await sleep(longest * self._random.uniform(0.5, 1))
+
+    def _find_longest(self) -> float:
+        # The fewer proxies there are, the sooner each may try again without
+        # the service's rates being used up by tries.
+        fleet = len(self._active.snapshot.proxies)
+        return min(LONGEST_PAUSE, max(SHORTEST_CEILING, fleet / TRIES_A_SECOND))
