Report service-level burn from all proxies

'sedgeshunt burn' asks every declared proxy for its counts and for the copies that it keeps of two others, merges them, and shows budget left, burn rates by long and short window, causes by outcome and target, and failover gaps.

--- a/src/sedgeshunt/adapters/peer_server.py
+++ b/src/sedgeshunt/adapters/peer_server.py
@@ -10,7 +10,7 @@
     timeout,
     wait,
 )
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 from typing import Any
 
@@ -25,7 +25,7 @@
     write_primary,
     write_report,
 )
-from sedgeshunt.identifiers import GroupId, Revision, Seconds
+from sedgeshunt.identifiers import GroupId, ProxyId, Revision, Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent
 from sedgeshunt.membership.peer_service import PeerService
 from sedgeshunt.ports import Address
@@ -66,6 +66,16 @@
         """Tell how a request would be routed."""
         return await self._service.explain(question)
 
+    async def copy_tallies(
+        self,
+        since: float,
+        proxies: Sequence[str],
+    ) -> list[bytes]:
+        """Return counts and copies."""
+        named = [ProxyId(proxy) for proxy in proxies]
+        copied = await self._service.copy_tallies(Seconds(since), named)
+        return list(copied)
+
 
 class ThriftPeerServer:
     """Serve every peer in a task of its own."""
--- a/src/sedgeshunt/adapters/peers.py
+++ b/src/sedgeshunt/adapters/peers.py
@@ -16,7 +16,7 @@
     read_report,
 )
 from sedgeshunt.exceptions import PeerUnreachable
-from sedgeshunt.identifiers import GroupId, Revision, Seconds
+from sedgeshunt.identifiers import GroupId, ProxyId, Revision, Seconds
 from sedgeshunt.ports import (
     Address,
     ConfigurationCopy,
@@ -66,6 +66,19 @@
         answer: bytes = await self._call('explain', question)
         return answer
 
+    async def copy_tallies(
+        self,
+        since: Seconds,
+        proxies: Sequence[ProxyId] = (),
+    ) -> Sequence[bytes]:
+        """Ask for counts and copies; raise PeerUnreachable."""
+        copied: list[bytes] = await self._call(
+            'copy_tallies',
+            since,
+            list(proxies),
+        )
+        return copied
+
     async def close(self) -> None:
         """Drop the connection at once; closing twice does no harm."""
         if self._is_open:
--- a/src/sedgeshunt/adapters/peers.thrift
+++ b/src/sedgeshunt/adapters/peers.thrift
@@ -31,4 +31,6 @@
   void announce_leaving(1: string name)
   // Both sides are JSON documents.
   binary explain(1: binary question)
+  // Counts of the last seconds, and copies; all when no proxy is named.
+  list<binary> copy_tallies(1: double since, 2: list<string> proxies)
 }
--- a/src/sedgeshunt/burn/buckets.py
+++ b/src/sedgeshunt/burn/buckets.py
@@ -4,7 +4,7 @@
 from zlib import compress, decompress
 from zlib import error as ZlibError
 
-from msgspec import DecodeError, Raw, Struct, field
+from msgspec import DecodeError, Struct, field
 from msgspec.msgpack import Decoder, Encoder
 
 from sedgeshunt.identifiers import (
@@ -18,7 +18,7 @@
 
 FINE_WIDTH = 10
 FINE_HORIZON = Seconds(3600)
-COARSE_WIDTH = 300
+COARSE_WIDTH = 900
 COARSE_HORIZON = Seconds(3 * 24 * 3600)
 HORIZONS = {FINE_WIDTH: FINE_HORIZON, COARSE_WIDTH: COARSE_HORIZON}
 # Different kinds counted in one bucket; further ones go without a target.
@@ -27,7 +27,6 @@
 # Latencies are counted in steps of an eighth of a power of two.
 _UNITS_PER_SECOND = 10000
 _SUBSTEP_BITS = 3
-# The names in it repeat from bucket to bucket.
 _COMPRESSION = 1
 
 
@@ -82,6 +81,16 @@
     gaps: list[Gap]
 
 
+class SealedBucket(Struct, frozen=True, array_like=True):
+    """Hold a bucket as it is kept and travels, compressed by itself."""
+
+    # Compressing days of counts for one answer would hold up the statements
+    # of a proxy for a tenth of a second; buckets need it once, one by one.
+
+    key: BucketKey
+    counts: bytes
+
+
 class TallyDocument(Struct):
     """Hold one proxy's buckets as they travel."""
 
@@ -90,10 +99,12 @@
     incarnation: str
     # The proxy's clock when it wrote the document.
     clock: Monotonic
-    buckets: list[Raw]
+    buckets: list[SealedBucket]
     # Set by a peer that passes on its copy, with the time since it came.
     is_copy: bool = False
     waited: Seconds = Seconds(0)
+    # The proxy's clock when this run began to count.
+    started_at: Monotonic = Monotonic(0)
 
 
 class OpenBucket(Struct):
@@ -113,12 +124,12 @@
             own.add(cell)
         self.gaps.extend(other.gaps)
 
-    def encode(self, key: BucketKey) -> bytes:
+    def seal(self, key: BucketKey) -> SealedBucket:
         """Write the counts as a finished bucket."""
         cells = list(self.cells.values())
-        return _encoder.encode(
-            Bucket(key.width, key.sequence, cells, self.gaps),
-        )
+        bucket = Bucket(key.width, key.sequence, cells, self.gaps)
+        encoded = _encoder.encode(bucket)
+        return SealedBucket(key, compress(encoded, _COMPRESSION))
 
     def __bool__(self) -> bool:
         """Tell whether anything was counted."""
@@ -128,32 +139,26 @@
 _encoder = Encoder()
 _document_decoder = Decoder(TallyDocument)
 _bucket_decoder = Decoder(Bucket)
-_key_decoder = Decoder(BucketKey)
 
 
 def encode_document(document: TallyDocument) -> bytes:
-    """Write a document as it travels, compressed."""
-    return compress(_encoder.encode(document), _COMPRESSION)
+    """Write a document as it travels."""
+    return _encoder.encode(document)
 
 
 def decode_document(encoded: bytes) -> TallyDocument:
     """Read a document; raise msgspec.DecodeError if it is none."""
+    return _document_decoder.decode(encoded)
+
+
+def decode_bucket(sealed: SealedBucket) -> Bucket:
+    """Read one bucket of a document; raise msgspec.DecodeError."""
     try:
-        return _document_decoder.decode(decompress(encoded))
+        return _bucket_decoder.decode(decompress(sealed.counts))
     except ZlibError as fault:
         raise DecodeError(str(fault)) from fault
 
 
-def decode_bucket(encoded: Raw) -> Bucket:
-    """Read one bucket of a document."""
-    return _bucket_decoder.decode(encoded)
-
-
-def decode_key(encoded: Raw) -> BucketKey:
-    """Read only the place of a bucket."""
-    return _key_decoder.decode(encoded)
-
-
 def compute_step(latency: Seconds) -> int:
     """Return the number of the step that `latency` falls in."""
     units = int(latency * _UNITS_PER_SECOND)
--- a/src/sedgeshunt/burn/copies.py
+++ b/src/sedgeshunt/burn/copies.py
@@ -1,20 +1,22 @@
 """Keep copies of other proxies' tallies, as nothing is kept on disk."""
 
-from collections.abc import Iterable, Iterator
+from collections import defaultdict
+from collections.abc import Collection, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
 
-from msgspec import DecodeError, Raw
+from msgspec import DecodeError
 
 from sedgeshunt.burn.buckets import (
-    COARSE_WIDTH,
+    COARSE_HORIZON,
+    FINE_WIDTH,
     HORIZONS,
     Bucket,
     BucketKey,
+    SealedBucket,
     TallyDocument,
     decode_bucket,
     decode_document,
-    decode_key,
     encode_document,
 )
 from sedgeshunt.identifiers import Monotonic, ProxyId, Seconds
@@ -23,13 +25,14 @@
 MAX_COPIES = 64
 
 RunId = tuple[ProxyId, str]
+_Place = tuple[RunId, BucketKey]
 
 
 @dataclass(slots=True)
 class _Copy:
     document: TallyDocument
     received_at: Monotonic
-    buckets: dict[BucketKey, Raw] = field(default_factory=dict)
+    buckets: dict[BucketKey, SealedBucket] = field(default_factory=dict)
 
 
 class TallyCopies:
@@ -48,24 +51,29 @@
         ]
         if not heard:
             return None
-        # The buckets that were open at that time are asked for once more.
-        return Seconds(now - max(heard) + 2 * COARSE_WIDTH)
+        # Buckets are chosen by their end, so those that were open at that
+        # time come once more; the slack covers the answer's time on its way.
+        return Seconds(now - max(heard) + FINE_WIDTH)
 
     def keep(self, encoded: bytes, now: Monotonic) -> None:
         """Take in what a proxy answered; raise DecodeError if unreadable."""
         document = decode_document(encoded)
         run = (document.proxy, document.incarnation)
         known = self._copies.pop(run, None)
-        copy = known or _Copy(document, now)
+        copy = known or _Copy(document, Monotonic(now - document.waited))
         if document.clock >= copy.document.clock:
             copy.document = document
-            copy.received_at = now
+            copy.received_at = Monotonic(now - document.waited)
             copy.buckets |= _index(document)
         self._copies[run] = copy
         self._prune(now)
 
-    def encode(self, now: Monotonic) -> list[bytes]:
-        """Write all copies, each with the time since it was heard."""
+    def encode(
+        self,
+        now: Monotonic,
+        proxies: Collection[ProxyId] = (),
+    ) -> list[bytes]:
+        """Write the copies of `proxies` or all, with the time they waited."""
         return [
             encode_document(
                 TallyDocument(
@@ -75,9 +83,11 @@
                     list(copy.buckets.values()),
                     is_copy=True,
                     waited=Seconds(now - copy.received_at),
+                    started_at=copy.document.started_at,
                 ),
             )
-            for copy in self._copies.values()
+            for run, copy in self._copies.items()
+            if not proxies or run[0] in proxies
         ]
 
     def _prune(self, now: Monotonic) -> None:
@@ -86,8 +96,8 @@
         for copy in self._copies.values():
             clock = copy.document.clock + now - copy.received_at
             copy.buckets = {
-                key: encoded
-                for key, encoded in copy.buckets.items()
+                key: sealed
+                for key, sealed in copy.buckets.items()
                 if _compute_age(key, clock) < HORIZONS[key.width]
             }
 
@@ -113,22 +123,51 @@
 
     buckets: tuple[DatedBucket, ...]
     answered: frozenset[ProxyId]
+    # Those that began to count lately, of which no earlier run is known.
+    without_past: frozenset[ProxyId]
 
 
 def merge_tallies(encoded: Iterable[bytes]) -> MergedTallies:
     """Bring tallies and copies together, each bucket counted once."""
     documents = sorted(_decode_all(encoded), key=_get_clock)
+    buckets: list[DatedBucket] = []
+    answered = {each.proxy for each in documents if not each.is_copy}
+    for document, sealed in _pick_latest(documents):
+        try:
+            buckets.append(_date(document, sealed))
+        except DecodeError:
+            answered.discard(document.proxy)
+    return MergedTallies(
+        tuple(buckets),
+        frozenset(answered),
+        _find_without_past(documents),
+    )
+
+
+def _pick_latest(
+    documents: Iterable[TallyDocument],
+) -> Iterable[tuple[TallyDocument, SealedBucket]]:
     # A bucket arrives from its proxy and from every peer with a copy. The
     # one with the latest clock is the fullest, and it comes last.
-    merged: dict[tuple[RunId, BucketKey], DatedBucket] = {}
+    latest: dict[_Place, tuple[TallyDocument, SealedBucket]] = {}
     for document in documents:
         run = (document.proxy, document.incarnation)
-        for dated in _date_buckets(document):
-            merged[run, dated.key] = dated
-    return MergedTallies(
-        tuple(merged.values()),
-        frozenset(each.proxy for each in documents if not each.is_copy),
-    )
+        for sealed in document.buckets:
+            latest[run, sealed.key] = (document, sealed)
+    return latest.values()
+
+
+def _find_without_past(
+    documents: Iterable[TallyDocument],
+) -> frozenset[ProxyId]:
+    runs: defaultdict[ProxyId, set[str]] = defaultdict(set)
+    recent: set[ProxyId] = set()
+    for document in documents:
+        runs[document.proxy].add(document.incarnation)
+        counted_for = document.clock - document.started_at
+        if not document.is_copy and counted_for < COARSE_HORIZON:
+            recent.add(document.proxy)
+    return frozenset(proxy for proxy in recent if len(runs[proxy]) == 1)
 
 
 def _decode_all(encoded: Iterable[bytes]) -> list[TallyDocument]:
@@ -141,20 +180,19 @@
     return documents
 
 
-def _date_buckets(document: TallyDocument) -> Iterator[DatedBucket]:
+def _date(document: TallyDocument, sealed: SealedBucket) -> DatedBucket:
     clock = Seconds(document.clock + document.waited)
-    for encoded in document.buckets:
-        bucket = decode_bucket(encoded)
-        ended = (bucket.sequence + 1) * bucket.width
-        yield DatedBucket(bucket, Seconds(clock - ended), clock)
+    ended = (sealed.key.sequence + 1) * sealed.key.width
+    bucket = decode_bucket(sealed)
+    return DatedBucket(bucket, Seconds(clock - ended), clock)
 
 
 def _get_clock(document: TallyDocument) -> Monotonic:
     return document.clock
 
 
-def _index(document: TallyDocument) -> dict[BucketKey, Raw]:
-    return {decode_key(encoded): encoded for encoded in document.buckets}
+def _index(document: TallyDocument) -> dict[BucketKey, SealedBucket]:
+    return {sealed.key: sealed for sealed in document.buckets}
 
 
 def _compute_age(key: BucketKey, clock: float) -> float:
--- a/src/sedgeshunt/burn/gaps.py
+++ b/src/sedgeshunt/burn/gaps.py
@@ -38,7 +38,10 @@
         return sum(gap.seconds > allowed for gap in self.gaps)
 
 
-def list_gaps(buckets: Iterable[DatedBucket]) -> tuple[GapReport, ...]:
+def list_gaps(
+    buckets: Iterable[DatedBucket],
+    only: GroupId | None = None,
+) -> tuple[GapReport, ...]:
     """List each group's gaps, those seen by several proxies once."""
     by_group: defaultdict[GroupId, list[DatedGap]] = defaultdict(list)
     for dated in buckets:
@@ -48,7 +51,9 @@
             ended_ago = Seconds(dated.clock - gap.ended_at)
             by_group[gap.group].append(DatedGap(gap.seconds, ended_ago))
     return tuple(
-        GapReport(group, _join(by_group[group])) for group in sorted(by_group)
+        GapReport(group, _join(by_group[group]))
+        for group in sorted(by_group)
+        if only in {None, group}
     )
 
 
--- a/src/sedgeshunt/burn/report.py
+++ b/src/sedgeshunt/burn/report.py
@@ -21,7 +21,7 @@
     count_spending,
 )
 from sedgeshunt.configuration.objects import Objective
-from sedgeshunt.identifiers import ProxyId, Seconds
+from sedgeshunt.identifiers import GroupId, ProxyId, Seconds
 
 MOST_CAUSES = 10
 
@@ -75,17 +75,20 @@
     gaps: tuple[GapReport, ...]
     answered: tuple[ProxyId, ...]
     missing: tuple[ProxyId, ...]
+    # New, or restarted while no peer held its counts: those are not here.
+    without_past: tuple[ProxyId, ...]
 
 
 def build_report(
     tallies: Iterable[bytes],
     objectives: Sequence[Objective],
     expected: Collection[ProxyId],
+    group: GroupId | None = None,
 ) -> BurnReport:
-    """Build the report of the `expected` proxies from tallies and copies."""
+    """Report on the `expected` proxies, with the gaps of `group` or all."""
     merged = merge_tallies(tallies)
     missing = tuple(sorted(set(expected) - merged.answered))
-    gaps = list_gaps(merged.buckets)
+    gaps = list_gaps(merged.buckets, group)
     return BurnReport(
         objectives=tuple(
             _report_objective(
@@ -99,6 +102,7 @@
         gaps=gaps,
         answered=tuple(sorted(merged.answered)),
         missing=missing,
+        without_past=tuple(sorted(merged.without_past)),
     )
 
 
--- a/src/sedgeshunt/burn/tally.py
+++ b/src/sedgeshunt/burn/tally.py
@@ -2,9 +2,6 @@
 
 from collections import deque
 from secrets import token_hex
-from typing import NamedTuple
-
-from msgspec import Raw
 
 from sedgeshunt.burn.buckets import (
     COARSE_HORIZON,
@@ -17,6 +14,7 @@
     OpenBucket,
     OutcomeCell,
     OutcomeKind,
+    SealedBucket,
     TallyDocument,
     compute_step,
     encode_document,
@@ -36,11 +34,6 @@
 NO_TARGET = TargetId('')
 
 
-class _Sealed(NamedTuple):
-    key: BucketKey
-    encoded: bytes
-
-
 class Tally:
     """Keep counts in memory: ten-second ones for an hour, others for days."""
 
@@ -54,9 +47,10 @@
         self._coarse_key = BucketKey(COARSE_WIDTH, 0)
         # The first count moves all to its own time.
         self._ends_at: float = 0
+        self._started_at: Monotonic | None = None
         # Kept encoded: as objects, three days of counts take many times the
         # memory of a small instance's share for them.
-        self._sealed: dict[int, deque[_Sealed]] = {
+        self._sealed: dict[int, deque[SealedBucket]] = {
             FINE_WIDTH: deque(),
             COARSE_WIDTH: deque(),
         }
@@ -104,14 +98,20 @@
         reach = COARSE_HORIZON if since is None else since
         oldest = now - reach
         buckets = [
-            Raw(sealed.encoded)
+            sealed
             for kept in self._sealed.values()
             for sealed in kept
             if _compute_end(sealed.key) >= oldest
         ]
         buckets += self._encode_open()
         return encode_document(
-            TallyDocument(self._proxy, self._incarnation, now, buckets),
+            TallyDocument(
+                self._proxy,
+                self._incarnation,
+                now,
+                buckets,
+                started_at=self._started_at or now,
+            ),
         )
 
     def _add_cell(self, kind: OutcomeKind) -> OutcomeCell:
@@ -120,20 +120,22 @@
             kind = kind._replace(target=NO_TARGET)
         return cells.setdefault(kind, OutcomeCell(kind, 0))
 
-    def _encode_open(self) -> list[Raw]:
+    def _encode_open(self) -> list[SealedBucket]:
         coarse = OpenBucket()
         coarse.absorb(self._coarse)
         coarse.absorb(self._fine)
         if not coarse:
             return []
         return [
-            Raw(self._fine.encode(self._fine_key)),
-            Raw(coarse.encode(self._coarse_key)),
+            self._fine.seal(self._fine_key),
+            coarse.seal(self._coarse_key),
         ]
 
     def _roll(self, now: Monotonic) -> None:
         if now < self._ends_at:
             return
+        if self._started_at is None:
+            self._started_at = now
         self._seal(self._fine_key, self._fine, now)
         self._coarse.absorb(self._fine)
         self._fine = OpenBucket()
@@ -152,7 +154,7 @@
     ) -> None:
         kept = self._sealed[key.width]
         if counted:
-            kept.append(_Sealed(key, counted.encode(key)))
+            kept.append(counted.seal(key))
         oldest = now - HORIZONS[key.width]
         while kept and _compute_end(kept[0].key) < oldest:
             kept.popleft()
--- a/src/sedgeshunt/cli/commands.py
+++ b/src/sedgeshunt/cli/commands.py
@@ -5,6 +5,7 @@
 from cyclopts import App
 from rich.console import Console as RichConsole
 
+from sedgeshunt.cli.burn import burn
 from sedgeshunt.cli.changes import diff, history
 from sedgeshunt.cli.console import Console
 from sedgeshunt.cli.description import describe
@@ -29,6 +30,7 @@
     (history, 'history --limit 5'),
     (rollout, 'rollout --wait 10'),
     (explain, 'explain songbook-1 --traffic-class browse --age 500'),
+    (burn, 'burn --class queue --plot burn.svg'),
     (drain, 'drain songbook-1-a --wait 10'),
     (check, 'check objects.toml --settings settings.toml'),
 )
--- a/src/sedgeshunt/group_runtime.py
+++ b/src/sedgeshunt/group_runtime.py
@@ -6,6 +6,7 @@
 
 from msgspec.structs import replace
 
+from sedgeshunt.burn.gap_watch import GapWatch
 from sedgeshunt.configuration.objects import LEAVING, STATE_LABEL, Target
 from sedgeshunt.configuration.snapshot import Snapshot
 from sedgeshunt.groups.keeper import GroupKeeper
@@ -22,12 +23,14 @@
         keeper: GroupKeeper,
         is_leaving: Callable[[Target], bool],
         list_proxies: Callable[[], Sequence[ProxyId]],
+        gaps: GapWatch,
     ) -> None:
         """Bring the parts together; nothing runs before run()."""
         self.service = service
         self._keeper = keeper
         self._is_leaving = is_leaving
         self._list_proxies = list_proxies
+        self._gaps = gaps
         self._declared: list[Target] = []
 
     async def run(self) -> None:
@@ -47,7 +50,8 @@
         self._tell(self._mark_leaving())
 
     def refresh(self) -> None:
-        """Take in what membership learnt about leaving targets."""
+        """Look for gaps and for targets that leave; called often."""
+        self._gaps.check()
         marked = self._mark_leaving()
         if marked != self.service.targets:
             self._tell(marked)
--- a/src/sedgeshunt/membership/peer_service.py
+++ b/src/sedgeshunt/membership/peer_service.py
@@ -1,8 +1,9 @@
 """Define what a proxy answers to other proxies and to operators."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 
-from sedgeshunt.identifiers import GroupId, Revision
+from sedgeshunt.identifiers import GroupId, ProxyId, Revision, Seconds
 from sedgeshunt.ports import ConfigurationCopy, PrimaryReport, ProxyReport
 
 
@@ -31,3 +32,11 @@
     @abstractmethod
     async def explain(self, question: bytes) -> bytes:
         """Tell how a request would be routed; both are JSON documents."""
+
+    @abstractmethod
+    async def copy_tallies(
+        self,
+        since: Seconds,
+        proxies: Sequence[ProxyId] = (),
+    ) -> Sequence[bytes]:
+        """Return counts and copies, those of `proxies` or all."""
--- a/src/sedgeshunt/ports.py
+++ b/src/sedgeshunt/ports.py
@@ -271,6 +271,14 @@
     async def explain(self, question: bytes) -> bytes:
         """Ask how the proxy would route; both sides are JSON documents."""
 
+    @abstractmethod
+    async def copy_tallies(
+        self,
+        since: Seconds,
+        proxies: Sequence[ProxyId] = (),
+    ) -> Sequence[bytes]:
+        """Ask for counts and copies, those of `proxies` or all it has."""
+
     @abstractmethod
     async def close(self) -> None:
         """Drop the connection at once; closing twice does no harm."""
--- a/src/sedgeshunt/proxy.py
+++ b/src/sedgeshunt/proxy.py
@@ -1,12 +1,15 @@
 """Put one proxy together: every instance runs this and is alike."""
 
 from asyncio import Event, Task, TaskGroup
+from collections.abc import Sequence
 from contextlib import AsyncExitStack
 from random import Random
 from types import TracebackType
 
 from result import Ok
 
+from sedgeshunt.burn.exchange import TallyExchange
+from sedgeshunt.burn.gap_watch import GapWatch
 from sedgeshunt.burn.tally import Tally
 from sedgeshunt.clocks import PauseWatch, read_clock
 from sedgeshunt.configuration.feed import ConfigurationFeed
@@ -119,6 +122,13 @@
             decisions,
             self._note_seat,
         )
+        self.tallies = TallyExchange(
+            self.name,
+            self.recorder.tally,
+            peers,
+            lambda: self.feed.snapshot.proxies.values(),
+            Random(f'{self.name}-tallies'),
+        )
         self.explainer = Explainer(self.name, self.runtimes, self.keys)
         self._connector = targets
         self._decisions = decisions
@@ -139,6 +149,7 @@
             self.roster.run(),
             self.feed.run(),
             self.seat.run(),
+            self.tallies.run(),
             self._apply_changes(),
         ):
             self._owned.callback(running.create_task(task).cancel)
@@ -207,6 +218,14 @@
         """Answer an operator's question; both are JSON documents."""
         return self.explainer.answer(question)
 
+    async def copy_tallies(
+        self,
+        since: Seconds,
+        proxies: Sequence[ProxyId] = (),
+    ) -> Sequence[bytes]:
+        """Return counts and copies, those of `proxies` or all."""
+        return self.tallies.answer(since, proxies)
+
     def _count_proxies(self) -> int:
         return max(1, len(self.feed.snapshot.proxies))
 
@@ -291,6 +310,7 @@
             keeper,
             self.instance_watch.is_target_leaving,
             self._list_proxies,
+            GapWatch(view, self.recorder.tally.note_gap),
         )
 
     def _make_service(
--- a/tests/features/steps/read_steps.py
+++ b/tests/features/steps/read_steps.py
@@ -111,7 +111,7 @@
         group = next(iter(deployment.groups.values()))
         caller = deployment.open_caller()
         await caller.connect('p1')
-        *_, behind = group.databases.values()
+        behind = list(group.databases.values())[-1]
         behind.set_lag(lag)
         await caller.ask("INSERT INTO turns (ref) VALUES ('a')")
         with patch.object(TargetAdmission, 'admit', refuse_at_door):
--- /dev/null
+++ b/tests/features/steps/specs_steps.py
@@ -0,0 +1,86 @@
+"""Search the specifications of the core protocols."""
+
+from typing import Any
+
+from behave import then, when
+
+from tests.specs import configuration_spec, operators_spec, promotion_state
+from tests.specs.acknowledgement_spec import specify_acknowledgement
+from tests.specs.checking import always_reaches, explore, refute
+from tests.specs.configuration_spec import (
+    is_in_force_everywhere,
+    specify_configuration,
+)
+from tests.specs.operators_spec import specify_operators
+from tests.specs.promotion_spec import specify_promotion
+from tests.specs.promotion_state import Scope
+
+SPECIFICATIONS = {
+    'promotion, two writes': specify_promotion(Scope(writes=2)),
+    'promotion, late records': specify_promotion(
+        Scope(writes=1, late_records=True),
+    ),
+    'acknowledgement': specify_acknowledgement(),
+    'operators': specify_operators(),
+    'configuration': specify_configuration(),
+}
+
+
+@when('the specification "{name}" is searched')
+def search_specification(context: Any, name: str) -> None:
+    context.finding = explore(SPECIFICATIONS[name])
+
+
+@when('the promotion lacks "{safeguard}"')
+def search_promotion(context: Any, safeguard: str) -> None:
+    _search_promotion(context, 1, safeguard)
+
+
+@when('the promotion of {writes:d} writes lacks "{safeguard}"')
+def search_promotion_of(context: Any, writes: int, safeguard: str) -> None:
+    _search_promotion(context, writes, safeguard)
+
+
+def _search_promotion(context: Any, writes: int, safeguard: str) -> None:
+    removed = promotion_state.Safeguard(safeguard)
+    scope = Scope(writes=writes, removed=removed)
+    context.finding = refute(specify_promotion(scope))
+
+
+@when('evidence from before a freeze is trusted')
+def search_acknowledgement(context: Any) -> None:
+    context.finding = refute(specify_acknowledgement(needs_fresh=False))
+
+
+@when('the operators lack "{safeguard}"')
+def search_operators(context: Any, safeguard: str) -> None:
+    removed = operators_spec.Safeguard(safeguard)
+    context.finding = refute(specify_operators(removed))
+
+
+@when('the configuration lacks "{safeguard}"')
+def search_configuration(context: Any, safeguard: str) -> None:
+    removed = configuration_spec.Safeguard(safeguard)
+    context.finding = refute(specify_configuration(removed))
+
+
+@then('the search visits all of at least {states:d} states')
+def check_exhaustive(context: Any, states: int) -> None:
+    assert context.finding.is_exhaustive
+    assert context.finding.states >= states, context.finding.states
+
+
+@then('it breaks no property')
+def check_unbroken(context: Any) -> None:
+    assert not context.finding.broken, context.finding.broken
+
+
+@then('the search breaks "{name}" in {steps:d} steps')
+def check_broken(context: Any, name: str, steps: int) -> None:
+    found = context.finding.broken[name]
+    assert len(found) == steps, found
+
+
+@then('the specification "{name}" can always reach its goal')
+def check_reach(context: Any, name: str) -> None:
+    assert always_reaches(SPECIFICATIONS[name], is_in_force_everywhere)
