--- a/src/sedgeshunt/burn/gap_watch.py
+++ b/src/sedgeshunt/burn/gap_watch.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from sedgeshunt.clocks import read_clock
+from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
 from sedgeshunt.groups.view import GroupView
 from sedgeshunt.identifiers import GroupId, Monotonic, Seconds, TargetId
 
@@ -15,8 +16,14 @@
     # A gap counts also if no write came meanwhile: the objective is about
     # the group, and a group nobody wrote to was no better for it.
 
-    def __init__(self, view: GroupView, note_gap: GapNote) -> None:
+    def __init__(
+        self,
+        view: GroupView,
+        note_gap: GapNote,
+        decisions: DecisionLog,
+    ) -> None:
         """Tell `note_gap` of each gap of the view's group that has ended."""
+        self._decisions = decisions
         self._view = view
         self._note_gap = note_gap
         self._proven_at: Monotonic | None = None
@@ -27,7 +34,9 @@
         now = read_clock()
         if not self._takes_writes():
             # Before the first proof the proxy starts; that is no gap.
-            self._is_open = self._proven_at is not None
+            if self._proven_at is not None and not self._is_open:
+                self._is_open = True
+                self._tell_refused()
             return
         if self._is_open and self._proven_at is not None:
             # Our own pause is no gap of the group, though nothing was heard.
@@ -36,6 +45,18 @@
         self._is_open = False
         self._proven_at = self._find_proof()
 
+    def _tell_refused(self) -> None:
+        why = 'no majority of the targets answers'
+        if self._view.hears_majority():
+            why = 'no primary is known'
+        self._decisions.record(
+            Decision(
+                DecisionKind.WRITES_REFUSED,
+                self._view.group,
+                reasons={'why': why},
+            ),
+        )
+
     def _takes_writes(self) -> bool:
         view = self._view
         return view.get_primary() is not None and view.hears_majority()
