Let a proxy that starts ask for its seat at once

Cause: before the first configuration there are no seats, and none free was taken for all taken, so a start waited 10 s for its share. The capacity runs showed it (one seat of eight claimed after 2 s).

--- a/benchmarks/capacity_callers.py
+++ b/benchmarks/capacity_callers.py
@@ -84,12 +84,12 @@
         callers = await open_callers(stage, SENDERS, owned)
         for rate in rates:
             print_progress(f'capacity: {rate} {name}s a second')
-            usage, *sent = await gather(
-                stage.measure(SENDING),
-                *[_send(caller, sql, rate / SENDERS) for caller in callers],
+            sending = gather(
+                *[_send(caller, sql, rate / SENDERS) for caller in callers]
             )
+            usages.append(await stage.measure(SENDING))
+            sent = await sending
             reached.append(sum(sent) / SENDING)
-            usages.append(usage)
     cpu = [usage.cpu * MILLISECONDS for usage in usages]
     messages = [usage.messages for usage in usages]
     per = f'{name}/s'
--- a/benchmarks/capacity_daemon.py
+++ b/benchmarks/capacity_daemon.py
@@ -54,7 +54,7 @@
     found = []
     for count in LINES:
         print_progress(f'capacity: {count} instances listed')
-        found.append(await _watch(Plan(lines=count)))
+        found.append(await _watch(Plan(groups=0, lines=count)))
     per = 'line of the list, read once a second'
     return _fit_usages(per, LINES, found)
 
@@ -63,7 +63,7 @@
     found = []
     for count in PEERS:
         print_progress(f'capacity: {count} peers asked')
-        found.append(await _watch(Plan(peers=ports[:count])))
+        found.append(await _watch(Plan(groups=0, peers=ports[:count])))
     return _fit_usages('peer asked', PEERS, found)
 
 
--- a/src/sedgeshunt/connections/seats.py
+++ b/src/sedgeshunt/connections/seats.py
@@ -115,7 +115,7 @@
                 return
         # All are taken: asking each second would change nothing but the
         # service's load.
-        self._is_waiting = len(taken) >= self.seats
+        self._is_waiting = 0 < self.seats <= len(taken)
 
     async def _claim(self, key: str, lease: int) -> bool:
         value = str(self._proxy).encode()
