Check the core protocols exhaustively, and trust only fenced logs

Small specifications of promotion, fencing, acknowledgement, tokens, the operators' store and the configuration are searched to the end; each safeguard taken out gives a counterexample, whose length the feature holds.

A fault found by the search: a replica whose source leads again may copy records of a term above its own fence; a late order to follow the primary of a term in between is still accepted there and drops them, and a session would miss its write on that replica. Change: a log counts as covering a point only when its last term is not above its fencing term.

--- a/src/sedgeshunt/groups/status.py
+++ b/src/sedgeshunt/groups/status.py
@@ -27,6 +27,16 @@
     role: Role
     following: TargetId | None = None
 
+    def keeps(self, point: Point) -> bool:
+        """Tell whether the log includes `point` and will not drop it."""
+        # A replica whose source leads again may copy records of a term above
+        # its own. A late order to follow the primary of a term in between is
+        # then still accepted and drops them, and a session would miss its
+        # write there. Only the fence at their term turns the order away.
+        if self.log_end.term > self.fencing_term:
+            return False
+        return point.is_covered_by(self.log_end)
+
 
 @dataclass(frozen=True, slots=True)
 class Observation:
--- a/src/sedgeshunt/groups/view.py
+++ b/src/sedgeshunt/groups/view.py
@@ -121,7 +121,7 @@
     def covers(self, target: TargetId, point: Point) -> bool:
         """Tell whether the target's latest answer includes `point`."""
         status = self.states.get_status(target)
-        return status is not None and point.is_covered_by(status.log_end)
+        return status is not None and status.keeps(point)
 
     def measure_age(self, target: TargetId, now: Monotonic) -> Seconds | None:
         """Return how old the target's data is at most, None if unproven."""
@@ -131,7 +131,9 @@
         if status is None:
             return None
         mark = self.evidence.find_covered(status.log_end)
-        return None if mark is None else Seconds(now - mark.moment)
+        if mark is None or not status.keeps(mark.point):
+            return None
+        return Seconds(now - mark.moment)
 
     def is_current_in(self, term: Term) -> bool:
         """Tell whether `term` is the newest and has a single primary."""
--- /dev/null
+++ b/tests/features/specs.feature
@@ -0,0 +1,77 @@
+Feature: Model checks of the protocols
+  Small specifications of the core protocols are searched exhaustively. Each
+  safeguard is then taken out: what can't fail without it proves nothing.
+
+  Scenario Outline: No order of steps breaks a promise
+    Steps of databases, proxies, operators and the network come in any order;
+    messages are lost or late, processes freeze and die at any point.
+    When the specification "<specification>" is searched
+    Then the search visits all of at least <states> states
+    And it breaks no property
+
+    Examples:
+      | specification               | states |
+      | promotion, two writes       | 120000 |
+      | promotion, late records     | 45000  |
+      | acknowledgement             | 300    |
+      | operators                   | 600    |
+      | configuration               | 150    |
+
+  Scenario: Every accepted change can still come into force everywhere
+    Then the specification "configuration" can always reach its goal
+
+  Scenario Outline: A promotion without one of its safeguards
+    Two proxies promote in a group of three databases, callers write through
+    whoever leads, and any number of proxies watch.
+    When the promotion lacks "<safeguard>"
+    Then the search breaks "<property>" in <steps> steps
+
+    Examples:
+      | safeguard                                                  | property                                 | steps |
+      | a majority is fenced before a promotion                    | acknowledged writes are kept             | 4     |
+      | the choice is made by what the fences answered             | acknowledged writes are kept             | 5     |
+      | a target accepts a term once                               | one primary in a term                    | 6     |
+      | a proxy counts only the fences that it won                 | one primary in a term                    | 6     |
+      | a target is left out only if the rest is a majority        | acknowledged writes are kept             | 5     |
+      | a proxy promotes one target in a term                      | one primary in a term                    | 4     |
+      | a majority shows a write                                   | a watermark covers what was acknowledged | 1     |
+      | term and log end come from one answer                      | acknowledged writes are kept             | 4     |
+      | a token is compared by term first                          | a covered token is served                | 11    |
+      | a log counts only if its fence protects it                 | a covered token is served                | 17    |
+      | a watermark counts only answers asked for after its moment | a watermark covers what was acknowledged | 2     |
+
+  Scenario: A promotion that chooses the longest log
+    It takes three writes: two that nobody copied make the old primary's log
+    as long as the log in which the third was acknowledged.
+    When a promotion by one proxy among 3 writes lacks "the highest point is promoted, by term first"
+    Then the search breaks "acknowledged writes are kept" in 12 steps
+
+  Scenario: An acknowledgement on evidence from before a freeze
+    When evidence from before a freeze is trusted
+    Then the search breaks "nothing is acknowledged for a superseded primary" in 7 steps
+
+  Scenario Outline: Operators without one of their safeguards
+    Two operators change the store at once; answers are lost after the change
+    took effect, and requests arrive after they were given up.
+    When the operators lack "<safeguard>"
+    Then the search breaks "<property>" in <steps> steps
+
+    Examples:
+      | safeguard                                       | property                            | steps |
+      | a commit demands the head that its author has read | no change overwrites one unseen  | 4     |
+      | a lost answer is looked up before a new attempt | a change takes effect once          | 5     |
+      | a change that is not found is sent again, the same | what was refused never takes effect | 4  |
+
+  Scenario Outline: A configuration without one of its safeguards
+    Two proxies follow watches that restart, go backwards or hang, listings of
+    a service whose members lag, and copies of each other.
+    When the configuration lacks "<safeguard>"
+    Then the search breaks "<property>" in <steps> steps
+
+    Examples:
+      | safeguard                                             | property                               | steps |
+      | a listing that is older is refused                    | an accepted change is never reverted   | 3     |
+      | a peer's copy that is not newer is refused            | an accepted change is never reverted   | 3     |
+      | events below what is in force are passed over         | an accepted change is never reverted   | 6     |
+      | a watch that goes backwards is replaced by a listing  | an accepted change is never reverted   | 5     |
+      | a watch leaves out no change between two others       | what is in force is whole              | 3     |
