--- a/src/sedgeshunt/connections/pool.py
+++ b/src/sedgeshunt/connections/pool.py
@@ -103,11 +103,6 @@
         self._waiters: deque[Future[None]] = deque()
         self._closed = False
 
-    @property
-    def open_count(self) -> int:
-        """Count the connections that are open or being opened."""
-        return self._open
-
     def take_idle(self) -> Loan | None:
         """Lend an idle connection if there is one and nobody waits."""
         if self._waiters or not self._idle:
--- a/src/sedgeshunt/requests/outcome.py
+++ b/src/sedgeshunt/requests/outcome.py
@@ -1,7 +1,7 @@
 """Name the outcomes that a caller can get: done, not run, unknown."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from enum import Enum
 
 from sedgeshunt.groups.points import Point
@@ -30,10 +30,6 @@
     # The signed session token, set after a write or a commit.
     token: str | None = None
 
-    def with_token(self, token: str) -> 'Answer':
-        """Return the same answer carrying `token`."""
-        return replace(self, token=token)
-
 
 class Cause(Enum):
     """Name why a request got no answer, as metrics and logs show it."""
