--- a/benchmarks/reads.py
+++ b/benchmarks/reads.py
@@ -76,6 +76,9 @@
         return False
 
     owned.enter_context(patch.object(GroupService, 'rank', rank_primary))
+    owned.enter_context(
+        patch.object(GroupService, 'pick_recent', return_value=None),
+    )
     owned.enter_context(
         patch.object(SessionState, 'needs_barrier', need_nothing),
     )
