--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --requirement requirements.lock
-	$(BIN)/pip install --quiet --no-deps --editable .
+	$(BIN)/pip install -qq --requirement requirements.lock
+	$(BIN)/pip install -qq --no-deps --editable .
 	touch $@
 
 setup: $(VENV)/.ready
