--- a/benchmarks/capacity_idle_peer.py
+++ b/benchmarks/capacity_idle_peer.py
@@ -10,8 +10,12 @@
     Term,
     ZoneId,
 )
-from sedgeshunt.membership.peer_service import PeerService
-from sedgeshunt.ports import ConfigurationCopy, PrimaryReport, ProxyReport
+from sedgeshunt.ports import (
+    PeerService,
+    ConfigurationCopy,
+    PrimaryReport,
+    ProxyReport,
+)
 
 
 class IdlePeer(PeerService):
--- a/src/sedgeshunt/ports.py
+++ b/src/sedgeshunt/ports.py
@@ -245,31 +245,31 @@
     document: bytes
 
 
-class PeerConnection(ABC):
-    """Call another proxy."""
+class PeerService(ABC):
+    """Answer the calls that peers make."""
 
     @abstractmethod
     async def report(self) -> ProxyReport:
-        """Ask what the proxy runs with; raise PeerUnreachable."""
+        """Tell what this proxy runs with."""
 
     @abstractmethod
     async def report_primary(self, group: GroupId) -> PrimaryReport:
-        """Ask when the proxy heard the primary; raise PeerUnreachable."""
+        """Tell when this proxy last heard a group's primary."""
 
     @abstractmethod
     async def copy_configuration(
         self,
         known: Revision,
     ) -> ConfigurationCopy | None:
-        """Ask for a newer configuration than `known`, None if it has none."""
+        """Return a configuration newer than `known`, None if there is none."""
 
     @abstractmethod
     async def announce_leaving(self, name: str) -> None:
-        """Tell the proxy that instance `name` is leaving."""
+        """Take note that instance `name` is leaving."""
 
     @abstractmethod
     async def explain(self, question: bytes) -> bytes:
-        """Ask how the proxy would route; both sides are JSON documents."""
+        """Tell how a request would be routed; both are JSON documents."""
 
     @abstractmethod
     async def copy_tallies(
@@ -277,7 +277,11 @@
         since: Seconds,
         proxies: Sequence[ProxyId] = (),
     ) -> Sequence[bytes]:
-        """Ask for counts and copies, those of `proxies` or all it has."""
+        """Return counts and copies, those of `proxies` or all."""
+
+
+class PeerConnection(PeerService):
+    """Call another proxy; each call may raise PeerUnreachable."""
 
     @abstractmethod
     async def close(self) -> None:
--- a/src/sedgeshunt/proxy.py
+++ b/src/sedgeshunt/proxy.py
@@ -25,7 +25,6 @@
 from sedgeshunt.logs import StatementLog
 from sedgeshunt.membership.directory import PeerDirectory
 from sedgeshunt.membership.instances import InstanceWatch
-from sedgeshunt.membership.peer_service import PeerService
 from sedgeshunt.membership.peers import PeerRoster
 from sedgeshunt.metrics import Metrics
 from sedgeshunt.ports import (
@@ -34,6 +33,7 @@
     KeyValueService,
     PeerConnector,
     PrimaryReport,
+    PeerService,
     ProxyReport,
     TargetConnector,
 )
--- a/tests/features/fleet_bench.py
+++ b/tests/features/fleet_bench.py
@@ -30,7 +30,6 @@
 )
 from sedgeshunt.membership.directory import PeerDirectory
 from sedgeshunt.membership.instances import InstanceWatch
-from sedgeshunt.membership.peer_service import PeerService
 from sedgeshunt.membership.peers import PeerRoster
 from sedgeshunt.ports import (
     Address,
@@ -40,6 +39,7 @@
     Delete,
     Listing,
     PrimaryReport,
+    PeerService,
     ProxyReport,
     Put,
     WatchEvent,
--- a/tests/features/steps/driver_services_steps.py
+++ b/tests/features/steps/driver_services_steps.py
@@ -27,7 +27,6 @@
     Term,
     ZoneId,
 )
-from sedgeshunt.membership.peer_service import PeerService
 from sedgeshunt.metrics import CountingMetrics, StatsdMetrics
 from sedgeshunt.ports import (
     Address,
@@ -35,6 +34,7 @@
     ConfigurationCopy,
     Delete,
     PrimaryReport,
+    PeerService,
     ProxyReport,
     Put,
     WatchCompacted,
