Draw the choice between equal candidates anew in each term

Cause: two proxies that each miss another target chose the same first name and handed the lead to and fro. Change: equal log ends are ordered by a hash of term and name, so that the choice comes to a target that both can reach.

--- a/src/sedgeshunt/groups/elections.py
+++ b/src/sedgeshunt/groups/elections.py
@@ -10,6 +10,7 @@
 from sedgeshunt.exceptions import SedgeshuntError
 from sedgeshunt.groups.deadlines import has_passed
 from sedgeshunt.groups.link import TargetLink
+from sedgeshunt.groups.ranks import weigh
 from sedgeshunt.groups.status import Role, TargetStatus
 from sedgeshunt.identifiers import Seconds, TargetId, Term
 
@@ -71,7 +72,10 @@
             key=lambda status: (
                 status.log_end,
                 status.target not in leaving,
-                status.target,
+                # Two proxies that each miss another target would hand the
+                # lead to and fro; drawn anew in each term, it comes to one
+                # that both can reach.
+                weigh(status.fencing_term, status.target),
             ),
         ),
     )
--- a/src/sedgeshunt/groups/promoter.py
+++ b/src/sedgeshunt/groups/promoter.py
@@ -126,8 +126,8 @@
         if isinstance(promoted, Err):
             self._decide(DecisionKind.FENCED, suspicion, term, promoted.err())
             return False
-        note = f'{chosen.target} leads'
-        self._decide(DecisionKind.PROMOTED, suspicion, term, note)
+        leads = f'{chosen.target} leads'
+        self._decide(DecisionKind.PROMOTED, suspicion, term, leads)
         await lead_others(tuple(self._links.values()), term, chosen.target)
         return chosen.target not in self.judge.leaving
 
@@ -173,12 +173,12 @@
         kind: DecisionKind,
         suspicion: Suspicion,
         term: Term,
-        note: str,
+        outcome: str,
     ) -> None:
         reasons = {
             'cause': suspicion.cause.value,
             'term': str(term),
-            'outcome': note,
+            'outcome': outcome,
         }
         self._decisions.record(
             Decision(kind, self._view.group, suspicion.leader, reasons),
--- a/src/sedgeshunt/groups/ranks.py
+++ b/src/sedgeshunt/groups/ranks.py
@@ -16,10 +16,11 @@
     """Return how many of `proxies` come before `proxy` for `group`."""
     # Rendezvous hashing: each proxy computes the same order by itself, the
     # orders of two groups differ, and one that goes moves no other.
-    own = _weigh(group, proxy)
-    return sum(_weigh(group, other) > own for other in set(proxies))
+    own = weigh(group, proxy)
+    return sum(weigh(group, other) > own for other in set(proxies))
 
 
-def _weigh(group: GroupId, proxy: ProxyId) -> bytes:
-    name = f'{group}\n{proxy}'.encode()
+def weigh(place: object, candidate: str) -> bytes:
+    """Return a weight that differs between places and is alike everywhere."""
+    name = f'{place}\n{candidate}'.encode()
     return blake2b(name, digest_size=DIGEST_SIZE).digest()
--- a/src/sedgeshunt/groups/view.py
+++ b/src/sedgeshunt/groups/view.py
@@ -135,10 +135,6 @@
             return None
         return Seconds(now - mark.moment)
 
-    def is_current_in(self, term: Term) -> bool:
-        """Tell whether `term` is the newest and has a single primary."""
-        return term == self.newest_term and self.terms.is_current(term)
-
     async def wait_barrier(
         self,
         since: Monotonic,
@@ -162,7 +158,9 @@
     def choose_demand(self) -> Demand:
         """Tell how urgently the next answers are needed."""
         now = read_clock()
-        if self.evidence.reads_waiting:
+        # Without a majority no read can be proven fresh, however often the
+        # few that still answer are asked.
+        if self.evidence.reads_waiting and self.hears_majority():
             return Demand.FRESH
         if self._is_uneasy(now):
             return Demand.PRIMARY
--- a/tests/features/watermarks.feature
+++ b/tests/features/watermarks.feature
@@ -74,6 +74,17 @@
     Then "ada" does not cover 2:11
     And "bob" covers 1:10
 
+  Scenario: A log that ends in a term above the target's own is not counted
+    Its source leads again, and it copied records of the newer term without
+    ever being fenced for it. A late order to follow the primary of a term in
+    between would still be accepted, and would drop them under a session.
+    When at 1000 ms "bob" answers 3:9 in term 1, asked at 990 ms
+    And at 1000 ms "cyd" answers 3:8 in term 3, asked at 990 ms
+    Then "bob" does not cover 3:7
+    And at 1000 ms the age of the data of "bob" is not proven
+    When at 1010 ms "bob" answers 3:9 in term 3, asked at 1005 ms
+    Then "bob" covers 3:7
+
   Scenario: A target forgets what it has shown
     It was restored from a backup. Counted, it would vouch for writes that it
     no longer has; it is left out until it shows them again.
