--- a/src/sedgeshunt/requests/target_service.py
+++ b/src/sedgeshunt/requests/target_service.py
@@ -58,9 +58,9 @@
     def note_gone(self) -> None:
         """End every wait for a target that stopped answering."""
         self._is_gone = True
-        # A frozen target breaks no connection: its callers would hold their
-        # microphones until their deadlines. Their outcome is unknown at
-        # once, and what is safe to repeat runs elsewhere.
+        # A frozen target breaks no connection, so its callers would wait
+        # until their deadlines. Their outcome is unknown at once, and what
+        # is safe to repeat runs elsewhere.
         now = read_clock()
         for timeout in tuple(self._in_flight):
             timeout.reschedule(now)
