--- a/src/sedgeshunt/membership/choice.py
+++ b/src/sedgeshunt/membership/choice.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
-from hashlib import blake2b
-
+from sedgeshunt.groups.ranks import weigh
 from sedgeshunt.identifiers import ZoneId
 from sedgeshunt.ports import Address
 
@@ -11,7 +10,6 @@
 # itself; with these few a change still crosses the fleet in some rounds.
 REGULAR_PEERS = 8
 OWN_ZONE_PEERS = 5
-_DIGEST_SIZE = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,11 +45,6 @@
     """Order peers for `key` so that one that goes moves no other."""
     return sorted(
         peers,
-        key=lambda peer: _weigh(key, peer.label),
+        key=lambda peer: weigh(key, peer.label),
         reverse=True,
     )
-
-
-def _weigh(key: str, label: str) -> bytes:
-    name = f'{key}\n{label}'.encode()
-    return blake2b(name, digest_size=_DIGEST_SIZE).digest()
