--- a/src/sedgeshunt/membership/choice.py
+++ b/src/sedgeshunt/membership/choice.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+
 from sedgeshunt.groups.ranks import weigh
 from sedgeshunt.identifiers import ZoneId
 from sedgeshunt.ports import Address
