Count refusals by the target that they came from

The burn report showed causes such as connection-lost without a target, as only answers named one. Single statements name it now; writes with an id and statements of transactions do not yet. The new step fails on the code before (a refusal had no target).

--- a/src/sedgeshunt/requests/outcome.py
+++ b/src/sedgeshunt/requests/outcome.py
@@ -58,6 +58,8 @@
     cause: Cause
     reason: str
     retry_after: Seconds = field(default=Seconds(0.1))
+    # The target that it was meant for, for reports.
+    target: TargetId | None = None
 
     def describe(self) -> str:
         """Tell the caller what happened and what to do next."""
@@ -71,6 +73,8 @@
 
     cause: Cause
     reason: str
+    # The target that it was sent to, for reports.
+    target: TargetId | None = None
 
     def describe(self) -> str:
         """Tell the caller what happened and what to do next."""
--- a/src/sedgeshunt/requests/recorder.py
+++ b/src/sedgeshunt/requests/recorder.py
@@ -4,7 +4,7 @@
 
 from sedgeshunt.burn.tally import NO_TARGET, Tally
 from sedgeshunt.clocks import read_clock
-from sedgeshunt.identifiers import Seconds
+from sedgeshunt.identifiers import Seconds, TargetId
 from sedgeshunt.logs import StatementLog
 from sedgeshunt.metrics import Metrics
 from sedgeshunt.requests.outcome import (
@@ -48,7 +48,7 @@
         now = read_clock()
         refusal = outcome.err()
         name = name_outcome(refusal)
-        target = '' if isinstance(outcome, Err) else outcome.ok_value.served_by
+        target = _find_target(outcome)
         cause = _name_cause(refusal)
         self.tally.note(
             request.traffic_class,
@@ -71,6 +71,13 @@
         )
 
 
+def _find_target(outcome: Result[Answer, Refusal]) -> TargetId | None:
+    if not isinstance(outcome, Err):
+        return outcome.ok_value.served_by
+    refusal = outcome.err_value
+    return None if isinstance(refusal, Rejected) else refusal.target
+
+
 def name_outcome(refusal: Refusal | None) -> str:
     """Name an outcome as reports and metrics show it."""
     if refusal is None:
--- a/src/sedgeshunt/requests/target_service.py
+++ b/src/sedgeshunt/requests/target_service.py
@@ -3,6 +3,7 @@
 from asyncio import Timeout, timeout_at
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 from result import Err, Ok, Result
 
@@ -65,6 +66,15 @@
         for timeout in tuple(self._in_flight):
             timeout.reschedule(now)
 
+    def _name_target(
+        self,
+        outcome: Result[Answer, Refusal],
+    ) -> Result[Answer, Refusal]:
+        refusal = outcome.err()
+        if isinstance(refusal, NotRun | Unknown):
+            return Err(replace(refusal, target=self.target.name))
+        return outcome
+
     def is_free(self) -> bool:
         """Tell whether a statement would be sent without any wait."""
         if self._is_gone or self.target.is_leaving():
@@ -87,7 +97,7 @@
             request.deadline,
         )
         if isinstance(admitted, Err):
-            return admitted
+            return self._name_target(admitted)
         permit = admitted.ok_value
         with permit.measure() as measured:
             outcome = await self._run_admitted(request, still_serves)
@@ -99,7 +109,7 @@
                 permit.cancel()
             else:
                 self.health.note(measured.read_spent(), ok=measured.ok)
-        return outcome
+        return self._name_target(outcome)
 
     async def resize(self, share: int) -> None:
         """Change how many connections and statements are allowed."""
--- a/tests/features/reads.feature
+++ b/tests/features/reads.feature
@@ -20,3 +20,4 @@
     Given a replica that lags by 5 s and two targets that refuse at the door
     When a read with a deadline of 1 s is sent
     Then it is refused before any time has passed
+    And the refusal names the target that it came from
--- a/tests/features/steps/read_steps.py
+++ b/tests/features/steps/read_steps.py
@@ -150,3 +150,9 @@
     """Look at the outcome; virtual time stands still without a wait."""
     assert isinstance(context.outcome.err(), NotRun), context.outcome
     assert context.spent < READING_ERROR, context.spent
+
+
+@then('the refusal names the target that it came from')
+def check_target(context: Any) -> None:
+    """Look at the target, by which reports count causes."""
+    assert context.outcome.err().target is not None, context.outcome
