--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,5 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 src tests benchmarks examples
-	$(BIN)/mypy src tests benchmarks examples
+	$(BIN)/flake8 src deploy tests benchmarks examples
+	$(BIN)/mypy src deploy tests benchmarks examples
--- /dev/null
+++ b/src/sedgeshunt/adapters/forwarding.py
@@ -0,0 +1,104 @@
+"""Carry frames between proxies over TCP."""
+
+from asyncio import (
+    Server,
+    StreamReader,
+    StreamWriter,
+    open_connection,
+    start_server,
+    timeout,
+)
+from collections.abc import Awaitable, Callable
+
+from sedgeshunt.adapters.channel import ProtocolBroken
+from sedgeshunt.adapters.forwarding_codec import (
+    LONGEST_FRAME,
+    encode_frame,
+    read_frame,
+)
+from sedgeshunt.exceptions import PeerUnreachable
+from sedgeshunt.forwarding.channel import FrameChannel, FrameConnector
+from sedgeshunt.forwarding.messages import Frame
+from sedgeshunt.identifiers import Seconds
+from sedgeshunt.ports import Address
+
+# A peer that takes in nothing while so much waits for it is as good as gone.
+MAX_UNSENT = 2 * LONGEST_FRAME
+
+PeerHandler = Callable[[FrameChannel], Awaitable[None]]
+
+
+class StreamChannel(FrameChannel):
+    """Carry frames on one TCP connection."""
+
+    def __init__(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Own an open connection."""
+        self._reader = reader
+        self._writer = writer
+
+    async def receive(self) -> Frame | None:
+        """Return the next frame, None once the connection has ended."""
+        try:
+            return await read_frame(self._reader)
+        except (OSError, ProtocolBroken):
+            return None
+
+    def send(self, frame: Frame) -> None:
+        """Send a frame without waiting; a broken connection takes any."""
+        transport = self._writer.transport
+        if transport.get_write_buffer_size() > MAX_UNSENT:
+            transport.abort()
+        if not transport.is_closing():
+            self._writer.write(encode_frame(frame))
+
+    def close(self) -> None:
+        """Drop the connection at once; closing twice does no harm."""
+        self._writer.transport.abort()
+
+
+class StreamConnector(FrameConnector):
+    """Open TCP connections to other proxies."""
+
+    async def connect(self, address: Address, limit: Seconds) -> FrameChannel:
+        """Open a connection; raise PeerUnreachable."""
+        try:
+            async with timeout(limit):
+                reader, writer = await open_connection(
+                    address.host,
+                    address.port,
+                )
+        except (OSError, TimeoutError) as failure:
+            peer = f'{address.host}:{address.port}'
+            reason = str(failure) or f'no answer in {limit} s'
+            raise PeerUnreachable(peer, reason) from failure
+        return StreamChannel(reader, writer)
+
+
+class ForwardingServer:
+    """Let other proxies in."""
+
+    def __init__(self, address: Address, handle: PeerHandler) -> None:
+        """Hand each connection to `handle`."""
+        self.address = address
+        self._handle = handle
+        self._server: Server | None = None
+
+    async def start(self) -> None:
+        """Listen; raise OSError."""
+        self._server = await start_server(
+            self._serve,
+            self.address.host,
+            self.address.port,
+        )
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        channel = StreamChannel(reader, writer)
+        try:
+            await self._handle(channel)
+        finally:
+            channel.close()
--- /dev/null
+++ b/src/sedgeshunt/adapters/forwarding_codec.py
@@ -0,0 +1,336 @@
+"""Turn what proxies say to each other into bytes and back."""
+
+from asyncio import IncompleteReadError, StreamReader
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+from thriftpy2 import load
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
+
+from sedgeshunt.adapters.channel import ProtocolBroken
+from sedgeshunt.forwarding.messages import (
+    Beat,
+    BeatReply,
+    Frame,
+    OwnedGroup,
+    ReachQuestion,
+)
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import (
+    Boottime,
+    GroupId,
+    Incarnation,
+    OwnerToken,
+    Position,
+    ProxyId,
+    Revision,
+    Seconds,
+    StatementId,
+    TargetId,
+    Term,
+    TrafficClass,
+    TransactionId,
+    ZoneId,
+)
+from sedgeshunt.registry.entries import InstanceEntry
+from sedgeshunt.requests.outcome import (
+    Answer,
+    Cause,
+    NotRun,
+    Refusal,
+    Rejected,
+    Unknown,
+)
+from sedgeshunt.statements.call import Access, CallKind, StatementCall
+from sedgeshunt.statements.statement import PreparedStatement
+
+# A frame holds one message of a caller, 1 MiB, and what goes with it; or a
+# configuration of that size.
+LONGEST_FRAME = 4 * 1024 * 1024
+LENGTH_BYTES = 4
+
+# Read at run time: no generator is needed.
+frames: Any = load(
+    str(Path(__file__).with_name('forwarding.thrift')),
+    module_name='forwarding_thrift',
+)
+_PROTOCOL = TCyBinaryProtocolFactory()
+
+
+async def read_frame(reader: StreamReader) -> Frame | None:
+    """Return the next frame, None at the end; raise ProtocolBroken."""
+    try:
+        head = await reader.readexactly(LENGTH_BYTES)
+        length = int.from_bytes(head, 'big')
+        if length > LONGEST_FRAME:
+            raise ProtocolBroken(f'a frame of {length} bytes is too long')
+        body = await reader.readexactly(length)
+    except IncompleteReadError:
+        return None
+    return decode_frame(body)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return a frame with its length before it."""
+    body = serialize(_make_frame(frame), _PROTOCOL)
+    return len(body).to_bytes(LENGTH_BYTES, 'big') + body
+
+
+def decode_frame(body: bytes) -> Frame:
+    """Read a frame; raise ProtocolBroken."""
+    try:
+        return _read_frame(deserialize(frames.Frame(), body, _PROTOCOL))
+    except Exception as failure:  # noqa: BLE001
+        raise ProtocolBroken(f'a frame is malformed: {failure}') from failure
+
+
+def _make_frame(frame: Frame) -> Any:
+    return frames.Frame(
+        number=frame.number,
+        call=None if frame.call is None else _make_call(frame.call),
+        reply=(
+            None if frame.reply is None else _make_reply(frame.reply, frame.tip)
+        ),
+        beat=None if frame.beat is None else _make_beat(frame.beat),
+        beat_reply=(
+            None
+            if frame.beat_reply is None
+            else _make_beat_reply(frame.beat_reply)
+        ),
+        is_cancelled=frame.is_cancelled,
+        undone=frame.undone,
+        reach=(
+            None
+            if frame.reach is None
+            else frames.Reach(frame.reach.group, frame.reach.target)
+        ),
+        is_reached=frame.is_reached,
+    )
+
+
+def _read_frame(raw: Any) -> Frame:
+    return Frame(
+        raw.number,
+        None if raw.call is None else _read_call(raw.call),
+        None if raw.reply is None else _read_reply(raw.reply),
+        None if raw.reply is None else _read_place(raw.reply.tip),
+        None if raw.beat is None else _read_beat(raw.beat),
+        None if raw.beat_reply is None else _read_beat_reply(raw.beat_reply),
+        bool(raw.is_cancelled),
+        None if raw.undone is None else TransactionId(raw.undone),
+        (
+            None
+            if raw.reach is None
+            else ReachQuestion(
+                GroupId(raw.reach.group),
+                TargetId(raw.reach.target),
+            )
+        ),
+        raw.is_reached,
+    )
+
+
+def _make_place(point: Point | None) -> Any:
+    return None if point is None else frames.Place(point.term, point.position)
+
+
+def _read_place(raw: Any) -> Point | None:
+    return (
+        None if raw is None else Point(Term(raw.term), Position(raw.position))
+    )
+
+
+def _make_call(call: StatementCall) -> Any:
+    prepared = call.prepared
+    return frames.Call(
+        group=call.group,
+        access=call.access.value,
+        kind=call.kind.value,
+        statement=call.statement,
+        text=call.text,
+        traffic_class=call.traffic_class,
+        time_left=call.time_left,
+        aim_left=call.aim_left,
+        priority=call.priority,
+        transaction=call.transaction,
+        begins=call.begins,
+        is_read_only=call.is_read_only,
+        session_values=dict(call.values),
+        prepared=(
+            None
+            if prepared is None
+            else frames.Prepared(prepared.writes, prepared.shape)
+        ),
+        arguments=call.arguments,
+        after=_make_place(call.after),
+        max_age=call.max_age,
+        is_relayed=call.is_relayed,
+    )
+
+
+def _read_call(raw: Any) -> StatementCall:
+    prepared = raw.prepared
+    return StatementCall(
+        GroupId(raw.group),
+        Access(raw.access),
+        CallKind(raw.kind),
+        StatementId(raw.statement),
+        raw.text,
+        TrafficClass(raw.traffic_class),
+        Seconds(raw.time_left),
+        Seconds(raw.aim_left),
+        raw.priority,
+        None if raw.transaction is None else TransactionId(raw.transaction),
+        bool(raw.begins),
+        bool(raw.is_read_only),
+        raw.session_values or {},
+        (
+            None
+            if prepared is None
+            else PreparedStatement(bool(prepared.writes), prepared.shape)
+        ),
+        raw.arguments or '',
+        _read_place(raw.after),
+        Seconds(raw.max_age),
+        bool(raw.is_relayed),
+    )
+
+
+def _make_reply(outcome: Result[Answer, Refusal], tip: Point | None) -> Any:
+    if isinstance(outcome, Ok):
+        answer = outcome.ok_value
+        return frames.Reply(
+            outcome='done',
+            rows=[str(row[0]) for row in answer.rows],
+            point=_make_place(answer.point),
+            signature=answer.signature,
+            served_by=answer.served_by or '',
+            tip=_make_place(tip),
+        )
+    refusal = outcome.err_value
+    if isinstance(refusal, Rejected):
+        return frames.Reply(
+            outcome='rejected',
+            cause=refusal.sqlstate,
+            reason=refusal.reason,
+            tip=_make_place(tip),
+        )
+    is_not_run = isinstance(refusal, NotRun)
+    return frames.Reply(
+        outcome='not-run' if is_not_run else 'unknown',
+        cause=refusal.cause.value,
+        reason=refusal.reason,
+        served_by=refusal.target or '',
+        retry_after=(refusal.retry_after if isinstance(refusal, NotRun) else 0),
+        tip=_make_place(tip),
+    )
+
+
+def _read_reply(raw: Any) -> Result[Answer, Refusal]:
+    target = TargetId(raw.served_by) if raw.served_by else None
+    if raw.outcome == 'done':
+        return Ok(
+            Answer(
+                rows=[(row,) for row in raw.rows or ()],
+                point=_read_place(raw.point),
+                served_by=target,
+                signature=raw.signature or '',
+            ),
+        )
+    if raw.outcome == 'rejected':
+        return Err(Rejected(0, raw.cause, raw.reason))
+    if raw.outcome == 'not-run':
+        return Err(
+            NotRun(
+                Cause(raw.cause),
+                raw.reason,
+                Seconds(raw.retry_after or 0),
+                target,
+            ),
+        )
+    return Err(Unknown(Cause(raw.cause), raw.reason, target))
+
+
+def _make_beat(beat: Beat) -> Any:
+    return frames.Beat(
+        sender=frames.Instance(
+            beat.sender.name,
+            beat.sender.incarnation,
+            beat.sender.zone,
+            beat.sender.host,
+            beat.sender.port,
+            beat.sender.capacity,
+        ),
+        promises=beat.promises,
+        echo=beat.echo,
+        revision=beat.revision,
+        store_revision=beat.store_revision,
+    )
+
+
+def _read_beat(raw: Any) -> Beat:
+    return Beat(
+        _read_instance(raw.sender),
+        bool(raw.promises),
+        Boottime(raw.echo),
+        Revision(raw.revision),
+        Revision(raw.store_revision),
+    )
+
+
+def _read_instance(raw: Any) -> InstanceEntry:
+    return InstanceEntry(
+        ProxyId(raw.name),
+        Incarnation(raw.incarnation),
+        ZoneId(raw.zone),
+        raw.host,
+        raw.port,
+        raw.capacity,
+    )
+
+
+def _make_beat_reply(reply: BeatReply) -> Any:
+    return frames.BeatReply(
+        stamp=reply.stamp,
+        owned=_make_owned(reply.owned),
+        relayed=_make_owned(reply.relayed),
+        store_revision=reply.store_revision,
+        reaches_store=reply.reaches_store,
+        revision=reply.revision,
+        is_stopping=reply.is_stopping,
+        document=reply.document,
+    )
+
+
+def _read_beat_reply(raw: Any) -> BeatReply:
+    return BeatReply(
+        Boottime(raw.stamp),
+        _read_owned(raw.owned),
+        Revision(raw.revision),
+        bool(raw.is_stopping),
+        _read_owned(raw.relayed),
+        Revision(raw.store_revision),
+        bool(raw.reaches_store),
+        raw.document,
+    )
+
+
+def _make_owned(owned: Sequence[OwnedGroup]) -> list[Any]:
+    return [
+        frames.Owned(one.group, one.token, _make_place(one.tip))
+        for one in owned
+    ]
+
+
+def _read_owned(raw: Sequence[Any] | None) -> tuple[OwnedGroup, ...]:
+    return tuple(
+        OwnedGroup(
+            GroupId(one.group),
+            OwnerToken(one.token),
+            _read_place(one.tip),
+        )
+        for one in raw or ()
+    )
--- a/src/sedgeshunt/adapters/json_client.py
+++ b/src/sedgeshunt/adapters/json_client.py
@@ -1,7 +1,8 @@
 """Call JSON services and tell what surely did not arrive."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
 from json import JSONDecodeError, loads
 from typing import Any
 
@@ -49,12 +50,27 @@
     """Say that what a call is about is not there."""
 
 
+@dataclass(frozen=True, slots=True)
+class JsonReply:
+    """Hold the status and the document of one answer."""
+
+    status: int
+    # None when the answer has no body.
+    document: Any
+
+
 class JsonClient:
     """Call one of several addresses that serve the same."""
 
-    def __init__(self, addresses: Sequence[Address]) -> None:
+    def __init__(
+        self,
+        addresses: Sequence[Address],
+        *,
+        keeps_connections: bool = False,
+    ) -> None:
         """Connect to nothing yet; the first address is tried first."""
         self._addresses = list(addresses)
+        self._keeps_connections = keeps_connections
         self._owned = AsyncExitStack()
         self._session: ClientSession | None = None
 
@@ -66,6 +82,37 @@
         """Return a document; raise CallFailed."""
         return await self._call('GET', path, None)
 
+    async def exchange(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: Mapping[str, str] | None = None,
+        limit: Seconds = CALL_TIMEOUT,
+    ) -> JsonReply:
+        """Return any answer, whatever its status; raise CallFailed.
+
+        Raise ServiceAway when not a byte of the call has left.
+        """
+        call = self._open_session().request(
+            method,
+            self._make_url(path),
+            json=body,
+            headers=headers,
+            timeout=ClientTimeout(limit, sock_connect=limit),
+            allow_redirects=False,
+        )
+        try:
+            async with call as response:
+                return JsonReply(
+                    response.status,
+                    _read_body(await response.read()),
+                )
+        except (ClientConnectorError, ConnectionTimeoutError) as failure:
+            raise ServiceAway(_describe(failure)) from failure
+        except (ClientError, TimeoutError, ValueError) as failure:
+            raise CallFailed(_describe(failure)) from failure
+
     @asynccontextmanager
     async def stream(
         self,
@@ -128,7 +175,7 @@
             # A kept connection may have been closed by the other side, and
             # what is sent into it is lost without a trace: for a change,
             # nobody could tell. Calls are few enough for new connections.
-            connector = TCPConnector(force_close=True)
+            connector = TCPConnector(force_close=not self._keeps_connections)
             self._session = ClientSession(connector=connector)
             self._owned.push_async_callback(self._session.close)
         return self._session
@@ -159,6 +206,10 @@
     return CallFailed(text)
 
 
+def _read_body(body: bytes) -> Any:
+    return loads(body) if body.strip() else None
+
+
 async def _read_documents(response: ClientResponse) -> AsyncIterator[Any]:
     # Lines hold values of up to a megabyte, more than a reader of lines
     # takes.
--- a/src/sedgeshunt/clocks.py
+++ b/src/sedgeshunt/clocks.py
@@ -2,8 +2,9 @@
 
 from asyncio import get_running_loop, sleep
 from collections.abc import Callable
+from time import CLOCK_BOOTTIME, clock_gettime
 
-from sedgeshunt.identifiers import Monotonic, Seconds
+from sedgeshunt.identifiers import Boottime, Monotonic, Seconds
 
 CHECK_EVERY = Seconds(0.05)
 PAUSE_TOLERANCE = Seconds(0.25)
@@ -14,6 +15,17 @@
     return Monotonic(get_running_loop().time())
 
 
+def read_boottime() -> Boottime:
+    """Return the time since the instance started, in seconds."""
+    # A suspended instance's monotonic clock stands still: a lease measured
+    # by it would seem held long after another instance has taken it over.
+    return Boottime(clock_gettime(CLOCK_BOOTTIME))
+
+
+# Imported first by a process that makes promises; see PromisesMade.
+PROCESS_STARTED_AT = read_boottime()
+
+
 class PauseWatch:
     """Notice pauses of the whole process by a late timer."""
 
--- a/src/sedgeshunt/configuration/objects.py
+++ b/src/sedgeshunt/configuration/objects.py
@@ -21,6 +21,17 @@
     OBJECTIVE = 'objective'
 
 
+class Consistency(Enum):
+    """Say what a route's reads must see."""
+
+    # Every acknowledged write.
+    CURRENT = 'current'
+    # The session's own writes, and the others' up to the accepted age.
+    OWN_WRITES = 'own-writes'
+    # All writes up to the accepted age.
+    BOUNDED_AGE = 'bounded-age'
+
+
 class Group(Struct, frozen=True, forbid_unknown_fields=True):
     """Declare a database group and the limits of each of its targets."""
 
@@ -32,6 +43,10 @@
     connection_limit: int = 20
     # Entry instances among which the connections are shared out.
     seats: int = 6
+    # Replicas that have received a write before its target acknowledges it.
+    synchronous_replicas: int = 0
+    # A transaction without a statement for so long may be ended; 0: never.
+    transaction_idle_ms: int = 0
 
 
 class Target(Struct, frozen=True, forbid_unknown_fields=True):
@@ -79,6 +94,11 @@
     weight: int = 1
     # Reads may go to the primary when no replica can serve.
     primary_reads: bool = True
+    consistency: Consistency = Consistency.OWN_WRITES
+    # Time within which an operation is to be answered; 0: the deadline.
+    objective_ms: int = 0
+    # Routes with a lower number go first where targets are short.
+    priority: int = 1
     labels: dict[str, str] = field(default_factory=dict)
 
 
--- /dev/null
+++ b/src/sedgeshunt/connections/session_pool.py
@@ -0,0 +1,215 @@
+"""Lend sessions with one target, each to one caller at a time."""
+
+from asyncio import CancelledError, Future, get_running_loop, timeout_at
+from collections import deque
+from collections.abc import Mapping
+from types import TracebackType
+
+from result import Err, Ok, Result
+
+from sedgeshunt.configuration.objects import Target
+from sedgeshunt.connections.target_session import (
+    SessionPhase,
+    TargetSession,
+    TargetSessionConnector,
+)
+from sedgeshunt.exceptions import TargetBusy, TargetUnreachable
+from sedgeshunt.identifiers import Monotonic, Seconds
+from sedgeshunt.requests.outcome import Cause, NotRun
+from sedgeshunt.statements.statement import PreparedStatement
+
+# A new connection takes 12 ms and waits for a slot; more than this is a
+# target that does not answer.
+CONNECT_LIMIT = Seconds(0.4)
+BUSY_RETRY = Seconds(0.05)
+UNREACHABLE_RETRY = Seconds(0.2)
+
+
+class PooledSession:
+    """Hold a session with what is set and prepared on it."""
+
+    def __init__(self, connection: TargetSession) -> None:
+        """Start as a fresh connection: nothing is set."""
+        self.connection = connection
+        self.values: dict[str, str] = {}
+        self.prepared: set[PreparedStatement] = set()
+        # Cleared while an answer is under way: lent again, the next caller
+        # would read it as its own.
+        self.is_clean = True
+        # What the latest answer said. A session that is given back inside a
+        # transaction, as when its caller left while it waited for its turn,
+        # would run the next caller's statement in there.
+        self.phase = SessionPhase.IDLE
+
+    @property
+    def is_fit(self) -> bool:
+        """Tell whether another caller may use the session."""
+        return self.is_clean and self.phase is SessionPhase.IDLE
+
+
+class SessionLoan:
+    """Give one holder the sole use of a session until it is returned."""
+
+    def __init__(self, pool: 'SessionPool', session: PooledSession) -> None:
+        """Hold `session` on behalf of `pool`."""
+        self.session = session
+        self._pool = pool
+        self._is_returned = False
+
+    async def give_back(self) -> None:
+        """Return the session, or close it when its state is in doubt."""
+        if not self._is_returned:
+            self._is_returned = True
+            await self._pool.take_back(self.session)
+
+    async def __aenter__(self) -> 'SessionLoan':
+        """Enter the use of the session."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Return the session."""
+        await self.give_back()
+
+
+class SessionPool:
+    """Keep at most a share of sessions with one target."""
+
+    def __init__(
+        self,
+        connector: TargetSessionConnector,
+        target: Target,
+        share: int,
+    ) -> None:
+        """Open no connection before the first loan."""
+        self.target = target
+        self.share = share
+        self._connector = connector
+        self._idle: list[PooledSession] = []
+        self._open = 0
+        self._waiters: deque[Future[None]] = deque()
+        self._is_closed = False
+
+    @property
+    def open_count(self) -> int:
+        """Count the connections that are open or being opened."""
+        return self._open
+
+    @property
+    def lent_count(self) -> int:
+        """Count the connections that are lent or being opened."""
+        return self._open - len(self._idle)
+
+    async def lend(
+        self,
+        values: Mapping[str, str],
+        deadline: Monotonic,
+    ) -> Result[SessionLoan, NotRun]:
+        """Lend a session, best one with `values`, until `deadline` at most."""
+        try:
+            async with timeout_at(deadline):
+                return Ok(await self._lend(values))
+        except TimeoutError:
+            return Err(self._refuse(Cause.DEADLINE, 'no connection was free'))
+        except TargetBusy as busy:
+            return Err(self._refuse(Cause.OVERLOAD, busy.reason))
+        except TargetUnreachable as error:
+            reason = error.format_message()
+            return Err(
+                NotRun(
+                    Cause.CONNECTION_LOST,
+                    reason,
+                    UNREACHABLE_RETRY,
+                    self.target.name,
+                ),
+            )
+
+    async def take_back(self, session: PooledSession) -> None:
+        """Keep a clean session within the share, close any other."""
+        keep = (
+            session.is_fit and not self._is_closed and self._open <= self.share
+        )
+        if keep:
+            self._idle.append(session)
+        else:
+            self._open -= 1
+        self._wake_one()
+        if not keep:
+            await session.connection.close()
+
+    async def drop_idle(self) -> None:
+        """Close the idle sessions, whose target is gone or replaced."""
+        dropped = self._idle
+        self._idle = []
+        self._open -= len(dropped)
+        for session in dropped:
+            await session.connection.close()
+        self._wake_one()
+
+    async def close(self) -> None:
+        """Close idle sessions now and lent ones when they come back."""
+        self._is_closed = True
+        await self.drop_idle()
+
+    def _refuse(self, cause: Cause, reason: str) -> NotRun:
+        name = self.target.name
+        return NotRun(cause, f'target {name}: {reason}', BUSY_RETRY, name)
+
+    async def _lend(self, values: Mapping[str, str]) -> SessionLoan:
+        while True:
+            if self._idle:
+                return SessionLoan(self, self._take_idle(values))
+            if self._open < self.share and not self._is_closed:
+                return SessionLoan(self, await self._connect())
+            await self._wait_turn()
+
+    def _take_idle(self, values: Mapping[str, str]) -> PooledSession:
+        # The latest one that already has the caller's values saves a round
+        # trip; so does one without any, against one that needs a reset.
+        for place in range(len(self._idle) - 1, -1, -1):
+            if self._idle[place].values == values:
+                return self._idle.pop(place)
+        for place in range(len(self._idle) - 1, -1, -1):
+            if not self._idle[place].values:
+                return self._idle.pop(place)
+        return self._idle.pop()
+
+    async def _connect(self) -> PooledSession:
+        # Counted before it is opened: two callers at once would otherwise
+        # both see room for one, and the target's limit be overrun.
+        self._open += 1
+        try:
+            return PooledSession(
+                await self._connector.connect(
+                    self.target,
+                    self.target.group,
+                    CONNECT_LIMIT,
+                ),
+            )
+        except BaseException:
+            self._open -= 1
+            self._wake_one()
+            raise
+
+    async def _wait_turn(self) -> None:
+        turn: Future[None] = get_running_loop().create_future()
+        self._waiters.append(turn)
+        try:
+            await turn
+        except CancelledError:
+            # A turn that was granted to a caller that has just given up
+            # goes to the next one, who would else wait for nothing.
+            if turn.done() and not turn.cancelled():
+                self._wake_one()
+            raise
+
+    def _wake_one(self) -> None:
+        while self._waiters:
+            turn = self._waiters.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
--- a/src/sedgeshunt/decisions.py
+++ b/src/sedgeshunt/decisions.py
@@ -29,6 +29,19 @@
     SEAT_LOST = 'seat-lost'
     PAUSED = 'paused'
     INVARIANT_BROKEN = 'invariant-broken'
+    STORE_LOST = 'store-lost'
+    STORE_REGAINED = 'store-regained'
+    LEASE_LOST = 'lease-lost'
+    GROUP_CLAIMED = 'group-claimed'
+    GROUP_RELEASED = 'group-released'
+    GROUP_LOST = 'group-lost'
+    PRIMARY_FOUND = 'primary-found'
+    PRIMARY_SUSPECTED = 'primary-suspected'
+    PRIMARY_SUSPENDED = 'primary-suspended'
+    PRIMARY_REPLACED = 'primary-replaced'
+    PROMOTION_ORDERED = 'promotion-ordered'
+    PEER_LOST = 'peer-lost'
+    PEER_REGAINED = 'peer-regained'
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sedgeshunt/exceptions.py
+++ b/src/sedgeshunt/exceptions.py
@@ -87,6 +87,14 @@
         )
 
 
+class LeaseLapsed(SedgeshuntError):
+    """Say that the lease of a change has ended; nothing was changed."""
+
+    def format_message(self) -> str:
+        """Tell what to do."""
+        return 'the lease has ended; take a new one and try again'
+
+
 class TargetUnreachable(SedgeshuntError):
     """Say that no byte of the call reached the target."""
 
--- /dev/null
+++ b/src/sedgeshunt/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Run callers' statements at the targets that this proxy works with."""
--- /dev/null
+++ b/src/sedgeshunt/execution/group_access.py
@@ -0,0 +1,120 @@
+"""Hold all that one proxy does for one group."""
+
+from asyncio import TaskGroup
+from contextlib import AsyncExitStack
+
+from result import Err, Result
+
+from sedgeshunt.execution.group_owner import GroupOwner
+from sedgeshunt.execution.keeper_parts import KeeperParts
+from sedgeshunt.execution.primary_keeper import PrimaryKeeper
+from sedgeshunt.execution.primary_state import PrimaryState
+from sedgeshunt.execution.replica_reader import ReplicaReader
+from sedgeshunt.execution.runner import run_in_transaction
+from sedgeshunt.execution.transactions import TransactionBook
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import GroupId, Monotonic, Seconds
+from sedgeshunt.ownership.claims import GroupClaim
+from sedgeshunt.ownership.reign import Reign
+from sedgeshunt.requests.outcome import Answer, Cause, NotRun, Refusal
+from sedgeshunt.statements.call import Access, StatementCall
+
+NOT_OWNER_RETRY = Seconds(0.1)
+
+
+class GroupAccess:
+    """Run calls for one group, as its owner or as a reader of replicas."""
+
+    def __init__(
+        self,
+        group: GroupId,
+        claim: GroupClaim,
+        reader: ReplicaReader,
+        parts: KeeperParts,
+    ) -> None:
+        """Own nothing yet."""
+        self.group = group
+        self.claim = claim
+        self.reader = reader
+        self.freshness = reader.freshness
+        self.owner: GroupOwner | None = None
+        self._parts = parts
+
+    async def run(self) -> None:
+        """Own the group whenever it is this instance's turn."""
+        async with AsyncExitStack() as owned:
+            owned.push_async_callback(self.reader.close)
+            while True:
+                await self._serve(await self.claim.wait_reign())
+
+    def read_tip(self) -> Point | None:
+        """Return the primary's log end while this proxy owns the group."""
+        return None if self.owner is None else self.owner.read_tip()
+
+    async def run_call(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Run a call here."""
+        if call.transaction is not None and not call.begins:
+            return await self._continue(call, book, deadline)
+        if call.access is Access.REPLICA:
+            return await self.reader.run_call(call, book, deadline)
+        if self.owner is None:
+            return Err(
+                NotRun(
+                    Cause.SUPERSEDED,
+                    f'this proxy does not own group {self.group}',
+                    NOT_OWNER_RETRY,
+                ),
+            )
+        return await self.owner.run_call(call, book, deadline)
+
+    async def _serve(self, reign: Reign) -> None:
+        state = PrimaryState(self.group)
+        owner = GroupOwner(
+            reign,
+            state,
+            PrimaryKeeper(reign, state, self._parts),
+            self.freshness,
+        )
+        self.owner = owner
+        try:
+            async with TaskGroup() as tasks:
+                serving = tasks.create_task(owner.run())
+                await self.claim.hold(reign)
+                self.owner = None
+                state.wake()
+                serving.cancel()
+        finally:
+            reign.end()
+            self.owner = None
+
+    async def _continue(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        transaction = book.get(call.transaction) if call.transaction else None
+        if transaction is not None and not transaction.is_at_primary:
+            return await run_in_transaction(transaction, call, book, deadline)
+        if transaction is not None and self.owner is not None:
+            return await self.owner.continue_transaction(
+                transaction,
+                call,
+                book,
+                deadline,
+            )
+        if transaction is not None:
+            book.remove(transaction)
+            await transaction.abort()
+        return Err(
+            NotRun(
+                Cause.TRANSACTION_LOST,
+                'the transaction was undone; begin it again',
+                NOT_OWNER_RETRY,
+            ),
+        )
--- /dev/null
+++ b/src/sedgeshunt/execution/group_owner.py
@@ -0,0 +1,171 @@
+"""Use a group's primary, alone, for as long as this instance owns it."""
+
+from result import Err, Result
+
+from sedgeshunt.clocks import read_boottime, read_clock
+from sedgeshunt.execution.primary_keeper import PrimaryKeeper
+from sedgeshunt.execution.primary_state import PrimaryState
+from sedgeshunt.execution.runner import (
+    begin_transaction,
+    run_in_transaction,
+)
+from sedgeshunt.execution.target_executor import TargetExecutor
+from sedgeshunt.execution.transactions import OpenTransaction, TransactionBook
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import GroupId, Monotonic, Seconds
+from sedgeshunt.ownership.reign import Reign
+from sedgeshunt.requests.outcome import (
+    Answer,
+    Cause,
+    NotRun,
+    Refusal,
+    Unknown,
+)
+from sedgeshunt.routing.freshness import FreshnessProof
+from sedgeshunt.statements.call import StatementCall
+
+NOT_OWNER_RETRY = Seconds(0.1)
+# A read whose answer was lost is asked so many times in all.
+READ_ATTEMPTS = 3
+
+
+class GroupOwner:
+    """Serve one group's primary during one reign."""
+
+    def __init__(
+        self,
+        reign: Reign,
+        state: PrimaryState,
+        keeper: PrimaryKeeper,
+        freshness: FreshnessProof,
+    ) -> None:
+        """Serve nothing before run() has found the primary."""
+        self.reign = reign
+        self._state = state
+        self._keeper = keeper
+        self._freshness = freshness
+
+    @property
+    def group(self) -> GroupId:
+        """Name the group."""
+        return self.reign.group
+
+    async def run(self) -> None:
+        """Find the primary, serve it, replace it, until cancelled."""
+        await self._keeper.run()
+
+    def read_tip(self) -> Point | None:
+        """Return the primary's log end; None when it is not served."""
+        executor = self._state.executor
+        if executor is None or not self.reign.is_held():
+            return None
+        if executor.tip is not None:
+            self._freshness.note(read_boottime(), executor.tip)
+        return executor.tip
+
+    async def run_call(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Run a single statement, or a transaction's first one."""
+        outcome: Result[Answer, Refusal] = Err(_refuse_reign())
+        for _ in range(READ_ATTEMPTS):
+            if not self.reign.is_held():
+                return Err(_refuse_reign())
+            found = await self._state.wait_executor(deadline)
+            if isinstance(found, Err):
+                return found
+            outcome = self._check(
+                call,
+                await _run_at(found.ok_value, call, book, deadline),
+            )
+            if not _may_repeat(outcome, deadline):
+                break
+        return outcome
+
+    async def continue_transaction(
+        self,
+        transaction: OpenTransaction,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Run a later statement of a transaction at the primary."""
+        may_go_on = self._state.may_continue(transaction.executor)
+        if not may_go_on or not self.reign.is_held():
+            book.remove(transaction)
+            await transaction.abort()
+            return Err(_refuse_reign(Cause.TRANSACTION_LOST))
+        outcome = await run_in_transaction(transaction, call, book, deadline)
+        return self._check(call, outcome)
+
+    def _check(
+        self,
+        call: StatementCall,
+        outcome: Result[Answer, Refusal],
+    ) -> Result[Answer, Refusal]:
+        # A process that was frozen between its question and the answer may
+        # have lost the group meanwhile. What the old primary says then is no
+        # longer what all callers see: a read is asked again elsewhere, and of
+        # a write nobody can say that it was kept.
+        if self.reign.is_held():
+            self.read_tip()
+            return outcome
+        if isinstance(outcome, Err):
+            return outcome
+        if call.is_final:
+            return Err(
+                Unknown(
+                    Cause.SUPERSEDED,
+                    'this proxy lost the group while the statement ran',
+                ),
+            )
+        if call.transaction is None:
+            return Err(_refuse_reign())
+        return Err(_refuse_reign(Cause.TRANSACTION_LOST))
+
+
+async def _run_at(
+    executor: TargetExecutor,
+    call: StatementCall,
+    book: TransactionBook,
+    deadline: Monotonic,
+) -> Result[Answer, Refusal]:
+    if call.transaction is None:
+        return await executor.run_single(call, deadline)
+    begun = await begin_transaction(
+        executor,
+        call,
+        book,
+        deadline,
+        is_at_primary=True,
+    )
+    if isinstance(begun, Err):
+        return begun
+    return await run_in_transaction(begun.ok_value, call, book, deadline)
+
+
+def _may_repeat(
+    outcome: Result[Answer, Refusal],
+    deadline: Monotonic,
+) -> bool:
+    refusal = outcome.err()
+    if not isinstance(refusal, NotRun) or read_clock() >= deadline:
+        return False
+    return refusal.cause in _PASSING
+
+
+# Nothing ran, and the next connection or the next primary may do better.
+_PASSING = frozenset(
+    (Cause.CONNECTION_LOST, Cause.DEADLINE, Cause.SUPERSEDED),
+)
+
+
+def _refuse_reign(cause: Cause = Cause.SUPERSEDED) -> NotRun:
+    return NotRun(
+        cause,
+        'this proxy does not own the group any more; ask again',
+        NOT_OWNER_RETRY,
+    )
--- /dev/null
+++ b/src/sedgeshunt/execution/group_table.py
@@ -0,0 +1,120 @@
+"""Run the groups that the operator declares."""
+
+from asyncio import Event, Task, TaskGroup
+from collections.abc import Iterator
+
+from sedgeshunt.connections.target_session import TargetSessionConnector
+from sedgeshunt.execution.group_access import GroupAccess
+from sedgeshunt.execution.keeper_parts import KeeperParts
+from sedgeshunt.execution.replica_reader import ReplicaReader
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import Boottime, GroupId, ZoneId
+from sedgeshunt.ownership.claims import ClaimContext, GroupClaim
+from sedgeshunt.registry.configuration import LiveConfiguration
+from sedgeshunt.registry.store_view import StoreView
+from sedgeshunt.routing.freshness import FreshnessProof
+
+# Connections to each target that are left for its owner's questions and for
+# instances that have just come.
+RESERVED_CONNECTIONS = 4
+
+
+class GroupTable:
+    """Own what this proxy does for each declared group."""
+
+    def __init__(
+        self,
+        zone: ZoneId,
+        configuration: LiveConfiguration,
+        view: StoreView,
+        connector: TargetSessionConnector,
+        claims: ClaimContext,
+        parts: KeeperParts,
+    ) -> None:
+        """Run no group before the first configuration."""
+        self.changed = Event()
+        self._zone = zone
+        self._configuration = configuration
+        self._view = view
+        self._connector = connector
+        self._claims = claims
+        self._parts = parts
+        self._groups: dict[GroupId, GroupAccess] = {}
+        self._tasks: dict[GroupId, Task[None]] = {}
+        configuration.listen(self.changed.set)
+        view.listen(self._note_change)
+
+    def __iter__(self) -> Iterator[GroupAccess]:
+        """Yield what runs."""
+        return iter(tuple(self._groups.values()))
+
+    def get(self, group: GroupId) -> GroupAccess | None:
+        """Return what runs for a group, None when it is not declared."""
+        return self._groups.get(group)
+
+    def read_tip(self, group: GroupId) -> Point | None:
+        """Return the log end of a group that is owned here."""
+        access = self._groups.get(group)
+        return None if access is None else access.read_tip()
+
+    def take_tip(self, group: GroupId, asked_at: Boottime, tip: Point) -> None:
+        """Take in a primary's log end and when it was asked for."""
+        access = self._groups.get(group)
+        if access is not None:
+            access.freshness.note(asked_at, tip)
+
+    async def follow(self, tasks: TaskGroup) -> None:
+        """Start and stop groups as they are declared."""
+        declared = {group.name for group in self._configuration.list_groups()}
+        for gone in set(self._groups) - declared:
+            self._tasks.pop(gone).cancel()
+            self._groups.pop(gone)
+        for name in declared:
+            if name not in self._groups:
+                access = self._make_access(name)
+                self._groups[name] = access
+                self._tasks[name] = tasks.create_task(self._run(access))
+            await self._groups[name].reader.follow()
+
+    def find_zone(self, group: GroupId) -> ZoneId | None:
+        """Return the availability zone of a group's primary."""
+        return find_primary_zone(self._configuration, group)
+
+    def _make_access(self, name: GroupId) -> GroupAccess:
+        return GroupAccess(
+            name,
+            GroupClaim(name, self._claims, self.find_zone),
+            ReplicaReader(
+                name,
+                self._zone,
+                self._configuration,
+                self._connector,
+                FreshnessProof(),
+                self._find_share,
+            ),
+            self._parts,
+        )
+
+    async def _run(self, access: GroupAccess) -> None:
+        await self._view.loaded.wait()
+        await access.run()
+
+    def _find_share(self, limit: int) -> int:
+        instances = max(1, len(self._claims.list_instances()))
+        return max(1, (limit - RESERVED_CONNECTIONS) // instances)
+
+    def _note_change(self, key: str) -> None:
+        for access in self._groups.values():
+            access.claim.changed.set()
+
+
+def find_primary_zone(
+    configuration: LiveConfiguration,
+    group: GroupId,
+) -> ZoneId | None:
+    """Return the zone of the target that says that it leads a group."""
+    members = configuration.find_members(group)
+    if members is None:
+        return None
+    leading = (known.target.zone for known in members.targets if known.leads)
+    return next(leading, None)
--- /dev/null
+++ b/src/sedgeshunt/execution/primary_finder.py
@@ -0,0 +1,81 @@
+"""Find out which target leads a group that was just taken over."""
+
+from asyncio import sleep
+from dataclasses import dataclass
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.connections.target_session import LogRole, LogStatus
+from sedgeshunt.execution.keeper_parts import KeeperParts
+from sedgeshunt.execution.statuses import read_status, read_statuses
+from sedgeshunt.groups.successors import find_leader
+from sedgeshunt.identifiers import Seconds
+from sedgeshunt.ownership.reign import Reign
+from sedgeshunt.registry.directory import GroupMembers, KnownTarget
+
+RETRY_PAUSE = Seconds(0.05)
+# With no primary in sight for so long, another target is promoted.
+PATIENCE = Seconds(0.3)
+
+
+@dataclass(frozen=True, slots=True)
+class Leader:
+    """Hold a target that leads, and what it said of its log."""
+
+    known: KnownTarget
+    status: LogStatus
+
+
+class PrimaryFinder:
+    """Ask a group's targets which of them leads."""
+
+    def __init__(self, reign: Reign, parts: KeeperParts) -> None:
+        """Ask on behalf of `reign`."""
+        self._reign = reign
+        self._parts = parts
+
+    async def find(self) -> Leader | None:
+        """Return the leader; None when there seems to be none any more."""
+        since = read_clock()
+        while read_clock() - since < PATIENCE:
+            members = self.list_members()
+            found = None if members is None else await self._ask(members)
+            if found is not None:
+                return found
+            await sleep(RETRY_PAUSE)
+            if self._parts.records.find_intent(self._reign.group):
+                since = read_clock()
+        return None
+
+    def list_members(self) -> GroupMembers | None:
+        """Return the group's targets, None when none are listed."""
+        members = self._parts.configuration.find_members(self._reign.group)
+        return members if members is not None and members.targets else None
+
+    async def _ask(self, members: GroupMembers) -> Leader | None:
+        recorded = await self._ask_recorded(members)
+        if recorded is not None:
+            return recorded
+        statuses = await read_statuses(self._parts.connector, members.targets)
+        replacement = self._parts.replacement
+        if await replacement.finish_pending(self._reign, statuses):
+            return None
+        leader = find_leader(statuses)
+        known = None if leader is None else members.find(leader)
+        if leader is None or known is None:
+            return None
+        return Leader(known, statuses[leader])
+
+    async def _ask_recorded(self, members: GroupMembers) -> Leader | None:
+        """Return the leader that the owner before has noted, if it leads."""
+        # Another one can lead in a higher term only by an order of an owner,
+        # and that owner would have noted it, or at least the intent.
+        record = self._parts.records.find_record(self._reign.group)
+        if record is None or record.intent or record.leader is None:
+            return None
+        known = members.find(record.leader.target)
+        if known is None:
+            return None
+        status = await read_status(self._parts.connector, known)
+        if status is None or status.role is not LogRole.PRIMARY:
+            return None
+        return Leader(known, status)
--- /dev/null
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -0,0 +1,245 @@
+"""Serve a group's primary, watch it and have it replaced when it must be."""
+
+from asyncio import sleep, timeout
+from contextlib import suppress
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.connections.target_session import LogRole
+from sedgeshunt.decisions import DecisionKind
+from sedgeshunt.execution.keeper_parts import KeeperParts
+from sedgeshunt.execution.primary_finder import Leader, PrimaryFinder
+from sedgeshunt.execution.primary_state import PrimaryState
+from sedgeshunt.execution.statuses import read_status, read_statuses
+from sedgeshunt.execution.target_executor import TargetExecutor
+from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.successors import find_leader
+from sedgeshunt.identifiers import Monotonic, Seconds, TargetId
+from sedgeshunt.ownership.reign import Reign
+from sedgeshunt.registry.directory import GroupMembers
+
+# How often the primary's signs of life are looked at.
+CHECK_EVERY = Seconds(0.05)
+# A primary with work that answers nothing for so long is probed.
+STALL_AFTER = Seconds(0.2)
+# A connection that broke says little while others go on.
+SETTLE_AFTER = Seconds(0.03)
+RETRY_PAUSE = Seconds(0.05)
+# Connections to the primary that are left to its own control and to others.
+SPARE_CONNECTIONS = 4
+# What is told to those who wait: finding a primary takes two round trips and
+# a connection, replacing one 0.3 s more.
+FINDING_TIME = Seconds(0.15)
+REPLACING_TIME = Seconds(0.5)
+# A handover is over by then, or the store did not take it.
+HANDOVER_TIME = Seconds(0.5)
+# A planned replacement waits so long for a moment without transactions, and
+# then so long for those that are open.
+QUIET_WAIT = Seconds(2)
+ENDING_WAIT = Seconds(0.15)
+POLL_EVERY = Seconds(0.005)
+
+
+class PrimaryKeeper:
+    """Keep one group's primary during one reign."""
+
+    def __init__(
+        self,
+        reign: Reign,
+        state: PrimaryState,
+        parts: KeeperParts,
+    ) -> None:
+        """Keep nothing before run()."""
+        self._reign = reign
+        self._state = state
+        self._parts = parts
+        self._finder = PrimaryFinder(reign, parts)
+
+    async def run(self) -> None:
+        """Keep the primary until cancelled."""
+        try:
+            while True:
+                executor = self._state.executor
+                if executor is None:
+                    await self._find()
+                else:
+                    await self._watch(executor)
+        finally:
+            await self._state.drop()
+
+    async def _find(self) -> None:
+        """Serve the primary that the targets themselves tell, or make one."""
+        self._state.expect(FINDING_TIME)
+        found = await self._finder.find()
+        if found is not None:
+            await self._serve(found)
+            return
+        members = self._finder.list_members()
+        if members is None:
+            await sleep(RETRY_PAUSE)
+        else:
+            await self._replace(members, None, None)
+
+    async def _serve(self, leader: Leader) -> None:
+        members = self._finder.list_members()
+        if members is None:
+            return
+        known = leader.known
+        executor = TargetExecutor(
+            known.target,
+            self._parts.connector,
+            max(1, members.group.connection_limit - SPARE_CONNECTIONS),
+            known.slots,
+            1,
+        )
+        executor.tip = leader.status.received
+        self._state.serve(executor)
+        self._parts.tell(
+            DecisionKind.PRIMARY_FOUND,
+            self._reign,
+            known.target.name,
+            term=leader.status.term,
+            end=leader.status.received.position,
+        )
+        await self._parts.records.note_leader(
+            self._reign,
+            known.target.name,
+            leader.status.term,
+        )
+
+    async def _watch(self, executor: TargetExecutor) -> None:
+        """Look once at the primary, and act on what is seen."""
+        members = self._finder.list_members()
+        if members is None:
+            await sleep(CHECK_EVERY)
+        elif _must_go(members, executor.target.name):
+            await self._replace_planned(members, executor)
+        elif await self._shows_trouble(executor):
+            await self._probe(members, executor)
+
+    async def _shows_trouble(self, executor: TargetExecutor) -> bool:
+        with suppress(TimeoutError):
+            async with timeout(CHECK_EVERY):
+                await executor.failed.wait()
+        if executor.failed.is_set():
+            executor.failed.clear()
+            failed_at = read_clock()
+            await sleep(SETTLE_AFTER)
+            answered_at = executor.answered_at
+            return answered_at is None or answered_at < failed_at
+        since = executor.waiting_since
+        return since is not None and read_clock() - since > STALL_AFTER
+
+    async def _probe(
+        self,
+        members: GroupMembers,
+        executor: TargetExecutor,
+    ) -> None:
+        """Replace the primary unless it answers that it leads."""
+        name = executor.target.name
+        known = members.find(name)
+        if known is None:
+            await sleep(CHECK_EVERY)
+            return
+        status = await read_status(self._parts.connector, known)
+        if status is not None and status.role is LogRole.PRIMARY:
+            executor.waiting_since = None
+            return
+        self._parts.tell(
+            DecisionKind.PRIMARY_SUSPECTED,
+            self._reign,
+            name,
+            answers=status is not None,
+            failures=executor.failures,
+        )
+        self._state.expect(REPLACING_TIME)
+        await self._state.drop()
+        if status is None:
+            await self._replace_lost(members, executor)
+
+    async def _replace_lost(
+        self,
+        members: GroupMembers,
+        executor: TargetExecutor,
+    ) -> None:
+        """Have a peer that reaches the primary own the group, or promote."""
+        # A promotion loses what no replica has received, and takes longer.
+        name = executor.target.name
+        heir = await self._parts.peers.find_reaching(self._reign.group, name)
+        if heir is not None:
+            self._reign.leave_to(heir)
+            await sleep(HANDOVER_TIME)
+        await self._replace(members, name, executor.tip)
+
+    async def _replace(
+        self,
+        members: GroupMembers,
+        lost: TargetId | None,
+        acknowledged: Point | None,
+    ) -> None:
+        """Have another target lead, if one can."""
+        self._state.expect(REPLACING_TIME)
+        others = [
+            known
+            for known in members.targets
+            if known.target.name != lost and not known.target.is_leaving()
+        ]
+        statuses = await read_statuses(self._parts.connector, others)
+        leading = find_leader(statuses)
+        known = None if leading is None else members.find(leading)
+        if leading is not None and known is not None:
+            await self._serve(Leader(known, statuses[leading]))
+            return
+        successor = await self._parts.replacement.replace(
+            self._reign,
+            members,
+            statuses,
+            acknowledged,
+        )
+        if successor is None:
+            await sleep(RETRY_PAUSE)
+        else:
+            await self._serve(Leader(successor.known, successor.status))
+
+    async def _replace_planned(
+        self,
+        members: GroupMembers,
+        executor: TargetExecutor,
+    ) -> None:
+        """Replace a primary that leaves, with nothing lost and little wait."""
+        await _wait_quiet(executor)
+        self._state.expect(REPLACING_TIME)
+        self._state.suspend()
+        await _wait_end(executor)
+        self._parts.tell(
+            DecisionKind.PRIMARY_SUSPENDED,
+            self._reign,
+            executor.target.name,
+            transactions=len(executor.transactions),
+        )
+        await executor.abandon()
+        await self._replace(members, executor.target.name, executor.tip)
+
+
+def _must_go(members: GroupMembers, primary: TargetId) -> bool:
+    """Tell whether another target should lead soon."""
+    known = members.find(primary)
+    if known is not None and not known.target.is_leaving():
+        return False
+    return any(
+        other.target.name != primary and not other.target.is_leaving()
+        for other in members.targets
+    )
+
+
+async def _wait_quiet(executor: TargetExecutor) -> None:
+    give_up = read_clock() + QUIET_WAIT
+    while executor.transactions and read_clock() < give_up:
+        if executor.failed.is_set():
+            return
+        await sleep(POLL_EVERY)
+
+
+async def _wait_end(executor: TargetExecutor) -> None:
+    give_up = Monotonic(read_clock() + ENDING_WAIT)
+    while executor.is_busy() and read_clock() < give_up:
+        await sleep(POLL_EVERY)
--- /dev/null
+++ b/src/sedgeshunt/execution/replacement.py
@@ -0,0 +1,179 @@
+"""Replace a group's primary by one of its replicas."""
+
+from asyncio import sleep
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.connections.target_session import (
+    LogRole,
+    LogStatus,
+    TargetSessionConnector,
+)
+from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.execution.statuses import read_status
+from sedgeshunt.groups.orders import (
+    PromotionAnswer,
+    PromotionOrder,
+    PromotionService,
+)
+from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.successors import choose_successor, covers
+from sedgeshunt.identifiers import Seconds, TargetId
+from sedgeshunt.ownership.records import GroupRecords
+from sedgeshunt.ownership.reign import Reign
+from sedgeshunt.registry.directory import GroupMembers, KnownTarget
+
+# The order's answer takes some milliseconds; the platform may be slow.
+ORDER_LIMIT = Seconds(0.5)
+# From an order to the moment in which its target leads: 0.3 s, 1 s on large
+# installations, and a margin.
+EFFECT_LIMIT = Seconds(2.5)
+POLL_EVERY = Seconds(0.03)
+# A replica receives what was acknowledged within some milliseconds, if the
+# primary still sends; what it lacks after this time is lost with the primary.
+CATCH_UP_LIMIT = Seconds(0.4)
+
+
+@dataclass(frozen=True, slots=True)
+class Successor:
+    """Hold the target that leads now, and its log."""
+
+    known: KnownTarget
+    status: LogStatus
+
+
+class PrimaryReplacement:
+    """Order promotions and see them through."""
+
+    def __init__(
+        self,
+        connector: TargetSessionConnector,
+        promotions: PromotionService,
+        records: GroupRecords,
+        decisions: DecisionLog,
+    ) -> None:
+        """Order through `promotions`, remember in `records`."""
+        self._connector = connector
+        self._promotions = promotions
+        self._records = records
+        self._decisions = decisions
+
+    async def replace(
+        self,
+        reign: Reign,
+        members: GroupMembers,
+        statuses: Mapping[TargetId, LogStatus],
+        acknowledged: Point | None,
+    ) -> Successor | None:
+        """Promote the replica whose log is furthest; None if none leads."""
+        chosen = choose_successor(reign.group, statuses)
+        known = None if chosen is None else members.find(chosen)
+        if chosen is None or known is None:
+            return None
+        if not await self._catch_up(known, statuses[chosen], acknowledged):
+            # Where each acknowledged write waits for a replica, one of them
+            # has all; it may be the one that did not answer yet.
+            if members.group.synchronous_replicas:
+                return None
+        # The next owner must know that an order is under way: it takes effect
+        # hundreds of milliseconds after it was sent.
+        if not await self._records.note_intent(reign, chosen):
+            return None
+        return await self._promote(reign, known)
+
+    async def finish_pending(
+        self,
+        reign: Reign,
+        statuses: Mapping[TargetId, LogStatus],
+    ) -> bool:
+        """See an earlier owner's order through; tell whether there was one."""
+        intent = self._records.find_intent(reign.group)
+        if intent is None:
+            return False
+        status = statuses.get(intent.target)
+        if status is not None and status.role is LogRole.PRIMARY:
+            await self._records.clear_intent(reign)
+            return False
+        answer = await self._order(reign, intent.target)
+        if answer is PromotionAnswer.TARGET_DOWN:
+            await self._records.clear_intent(reign)
+        else:
+            await sleep(POLL_EVERY)
+        return True
+
+    async def _catch_up(
+        self,
+        known: KnownTarget,
+        status: LogStatus,
+        acknowledged: Point | None,
+    ) -> bool:
+        give_up = read_clock() + CATCH_UP_LIMIT
+        while not covers(status, acknowledged):
+            if read_clock() > give_up:
+                return False
+            await sleep(POLL_EVERY)
+            newer = await read_status(self._connector, known)
+            status = newer or status
+        return True
+
+    async def _promote(
+        self,
+        reign: Reign,
+        known: KnownTarget,
+    ) -> Successor | None:
+        target = known.target.name
+        answer = await self._order(reign, target)
+        if answer in _WITHOUT_EFFECT:
+            await self._records.clear_intent(reign)
+            return None
+        give_up = read_clock() + EFFECT_LIMIT
+        while read_clock() < give_up and reign.is_held():
+            await sleep(POLL_EVERY)
+            status = await read_status(self._connector, known)
+            if status is not None and status.role is LogRole.PRIMARY:
+                self._tell(
+                    DecisionKind.PRIMARY_REPLACED,
+                    reign,
+                    target,
+                    term=status.term,
+                )
+                return Successor(known, status)
+        return None
+
+    async def _order(
+        self,
+        reign: Reign,
+        target: TargetId,
+    ) -> PromotionAnswer:
+        # An order that could arrive after the end of this reign would be one
+        # of an owner that is none any more.
+        if not reign.is_held_for(ORDER_LIMIT):
+            return PromotionAnswer.NOT_TAKEN
+        answer = await self._promotions.order(
+            PromotionOrder(reign.group, target, reign.owner, reign.token),
+            ORDER_LIMIT,
+        )
+        self._tell(
+            DecisionKind.PROMOTION_ORDERED,
+            reign,
+            target,
+            answer=answer.value,
+        )
+        return answer
+
+    def _tell(
+        self,
+        kind: DecisionKind,
+        reign: Reign,
+        target: TargetId,
+        **reasons: object,
+    ) -> None:
+        said = {name: str(reason) for name, reason in reasons.items()}
+        said['token'] = str(reign.token)
+        self._decisions.record(Decision(kind, reign.group, target, said))
+
+
+_WITHOUT_EFFECT = frozenset(
+    (PromotionAnswer.TARGET_DOWN, PromotionAnswer.NOT_TAKEN),
+)
--- /dev/null
+++ b/src/sedgeshunt/execution/replica_reader.py
@@ -0,0 +1,213 @@
+"""Read from a group's replicas as old a state as the caller accepts."""
+
+from collections.abc import Callable
+
+from result import Err, Result
+
+from sedgeshunt.clocks import read_boottime, read_clock
+from sedgeshunt.configuration.objects import Group
+from sedgeshunt.connections.target_session import TargetSessionConnector
+from sedgeshunt.execution.runner import (
+    begin_transaction,
+    run_in_transaction,
+)
+from sedgeshunt.execution.target_executor import TargetExecutor
+from sedgeshunt.execution.transactions import TransactionBook
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import (
+    Boottime,
+    GroupId,
+    Monotonic,
+    Seconds,
+    TargetId,
+    ZoneId,
+)
+from sedgeshunt.registry.configuration import LiveConfiguration
+from sedgeshunt.registry.directory import GroupMembers, KnownTarget
+from sedgeshunt.requests.outcome import Answer, Cause, NotRun, Refusal
+from sedgeshunt.routing.freshness import FreshnessProof
+from sedgeshunt.statements.call import StatementCall
+
+# The caller counts a commit from its acknowledgement's arrival, this proxy
+# from its own reading; the difference is a way through the network.
+AGE_MARGIN = Seconds(0.1)
+# A replica that lacked what was asked for is passed over for so long.
+BEHIND_PAUSE = Seconds(0.1)
+# One that failed is passed over for so long, doubled at each further failure.
+FAILED_PAUSE = Seconds(0.3)
+LONGEST_PAUSE = Seconds(4)
+# A read that was not answered for so long is asked of another target.
+SHORTEST_PATIENCE = Seconds(0.25)
+PATIENCE_FACTOR = 6
+STALE_RETRY = Seconds(0.2)
+
+
+class Replica:
+    """Hold one replica with what reads have shown of it."""
+
+    def __init__(self, known: KnownTarget, executor: TargetExecutor) -> None:
+        """Trust it."""
+        self.known = known
+        self.executor = executor
+        self.avoided_until = Monotonic(0)
+        self._failures = 0
+
+    def note(self, refusal: Refusal | None) -> None:
+        """Take in the end of one read."""
+        if refusal is None:
+            self._failures = 0
+            return
+        cause = refusal.cause if isinstance(refusal, NotRun) else None
+        if cause is Cause.TOO_STALE:
+            self._avoid(BEHIND_PAUSE)
+        elif cause is not Cause.OVERLOAD:
+            pause = FAILED_PAUSE * 2**self._failures
+            self._failures = min(self._failures + 1, 4)
+            self._avoid(Seconds(min(LONGEST_PAUSE, pause)))
+
+    def has_shown(self, point: Point) -> bool:
+        """Tell whether its log is known to include a point."""
+        tip = self.executor.tip
+        return tip is not None and point <= tip
+
+    def _avoid(self, pause: Seconds) -> None:
+        self.avoided_until = Monotonic(read_clock() + pause)
+
+
+class ReplicaReader:
+    """Choose replicas for reads and pass on what they answer."""
+
+    def __init__(
+        self,
+        group: GroupId,
+        zone: ZoneId,
+        configuration: LiveConfiguration,
+        connector: TargetSessionConnector,
+        freshness: FreshnessProof,
+        find_share: Callable[[int], int],
+    ) -> None:
+        """Connect to nothing before the first read."""
+        self.group = group
+        self._zone = zone
+        self._configuration = configuration
+        self._connector = connector
+        self.freshness = freshness
+        self._find_share = find_share
+        self._replicas: dict[TargetId, Replica] = {}
+
+    async def follow(self) -> None:
+        """Take in a new list of targets."""
+        members = self._configuration.find_members(self.group)
+        listed = {} if members is None else _list_replicas(members)
+        for gone in set(self._replicas) - set(listed):
+            await self._replicas.pop(gone).executor.close()
+        if members is None:
+            return
+        for name, known in listed.items():
+            if name not in self._replicas:
+                self._replicas[name] = self._make(known, members.group)
+
+    async def run_call(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Read from one replica after the other until one can serve."""
+        required = self._find_required(call)
+        if required is None:
+            return Err(self._refuse('the age of no replica can be proved'))
+        outcome: Result[Answer, Refusal] = Err(
+            self._refuse('no replica can serve'),
+        )
+        for replica in self._rank(required):
+            outcome = await self._try(replica, call, book, deadline, required)
+            replica.note(outcome.err())
+            if not isinstance(outcome.err(), NotRun):
+                break
+            if read_clock() >= deadline:
+                break
+        return outcome
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for replica in self._replicas.values():
+            await replica.executor.close()
+
+    def _find_required(self, call: StatementCall) -> Point | None:
+        since = Boottime(read_boottime() - call.max_age + AGE_MARGIN)
+        return self.freshness.find(since, call.after)
+
+    async def _try(
+        self,
+        replica: Replica,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+        required: Point,
+    ) -> Result[Answer, Refusal]:
+        executor = replica.executor
+        patience = max(
+            SHORTEST_PATIENCE,
+            PATIENCE_FACTOR * executor.admission.latency,
+        )
+        attempt_end = Monotonic(min(deadline, read_clock() + patience))
+        if call.transaction is None:
+            return await executor.run_single(call, attempt_end, required)
+        begun = await begin_transaction(
+            executor,
+            call,
+            book,
+            attempt_end,
+            required,
+        )
+        if isinstance(begun, Err):
+            return begun
+        return await run_in_transaction(
+            begun.ok_value,
+            call,
+            book,
+            attempt_end,
+        )
+
+    def _rank(self, required: Point) -> list[Replica]:
+        now = read_clock()
+        usable = [
+            replica
+            for replica in self._replicas.values()
+            if replica.avoided_until <= now
+        ]
+        return sorted(
+            usable,
+            key=lambda replica: (
+                not replica.executor.admission.has_room(),
+                replica.known.target.zone != self._zone,
+                not replica.has_shown(required),
+                replica.executor.admission.expected_wait(now),
+            ),
+        )
+
+    def _make(self, known: KnownTarget, group: Group) -> Replica:
+        executor = TargetExecutor(
+            known.target,
+            self._connector,
+            self._find_share(group.connection_limit),
+            known.slots,
+            1,
+        )
+        return Replica(known, executor)
+
+    def _refuse(self, reason: str) -> NotRun:
+        return NotRun(
+            Cause.TOO_STALE,
+            f'group {self.group}: {reason}',
+            STALE_RETRY,
+        )
+
+
+def _list_replicas(members: GroupMembers) -> dict[TargetId, KnownTarget]:
+    return {
+        known.target.name: known
+        for known in members.targets
+        if not known.leads and not known.target.is_leaving()
+    }
--- /dev/null
+++ b/src/sedgeshunt/execution/runner.py
@@ -0,0 +1,117 @@
+"""Run one call at one target, inside or outside a transaction."""
+
+from asyncio import CancelledError
+from contextlib import AsyncExitStack
+
+from result import Err, Ok, Result
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.execution.target_executor import TargetExecutor
+from sedgeshunt.execution.transactions import OpenTransaction, TransactionBook
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import Monotonic, Seconds
+from sedgeshunt.requests.outcome import (
+    Answer,
+    Cause,
+    NotRun,
+    Refusal,
+    Rejected,
+)
+from sedgeshunt.statements.call import CallKind, StatementCall
+
+LOST_RETRY = Seconds(0.05)
+
+
+async def begin_transaction(
+    executor: TargetExecutor,
+    call: StatementCall,
+    book: TransactionBook,
+    deadline: Monotonic,
+    after: Point | None = None,
+    *,
+    is_at_primary: bool = False,
+) -> Result[OpenTransaction, Refusal]:
+    """Begin a call's transaction at a target."""
+    if call.transaction is None:
+        raise ValueError('a call outside a transaction begins none')
+    lent = await executor.pool.lend(call.values, deadline)
+    if isinstance(lent, Err):
+        executor.note_refusal(lent.err_value)
+        return lent
+    async with AsyncExitStack() as owned:
+        loan = await owned.enter_async_context(lent.ok_value)
+        begun = await executor.begin(
+            loan,
+            is_read_only=call.is_read_only,
+            deadline=deadline,
+            after=after,
+        )
+        if isinstance(begun, Err):
+            return begun
+        owned.pop_all()
+    transaction = OpenTransaction(
+        call.transaction,
+        executor,
+        lent.ok_value,
+        read_clock(),
+        is_at_primary,
+    )
+    book.add(transaction)
+    executor.transactions.add(transaction)
+    return Ok(transaction)
+
+
+async def run_in_transaction(
+    transaction: OpenTransaction,
+    call: StatementCall,
+    book: TransactionBook,
+    deadline: Monotonic,
+) -> Result[Answer, Refusal]:
+    """Run one of a transaction's statements; a failed one ends it."""
+    transaction.is_busy = True
+    try:
+        outcome = await transaction.executor.run_inside(
+            transaction.loan,
+            call,
+            deadline,
+        )
+    except CancelledError:
+        # Its caller has left in the middle of a statement.
+        book.remove(transaction)
+        await transaction.end()
+        raise
+    finally:
+        transaction.is_busy = False
+        transaction.used_at = read_clock()
+    if call.kind is CallKind.COMMIT:
+        book.remove(transaction)
+        await _end(transaction, outcome)
+        return outcome
+    refusal = outcome.err()
+    if refusal is None:
+        return outcome
+    book.remove(transaction)
+    await transaction.undo()
+    return Err(_describe_loss(refusal))
+
+
+async def _end(
+    transaction: OpenTransaction,
+    outcome: Result[Answer, Refusal],
+) -> None:
+    if isinstance(outcome, Ok):
+        await transaction.end()
+    else:
+        await transaction.undo()
+
+
+def _describe_loss(refusal: Refusal) -> Refusal:
+    # Its COMMIT was not sent: the target keeps nothing of it.
+    if isinstance(refusal, Rejected):
+        return refusal
+    return NotRun(
+        Cause.TRANSACTION_LOST,
+        f'{refusal.reason}; the transaction was undone',
+        LOST_RETRY,
+        refusal.target,
+    )
--- /dev/null
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -0,0 +1,367 @@
+"""Run statements at one target, as many at once as it takes."""
+
+from asyncio import CancelledError, Event, get_running_loop, timeout_at
+from collections.abc import Awaitable, Callable
+
+from result import Err, Ok, Result
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.configuration.objects import Target
+from sedgeshunt.connections.session_pool import (
+    PooledSession,
+    SessionLoan,
+    SessionPool,
+)
+from sedgeshunt.connections.target_session import (
+    RefusalKind,
+    SessionPhase,
+    TargetRefusal,
+    TargetReply,
+    TargetSessionConnector,
+)
+from sedgeshunt.exceptions import TargetGone, TargetLost
+from sedgeshunt.execution.transactions import OpenTransaction
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import Monotonic, Seconds
+from sedgeshunt.limits.admission import TargetAdmission
+from sedgeshunt.requests.outcome import (
+    Answer,
+    Cause,
+    NotRun,
+    Refusal,
+    Rejected,
+    Unknown,
+)
+from sedgeshunt.statements.call import StatementCall
+
+LOST_RETRY = Seconds(0.1)
+# An answer that takes longer than both counts as lost: work takes at most
+# eight times its mean, and a fast target may have a slow moment.
+SHORTEST_PATIENCE = Seconds(0.25)
+PATIENCE_FACTOR = 8
+
+Work = Callable[[], Awaitable[Result[Answer, Refusal]]]
+
+_CAUSES = {
+    RefusalKind.BUSY: Cause.OVERLOAD,
+    RefusalKind.TOO_MANY: Cause.OVERLOAD,
+    RefusalKind.NO_STATEMENT: Cause.STATEMENT,
+    RefusalKind.BEHIND: Cause.TOO_STALE,
+    RefusalKind.READ_ONLY: Cause.SUPERSEDED,
+    RefusalKind.WRONG_TARGET: Cause.CONNECTION_LOST,
+}
+
+
+class TargetExecutor:
+    """Own the sessions with one target and the queue before it."""
+
+    def __init__(
+        self,
+        target: Target,
+        connector: TargetSessionConnector,
+        share: int,
+        slots: int,
+        seats: int,
+    ) -> None:
+        """Open no connection before the first statement."""
+        self.target = target
+        self.pool = SessionPool(connector, target, share)
+        self.admission = TargetAdmission(target.name, share, slots, seats)
+        # The end of the target's log, as it last showed it.
+        self.tip: Point | None = None
+        # When the target last answered anything, and when something was
+        # first sent that it has not answered since.
+        self.answered_at: Monotonic | None = None
+        self.waiting_since: Monotonic | None = None
+        self.failures = 0
+        self.failed = Event()
+        self.transactions: set[OpenTransaction] = set()
+
+    @property
+    def patience(self) -> Seconds:
+        """Return how long an answer may take before it counts as lost."""
+        usual = PATIENCE_FACTOR * self.admission.latency
+        return Seconds(max(SHORTEST_PATIENCE, usual))
+
+    async def run_single(
+        self,
+        call: StatementCall,
+        deadline: Monotonic,
+        after: Point | None = None,
+    ) -> Result[Answer, Refusal]:
+        """Run one statement outside any transaction."""
+        return await self._take_turn(
+            call,
+            deadline,
+            lambda: self._run_lent(call, deadline, after),
+        )
+
+    async def run_inside(
+        self,
+        loan: SessionLoan,
+        call: StatementCall,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Run one statement of the transaction that is open on `loan`."""
+        return await self._take_turn(
+            call,
+            deadline,
+            lambda: self._run_on(loan, call, deadline, None),
+        )
+
+    async def _take_turn(
+        self,
+        call: StatementCall,
+        deadline: Monotonic,
+        work: Work,
+    ) -> Result[Answer, Refusal]:
+        admitted = await self.admission.admit(
+            call.traffic_class,
+            weigh_priority(call.priority),
+            deadline,
+        )
+        if isinstance(admitted, Err):
+            return admitted
+        started = read_clock()
+        permit = admitted.ok_value
+        # A target may run a statement and lose the answer. It works on the
+        # next one long before this one is given up, so its place goes on.
+        timer = get_running_loop().call_later(self.patience, permit.cancel)
+        try:
+            outcome = await work()
+        except CancelledError:
+            permit.cancel()
+            raise
+        finally:
+            timer.cancel()
+        permit.release(
+            Seconds(read_clock() - started),
+            ok=not isinstance(outcome.err(), Unknown),
+        )
+        return outcome
+
+    async def _run_lent(
+        self,
+        call: StatementCall,
+        deadline: Monotonic,
+        after: Point | None,
+    ) -> Result[Answer, Refusal]:
+        lent = await self.pool.lend(call.values, deadline)
+        if isinstance(lent, Err):
+            self.note_refusal(lent.err_value)
+            return lent
+        async with lent.ok_value as loan:
+            return await self._run_on(loan, call, deadline, after)
+
+    async def _run_on(
+        self,
+        loan: SessionLoan,
+        call: StatementCall,
+        deadline: Monotonic,
+        after: Point | None,
+    ) -> Result[Answer, Refusal]:
+        session = loan.session
+        if _needs_preparing(session, call):
+            prepared = await self.ask(
+                session,
+                lambda: _prepare(session, call),
+                deadline,
+                is_harmless=True,
+            )
+            if isinstance(prepared, Err):
+                return prepared
+            if prepared.ok_value.refusal is not None:
+                return Err(self._name_refusal(prepared.ok_value.refusal))
+        if not call.is_final:
+            # Given up early it can be asked again, with time left for it.
+            deadline = Monotonic(min(deadline, read_clock() + self.patience))
+        reply = await self.ask(
+            session,
+            lambda: self._send(session, call, after),
+            deadline,
+            is_harmless=not call.is_final,
+        )
+        if isinstance(reply, Err):
+            return reply
+        return self._explain(reply.ok_value)
+
+    async def begin(
+        self,
+        loan: SessionLoan,
+        *,
+        is_read_only: bool,
+        deadline: Monotonic,
+        after: Point | None = None,
+    ) -> Result[Answer, Refusal]:
+        """Open a transaction on a lent session."""
+        connection = loan.session.connection
+        reply = await self.ask(
+            loan.session,
+            lambda: connection.begin(is_read_only=is_read_only, after=after),
+            deadline,
+            is_harmless=True,
+        )
+        if isinstance(reply, Err):
+            return reply
+        return self._explain(reply.ok_value)
+
+    async def roll_back(self, loan: SessionLoan, deadline: Monotonic) -> None:
+        """Undo a lent session's transaction; it stays in doubt if it fails."""
+        await self.ask(
+            loan.session,
+            loan.session.connection.roll_back,
+            deadline,
+            is_harmless=True,
+        )
+
+    async def ask(
+        self,
+        session: PooledSession,
+        send: Callable[[], Awaitable[TargetReply]],
+        deadline: Monotonic,
+        *,
+        is_harmless: bool,
+    ) -> Result[TargetReply, Refusal]:
+        """Wait for one whole reply; harmless ones are as good as not run."""
+        session.is_clean = False
+        if self.waiting_since is None:
+            self.waiting_since = read_clock()
+        try:
+            async with timeout_at(deadline):
+                reply = await send()
+        except TargetGone as gone:
+            return self._fail(Cause.CONNECTION_LOST, gone, is_harmless=True)
+        except TargetLost as lost:
+            return self._fail(
+                Cause.CONNECTION_LOST, lost, is_harmless=is_harmless
+            )
+        except TimeoutError as late:
+            return self._fail(Cause.DEADLINE, late, is_harmless=is_harmless)
+        session.is_clean = True
+        session.phase = reply.phase
+        self._note_answer(reply)
+        return Ok(reply)
+
+    def is_busy(self) -> bool:
+        """Tell whether anything is under way at the target."""
+        return bool(self.transactions) or self.pool.lent_count > 0
+
+    async def abandon(self) -> None:
+        """Start nothing more and undo what waits for its caller."""
+        await self.pool.close()
+        for transaction in tuple(self.transactions):
+            # A statement under way may still be answered; its end closes the
+            # connection.
+            if not transaction.is_busy:
+                await transaction.abort()
+
+    async def close(self) -> None:
+        """Close all sessions."""
+        await self.pool.close()
+
+    async def _send(
+        self,
+        session: PooledSession,
+        call: StatementCall,
+        after: Point | None,
+    ) -> TargetReply:
+        connection = session.connection
+        if call.prepared is None:
+            return await connection.run(call.statement, call.text, after)
+        return await connection.execute(
+            call.statement,
+            call.prepared,
+            call.arguments,
+            after,
+        )
+
+    def _explain(self, reply: TargetReply) -> Result[Answer, Refusal]:
+        refusal = reply.refusal
+        if refusal is None:
+            return Ok(
+                Answer(
+                    rows=[(row,) for row in reply.rows],
+                    point=reply.point,
+                    served_by=self.target.name,
+                    signature=reply.signature,
+                ),
+            )
+        return Err(self._name_refusal(refusal))
+
+    def _name_refusal(self, refusal: TargetRefusal) -> Refusal:
+        if refusal.kind.proves_not_run:
+            return NotRun(
+                _CAUSES[refusal.kind],
+                f'target {self.target.name}: {refusal.reason}',
+                LOST_RETRY,
+                self.target.name,
+            )
+        return Rejected(0, refusal.kind.value, refusal.reason)
+
+    def _note_answer(self, reply: TargetReply) -> None:
+        self.answered_at = read_clock()
+        self.waiting_since = None
+        self.failures = 0
+        if reply.point is None:
+            return
+        if self.tip is None or self.tip < reply.point:
+            self.tip = reply.point
+
+    def note_refusal(self, refusal: NotRun) -> None:
+        """Take in that no session could be lent."""
+        if refusal.cause is Cause.CONNECTION_LOST:
+            self.failures += 1
+            self.failed.set()
+
+    def _fail(
+        self,
+        cause: Cause,
+        error: Exception,
+        *,
+        is_harmless: bool,
+    ) -> Err[Refusal]:
+        name = self.target.name
+        reason = f'target {name}: {error or "no answer in time"}'
+        self.failures += 1
+        self.failed.set()
+        if is_harmless:
+            return Err(NotRun(cause, reason, LOST_RETRY, name))
+        return Err(Unknown(cause, reason, name))
+
+
+def _needs_preparing(session: PooledSession, call: StatementCall) -> bool:
+    if session.values != call.values:
+        return True
+    return call.prepared is not None and call.prepared not in session.prepared
+
+
+async def _prepare(session: PooledSession, call: StatementCall) -> TargetReply:
+    """Give a session the values and the statement that a call needs."""
+    reply = _NOTHING
+    connection = session.connection
+    if not session.values.keys() <= call.values.keys():
+        reply = await connection.reset()
+        session.values.clear()
+        session.prepared.clear()
+    for name, value in call.values.items() - session.values.items():
+        reply = await connection.set_value(name, value)
+        if reply.refusal is not None:
+            return reply
+        session.values[name] = value
+    if call.prepared is not None and call.prepared not in session.prepared:
+        reply = await connection.prepare(call.prepared)
+        if reply.refusal is None:
+            session.prepared.add(call.prepared)
+    return reply
+
+
+_NOTHING = TargetReply((), SessionPhase.IDLE, None)
+
+
+def weigh_priority(priority: int) -> int:
+    """Return the share of a busy target that a priority gets."""
+    return _WEIGHTS[min(max(priority, 0), len(_WEIGHTS) - 1)]
+
+
+# Of the slots of a busy target; each priority gets twice the next one's.
+_WEIGHTS = (16, 8, 4, 2, 1)
--- /dev/null
+++ b/src/sedgeshunt/execution/transactions.py
@@ -0,0 +1,107 @@
+"""Keep the transactions that callers have open at targets."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.connections.session_pool import SessionLoan
+from sedgeshunt.identifiers import Monotonic, Seconds, TransactionId
+
+if TYPE_CHECKING:
+    from sedgeshunt.execution.target_executor import TargetExecutor
+
+# Undoing a transaction takes one round trip to its target; one that takes
+# longer is undone by closing its connection.
+ROLLBACK_LIMIT = Seconds(0.5)
+
+
+@dataclass(slots=True, eq=False)
+class OpenTransaction:
+    """Hold one transaction with the session that it alone may use."""
+
+    id: TransactionId
+    executor: 'TargetExecutor'
+    loan: SessionLoan
+    used_at: Monotonic
+    # It runs at the primary, which only the group's owner may use.
+    is_at_primary: bool = False
+    # A statement of it is under way.
+    is_busy: bool = False
+
+    async def end(self) -> None:
+        """Return the session; one in doubt is closed and so undone."""
+        self.executor.transactions.discard(self)
+        await self.loan.give_back()
+
+    async def abort(self) -> None:
+        """Undo it at once by closing its connection."""
+        self.loan.session.is_clean = False
+        await self.end()
+
+    async def undo(self) -> None:
+        """Roll it back and return the session."""
+        if self.loan.session.is_clean:
+            deadline = Monotonic(read_clock() + ROLLBACK_LIMIT)
+            await self.executor.roll_back(self.loan, deadline)
+        await self.end()
+
+
+class TransactionKeeper(ABC):
+    """Keep transactions open for others."""
+
+    @abstractmethod
+    async def end_transaction(
+        self,
+        transaction: TransactionId,
+        book: 'TransactionBook',
+    ) -> None:
+        """Undo a transaction that its caller gives up."""
+
+
+class TransactionBook:
+    """Hold the open transactions of one origin: a caller or a peer."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._open: dict[TransactionId, OpenTransaction] = {}
+        # Transactions that were passed on, and to whom.
+        self._relayed: dict[TransactionId, TransactionKeeper] = {}
+
+    def add(self, transaction: OpenTransaction) -> None:
+        """Keep a transaction that was just begun."""
+        self._open[transaction.id] = transaction
+
+    def get(self, transaction: TransactionId) -> OpenTransaction | None:
+        """Return a transaction, None if it is not open here."""
+        return self._open.get(transaction)
+
+    def remove(self, transaction: OpenTransaction) -> None:
+        """Forget a transaction that has ended."""
+        self._open.pop(transaction.id, None)
+
+    def note_relayed(
+        self,
+        transaction: TransactionId,
+        keeper: TransactionKeeper,
+    ) -> None:
+        """Keep who has a transaction that was passed on."""
+        self._relayed[transaction] = keeper
+
+    def is_relayed(self, transaction: TransactionId) -> bool:
+        """Tell whether a transaction was passed on."""
+        return transaction in self._relayed
+
+    async def undo(self, name: TransactionId) -> None:
+        """Undo one transaction, wherever it is open."""
+        keeper = self._relayed.pop(name, None)
+        if keeper is not None:
+            await keeper.end_transaction(name, self)
+        transaction = self._open.pop(name, None)
+        if transaction is not None:
+            await transaction.undo()
+
+    async def undo_all(self) -> None:
+        """Undo what is left when the origin has gone."""
+        for name in (*self._relayed, *self._open):
+            await self.undo(name)
--- /dev/null
+++ b/src/sedgeshunt/forwarding/messages.py
@@ -0,0 +1,86 @@
+"""Describe what proxies say to each other."""
+
+from dataclasses import dataclass
+
+from result import Result
+
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import (
+    Boottime,
+    GroupId,
+    OwnerToken,
+    Revision,
+    TargetId,
+    TransactionId,
+)
+from sedgeshunt.registry.entries import InstanceEntry
+from sedgeshunt.requests.outcome import Answer, Refusal
+from sedgeshunt.statements.call import StatementCall
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedGroup:
+    """Name a group that the sender owns and its primary's log end."""
+
+    group: GroupId
+    token: OwnerToken
+    tip: Point | None
+
+
+@dataclass(frozen=True, slots=True)
+class ReachQuestion:
+    """Ask whether the receiver reaches a target that leads."""
+
+    group: GroupId
+    target: TargetId
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """Hold one heartbeat."""
+
+    # How the sender is reached, for a receiver that the store does not serve.
+    sender: InstanceEntry
+    # The sender won't claim a group of the receiver for a while.
+    promises: bool
+    # The receiver's clock as it stood in its last reply; 0 before the first.
+    echo: Boottime
+    # The newest configuration that the sender has.
+    revision: Revision
+    # How far the sender has followed the store.
+    store_revision: Revision = Revision(0)
+
+
+@dataclass(frozen=True, slots=True)
+class BeatReply:
+    """Hold the answer to a heartbeat."""
+
+    # The replying instance's clock.
+    stamp: Boottime
+    owned: tuple[OwnedGroup, ...]
+    revision: Revision
+    is_stopping: bool
+    # Groups whose owner the sender hears, and can pass calls on to.
+    relayed: tuple[OwnedGroup, ...] = ()
+    store_revision: Revision = Revision(0)
+    # The store answers the sender.
+    reaches_store: bool = False
+    # The configuration, when the asker's is older.
+    document: bytes | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """Hold one message; the number ties a reply to what it answers."""
+
+    number: int
+    call: StatementCall | None = None
+    reply: Result[Answer, Refusal] | None = None
+    tip: Point | None = None
+    beat: Beat | None = None
+    beat_reply: BeatReply | None = None
+    is_cancelled: bool = False
+    # The caller has given this transaction up.
+    undone: TransactionId | None = None
+    reach: ReachQuestion | None = None
+    is_reached: bool | None = None
--- /dev/null
+++ b/src/sedgeshunt/forwarding/server.py
@@ -0,0 +1,101 @@
+"""Run calls for one peer and answer its heartbeats."""
+
+from abc import ABC, abstractmethod
+from asyncio import Task, TaskGroup
+
+from result import Result
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.execution.transactions import TransactionBook
+from sedgeshunt.forwarding.channel import FrameChannel
+from sedgeshunt.forwarding.messages import Beat, BeatReply, Frame, ReachQuestion
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import GroupId, Monotonic, TargetId, TransactionId
+from sedgeshunt.requests.outcome import Answer, Refusal
+from sedgeshunt.statements.call import StatementCall
+
+
+class PeerDesk(ABC):
+    """Answer what peers ask."""
+
+    @abstractmethod
+    async def run_call(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Run a statement for a peer's caller."""
+
+    @abstractmethod
+    async def end_transaction(
+        self,
+        transaction: TransactionId,
+        book: TransactionBook,
+    ) -> None:
+        """Undo a transaction that a peer's caller gives up."""
+
+    @abstractmethod
+    def read_tip(self, group: GroupId) -> Point | None:
+        """Return the log end of a group that is owned here."""
+
+    @abstractmethod
+    async def reaches(self, group: GroupId, target: TargetId) -> bool:
+        """Tell whether a target that leads its group is reached from here."""
+
+    @abstractmethod
+    def answer_beat(self, beat: Beat) -> BeatReply:
+        """Answer a heartbeat."""
+
+
+class PeerConversation:
+    """Serve one peer's connection."""
+
+    def __init__(self, channel: FrameChannel, desk: PeerDesk) -> None:
+        """Own what the peer begins here."""
+        self._channel = channel
+        self._desk = desk
+        self._book = TransactionBook()
+        self._running: dict[int, Task[None]] = {}
+
+    async def run(self) -> None:
+        """Serve until the peer leaves."""
+        try:
+            async with TaskGroup() as tasks:
+                while (frame := await self._channel.receive()) is not None:
+                    self._take(frame, tasks)
+                for task in self._running.values():
+                    task.cancel()
+        finally:
+            await self._book.undo_all()
+
+    def _take(self, frame: Frame, tasks: TaskGroup) -> None:
+        number = frame.number
+        if frame.beat is not None:
+            reply = self._desk.answer_beat(frame.beat)
+            self._channel.send(Frame(number, beat_reply=reply))
+        if frame.call is not None:
+            self._running[number] = tasks.create_task(
+                self._run(number, frame.call),
+            )
+        if frame.is_cancelled and number in self._running:
+            self._running[number].cancel()
+        if frame.reach is not None:
+            tasks.create_task(self._answer_reach(number, frame.reach))
+        if frame.undone is not None:
+            tasks.create_task(
+                self._desk.end_transaction(frame.undone, self._book),
+            )
+
+    async def _answer_reach(self, number: int, asked: ReachQuestion) -> None:
+        is_reached = await self._desk.reaches(asked.group, asked.target)
+        self._channel.send(Frame(number, is_reached=is_reached))
+
+    async def _run(self, number: int, call: StatementCall) -> None:
+        try:
+            deadline = Monotonic(read_clock() + call.time_left)
+            reply = await self._desk.run_call(call, self._book, deadline)
+            tip = self._desk.read_tip(call.group)
+            self._channel.send(Frame(number, reply=reply, tip=tip))
+        finally:
+            self._running.pop(number, None)
--- /dev/null
+++ b/src/sedgeshunt/groups/orders.py
@@ -0,0 +1,47 @@
+"""Define how a promotion is ordered where targets don't take it directly."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from enum import Enum
+
+from sedgeshunt.identifiers import (
+    GroupId,
+    OwnerToken,
+    ProxyId,
+    Seconds,
+    TargetId,
+)
+
+
+class PromotionAnswer(Enum):
+    """Tell what became of an order."""
+
+    ACCEPTED = 'accepted'
+    # The named target does not run.
+    TARGET_DOWN = 'target-down'
+    # Refused or not sent; it has no effect.
+    NOT_TAKEN = 'not-taken'
+    # Sent, and it may still take effect.
+    UNANSWERED = 'unanswered'
+
+
+@dataclass(frozen=True, slots=True)
+class PromotionOrder:
+    """Name the target that is to lead, and by whose right."""
+
+    group: GroupId
+    target: TargetId
+    holder: ProxyId
+    token: OwnerToken
+
+
+class PromotionService(ABC):
+    """Have the platform make a target its group's primary."""
+
+    @abstractmethod
+    async def order(
+        self,
+        order: PromotionOrder,
+        limit: Seconds,
+    ) -> PromotionAnswer:
+        """Send one order and wait for its answer within `limit`."""
--- /dev/null
+++ b/src/sedgeshunt/groups/successors.py
@@ -0,0 +1,39 @@
+"""Choose the target that takes over from a primary."""
+
+from collections.abc import Mapping
+
+from sedgeshunt.connections.target_session import LogRole, LogStatus
+from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.ranks import weigh
+from sedgeshunt.identifiers import GroupId, TargetId
+
+
+def find_leader(statuses: Mapping[TargetId, LogStatus]) -> TargetId | None:
+    """Return the target that leads in the highest term, if one does."""
+    leading = [
+        (status.term, target)
+        for target, status in statuses.items()
+        if status.role is LogRole.PRIMARY
+    ]
+    return max(leading)[1] if leading else None
+
+
+def choose_successor(
+    group: GroupId,
+    statuses: Mapping[TargetId, LogStatus],
+) -> TargetId | None:
+    """Return the replica whose log is furthest."""
+    if not statuses:
+        return None
+    return max(
+        statuses,
+        key=lambda target: (
+            statuses[target].received,
+            weigh(group, target),
+        ),
+    )
+
+
+def covers(status: LogStatus, acknowledged: Point | None) -> bool:
+    """Tell whether a log has received all that was acknowledged."""
+    return acknowledged is None or acknowledged <= status.received
--- a/src/sedgeshunt/identifiers.py
+++ b/src/sedgeshunt/identifiers.py
@@ -19,3 +19,13 @@
 Monotonic = NewType('Monotonic', float)
 # A span of time, in seconds.
 Seconds = NewType('Seconds', float)
+
+# The id that a caller gives a statement; nobody else uses it.
+StatementId = NewType('StatementId', str)
+TransactionId = NewType('TransactionId', str)
+# One life of one proxy's process.
+Incarnation = NewType('Incarnation', str)
+# Grows with each change of a group's owner.
+OwnerToken = NewType('OwnerToken', int)
+# A reading of the clock that also counts while the instance is suspended.
+Boottime = NewType('Boottime', float)
--- a/src/sedgeshunt/limits/admission.py
+++ b/src/sedgeshunt/limits/admission.py
@@ -60,6 +60,11 @@
         """Count the statements that wait for their turn."""
         return len(self._queue)
 
+    @property
+    def latency(self) -> Seconds:
+        """Return the usual time to an answer, a guess before the first."""
+        return Seconds(self._get_latency())
+
     def resize(self, share: int) -> None:
         """Change the share of the target's connections."""
         self.limit.resize(share)
--- a/src/sedgeshunt/logs.py
+++ b/src/sedgeshunt/logs.py
@@ -45,6 +45,7 @@
     STARTED = 'proxy-started'
     STOPPING = 'proxy-stopping'
     STOPPED = 'proxy-stopped'
+    RELOADED = 'settings-reloaded'
     CALLER_FAILED = 'caller-failed'
     PEER_FAILED = 'peer-failed'
     STATEMENT = 'statement'
--- /dev/null
+++ b/src/sedgeshunt/membership/neighbours.py
@@ -0,0 +1,117 @@
+"""Keep in touch with the other instances that the store lists."""
+
+from asyncio import Task, TaskGroup
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.forwarding.channel import FrameConnector
+from sedgeshunt.forwarding.link import LinkEvents, PeerLink
+from sedgeshunt.identifiers import GroupId, Monotonic, ProxyId, Seconds
+from sedgeshunt.ownership.claims import KnownPeers
+from sedgeshunt.registry.entries import InstanceEntry, read_entry
+from sedgeshunt.registry.keys import INSTANCES_PREFIX
+from sedgeshunt.registry.store_view import StoreView
+
+# An instance that the store lists no more is given up after so long without
+# an answer; until then it may only have lost its lease.
+FORGET_AFTER = Seconds(10)
+
+
+@dataclass(slots=True)
+class _Neighbour:
+    """Hold the link to one instance and the task that keeps it."""
+
+    link: PeerLink
+    task: Task[None]
+    unlisted_since: Monotonic | None = None
+
+
+class Neighbours(KnownPeers):
+    """Own the links to all other instances."""
+
+    def __init__(
+        self,
+        own: InstanceEntry,
+        view: StoreView,
+        connector: FrameConnector,
+        events: LinkEvents,
+    ) -> None:
+        """Know nobody yet."""
+        self._own = own
+        self._view = view
+        self._connector = connector
+        self._events = events
+        self._known: dict[ProxyId, _Neighbour] = {}
+
+    def list_instances(self) -> list[InstanceEntry]:
+        """List the instances that hold a lease, this one included."""
+        entries = (
+            read_entry(pair.value, InstanceEntry)
+            for pair in self._view.list_prefix(INSTANCES_PREFIX)
+        )
+        return [entry for entry in entries if entry is not None]
+
+    def find_instance(self, name: ProxyId) -> InstanceEntry | None:
+        """Return one listed instance."""
+        for entry in self.list_instances():
+            if entry.name == name:
+                return entry
+        return None
+
+    def find_link(self, name: ProxyId) -> PeerLink | None:
+        """Return the link to an instance that answers, None without one."""
+        known = self._known.get(name)
+        if known is None or not known.link.is_heard():
+            return None
+        return known.link
+
+    def list_heard(self) -> Iterator[PeerLink]:
+        """Yield the links to the instances that answer."""
+        for known in self._known.values():
+            if known.link.is_heard():
+                yield known.link
+
+    def is_owner_heard(self, group: GroupId, owner: ProxyId) -> bool:
+        """Tell whether a peer says that it still owns a group."""
+        link = self.find_link(owner)
+        return link is not None and group in link.owned
+
+    def follow(self, tasks: TaskGroup) -> None:
+        """Take in the instances that the store lists now."""
+        listed = {
+            entry.name: entry
+            for entry in self.list_instances()
+            if entry.name != self._own.name
+        }
+        for name in tuple(self._known):
+            if name not in listed:
+                self._note_unlisted(name)
+        for entry in listed.values():
+            self.meet(entry, tasks)
+
+    def meet(self, entry: InstanceEntry, tasks: TaskGroup) -> None:
+        """Keep in touch with an instance from now on."""
+        known = self._known.get(entry.name)
+        if known is not None and known.link.peer.address == entry.address:
+            known.unlisted_since = None
+            known.link.peer = entry
+            return
+        if known is not None:
+            self._forget(entry.name)
+        link = PeerLink(entry, self._connector, self._events)
+        self._known[entry.name] = _Neighbour(
+            link,
+            tasks.create_task(link.run()),
+        )
+
+    def _note_unlisted(self, name: ProxyId) -> None:
+        known = self._known[name]
+        now = read_clock()
+        if known.link.is_heard() or known.unlisted_since is None:
+            known.unlisted_since = now
+        elif now - known.unlisted_since > FORGET_AFTER:
+            self._forget(name)
+
+    def _forget(self, name: ProxyId) -> None:
+        self._known.pop(name).task.cancel()
--- /dev/null
+++ b/src/sedgeshunt/node_service.py
@@ -0,0 +1,245 @@
+"""Put one proxy for statement sessions together."""
+
+from asyncio import TaskGroup
+from contextlib import suppress
+from uuid import uuid4
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.connections.target_session import TargetSessionConnector
+from sedgeshunt.decisions import DecisionLog
+from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
+from sedgeshunt.execution.group_table import GroupTable
+from sedgeshunt.execution.keeper_parts import KeeperParts
+from sedgeshunt.execution.replacement import PrimaryReplacement
+from sedgeshunt.forwarding.channel import FrameChannel, FrameConnector
+from sedgeshunt.forwarding.server import PeerConversation
+from sedgeshunt.groups.orders import PromotionService
+from sedgeshunt.identifiers import (
+    GroupId,
+    Incarnation,
+    Monotonic,
+    ProxyId,
+    Seconds,
+    TrafficClass,
+)
+from sedgeshunt.membership.heartbeats import Heartbeats
+from sedgeshunt.membership.neighbours import Neighbours
+from sedgeshunt.node_settings import NodeSettings
+from sedgeshunt.ownership.claims import ClaimContext
+from sedgeshunt.ownership.lease import InstanceLease
+from sedgeshunt.ownership.promises import PromisesHeld, PromisesMade
+from sedgeshunt.ownership.ranking import rank_owners
+from sedgeshunt.ownership.records import GroupRecords
+from sedgeshunt.ports import KeyValueService
+from sedgeshunt.registry.configuration import LiveConfiguration
+from sedgeshunt.registry.directory import PlatformDocuments
+from sedgeshunt.registry.entries import InstanceEntry
+from sedgeshunt.registry.keys import OWN_PREFIX
+from sedgeshunt.registry.store_view import StoreView
+from sedgeshunt.statements.dispatch import Dispatcher
+from sedgeshunt.statements.owners import OwnerDirectory
+from sedgeshunt.statements.peer_desk import HeardOpinions, LocalDesk
+from sedgeshunt.statements.session import StatementSession
+
+# How long a stopping proxy waits for others to claim its groups.
+HANDOVER_LIMIT = Seconds(1)
+
+
+class NodeService:
+    """Serve callers and peers on one instance."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: KeyValueService,
+        documents: PlatformDocuments,
+        connector: TargetSessionConnector,
+        promotions: PromotionService,
+        peers: FrameConnector,
+        decisions: DecisionLog,
+    ) -> None:
+        """Bring the parts together; nothing runs before run()."""
+        self.entry = _make_entry(settings)
+        self._sessions = 0
+        prefixes = (documents.configuration_key, documents.targets_prefix)
+        self._view = StoreView(
+            store,
+            (*prefixes, OWN_PREFIX),
+            decisions,
+            self._is_checker,
+        )
+        self._configuration = LiveConfiguration(
+            self._view,
+            documents,
+            decisions,
+        )
+        self._lease = InstanceLease(store, self.entry, decisions)
+        self._records = GroupRecords(
+            store,
+            self._view,
+            self._lease,
+            self.entry.name,
+            self.entry.incarnation,
+        )
+        made, held = PromisesMade(), PromisesHeld()
+        self._heartbeats = Heartbeats(
+            self.entry,
+            self._view,
+            self._configuration,
+            self._lease,
+            made,
+            held,
+            decisions,
+        )
+        self._neighbours = Neighbours(
+            self.entry,
+            self._view,
+            peers,
+            self._heartbeats,
+        )
+        self._claims = ClaimContext(
+            self._records,
+            self._lease,
+            made,
+            held,
+            self._neighbours,
+            decisions,
+        )
+        self._groups = GroupTable(
+            self.entry.zone,
+            self._configuration,
+            self._view,
+            connector,
+            self._claims,
+            KeeperParts(
+                self._configuration,
+                connector,
+                PrimaryReplacement(
+                    connector,
+                    promotions,
+                    self._records,
+                    decisions,
+                ),
+                self._records,
+                HeardOpinions(self._neighbours),
+                decisions,
+            ),
+        )
+        self._heartbeats.bind(self._neighbours, self._groups)
+        owners = OwnerDirectory(
+            self._groups,
+            self._neighbours,
+            self._records,
+            self._lease,
+            self._heartbeats.owners_changed,
+        )
+        self._dispatcher = Dispatcher(owners)
+        self._desk = LocalDesk(
+            self._groups,
+            owners,
+            self._heartbeats,
+            self._configuration,
+            connector,
+        )
+        self._view.listen(self._note_change)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with TaskGroup() as tasks:
+            tasks.create_task(self._lease.run())
+            tasks.create_task(self._view.run())
+            while True:
+                await self._groups.changed.wait()
+                self._groups.changed.clear()
+                self._neighbours.follow(tasks)
+                while self._heartbeats.met:
+                    self._neighbours.meet(self._heartbeats.met.pop(), tasks)
+                await self._groups.follow(tasks)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers can be served here."""
+        is_loaded = self._configuration.is_loaded
+        return is_loaded and not self._heartbeats.is_stopping
+
+    async def open_session(
+        self,
+        database: TrafficClass,
+    ) -> StatementSession | None:
+        """Open a caller's session, None when no route leads there."""
+        await self._configuration.wait_loaded()
+        if self._configuration.find_route(database) is None:
+            return None
+        self._sessions += 1
+        return StatementSession(
+            database,
+            f'{self.entry.name}-{self.entry.incarnation}-{self._sessions}',
+            self._configuration,
+            self._dispatcher,
+        )
+
+    async def serve_peer(self, channel: FrameChannel) -> None:
+        """Serve one peer's connection."""
+        await PeerConversation(channel, self._desk).run()
+
+    async def hand_over(self) -> None:
+        """Give up all that is owned here, each group to the best peer."""
+        self._heartbeats.is_stopping = True
+        self._claims.is_stopping = True
+        for access in self._groups:
+            heir = self._choose_heir(access.group)
+            if access.owner is not None and heir is not None:
+                access.owner.reign.leave_to(heir)
+                access.claim.changed.set()
+        give_up = Monotonic(read_clock() + HANDOVER_LIMIT)
+        while self._owns_any() and read_clock() < give_up:
+            await self._heartbeats.owners_changed.wait(give_up)
+
+    async def leave(self) -> None:
+        """End the lease and with it all that is still owned."""
+        with suppress(PlatformUnavailable, AnswerLost):
+            await self._lease.release()
+
+    def _owns_any(self) -> bool:
+        return any(access.owner is not None for access in self._groups)
+
+    def _choose_heir(self, group: GroupId) -> ProxyId | None:
+        record = self._records.find_record(group)
+        candidates = () if record is None else record.candidates
+        able = [
+            entry
+            for entry in self._neighbours.list_instances()
+            if entry.name in candidates and self._can_inherit(entry.name)
+        ]
+        ranked = rank_owners(group, able, self._groups.find_zone(group))
+        return ranked[0].name if ranked else None
+
+    def _can_inherit(self, name: ProxyId) -> bool:
+        link = self._neighbours.find_link(name)
+        return link is not None and not link.is_stopping
+
+    def _is_checker(self) -> bool:
+        if not self._lease.reaches_store():
+            return False
+        others = (
+            link.peer.name
+            for link in self._neighbours.list_heard()
+            if link.reaches_store
+        )
+        return all(self.entry.name < other for other in others)
+
+    def _note_change(self, key: str) -> None:
+        self._groups.changed.set()
+        self._heartbeats.owners_changed.notify()
+
+
+def _make_entry(settings: NodeSettings) -> InstanceEntry:
+    address = settings.peers.place
+    capacity = settings.capacity
+    return InstanceEntry(
+        settings.proxy,
+        Incarnation(uuid4().hex[:12]),
+        settings.zone_id,
+        address.host,
+        address.port,
+        capacity.processor_share * capacity.processor_speed,
+    )
--- /dev/null
+++ b/src/sedgeshunt/node_settings.py
@@ -0,0 +1,114 @@
+"""Read the settings of a proxy that serves statement sessions."""
+
+from pathlib import Path
+from tomllib import TOMLDecodeError, loads
+from typing import Annotated
+
+from msgspec import Meta, Struct, convert
+
+from sedgeshunt.exceptions import SettingsInvalid
+from sedgeshunt.identifiers import ProxyId, Seconds, ZoneId
+from sedgeshunt.ports import Address
+from sedgeshunt.settings_check import find_problems
+
+Name = Annotated[
+    str,
+    Meta(
+        pattern='^[A-Za-z0-9._-]{1,63}$',
+        description='1 to 63 letters, digits, dots, dashes or underscores',
+    ),
+]
+Endpoint = Annotated[
+    str,
+    Meta(
+        pattern=r'^[0-9.]+:[0-9]{1,5}$',
+        description='an IP number and a port such as "10.0.0.5:4000"',
+    ),
+]
+Amount = Annotated[float, Meta(gt=0, description='a number above 0')]
+Span = Annotated[float, Meta(ge=0, description='a number from 0')]
+
+
+class Listener(Struct, frozen=True):
+    """Locate one socket."""
+
+    address: Endpoint
+
+    @property
+    def place(self) -> Address:
+        """Return the address as the ports want it."""
+        host, _, port = self.address.rpartition(':')
+        return Address(host, int(port))
+
+
+class StoreSettings(Listener, frozen=True):
+    """Locate the platform's store."""
+
+    shortest_lease_ms: Span = 1000
+
+
+class CapacitySettings(Struct, frozen=True):
+    """Say how much of an instance the proxy may use."""
+
+    processor_share: Amount = 1
+    processor_speed: Amount = 1
+    memory_mb: Amount = 300
+    link_mbps: Amount = 1000
+    descriptors: Amount = 1024
+
+
+class BoundsSettings(Struct, frozen=True):
+    """Say how soon the proxy has to act."""
+
+    drain_ms: Span = 7000
+    configuration_ms: Span = 3000
+
+
+class NodeSettings(Struct, frozen=True):
+    """Hold all that a proxy is told at its start."""
+
+    name: Name
+    zone: Name
+    callers: Listener
+    readiness: Listener
+    peers: Listener
+    store: StoreSettings
+    promotions: Listener
+    capacity: CapacitySettings = CapacitySettings()
+    bounds: BoundsSettings = BoundsSettings()
+    grace_seconds: Span = 6
+
+    @property
+    def proxy(self) -> ProxyId:
+        """Return the proxy's name as its identifier."""
+        return ProxyId(self.name)
+
+    @property
+    def zone_id(self) -> ZoneId:
+        """Return the availability zone as an identifier."""
+        return ZoneId(self.zone)
+
+    @property
+    def grace(self) -> Seconds:
+        """Return how long a graceful stop may take."""
+        return Seconds(self.grace_seconds)
+
+
+def read_node_settings(path: Path) -> NodeSettings:
+    """Read and check the file at `path`; raise SettingsInvalid."""
+    try:
+        document = loads(path.read_text(encoding='utf-8'))
+    except OSError as failure:
+        problem = f'{failure.strerror}; give the path of a readable file'
+        raise SettingsInvalid(str(path), [problem]) from failure
+    except (TOMLDecodeError, UnicodeDecodeError) as failure:
+        problem = f'not TOML: {failure}; mend the line it names'
+        raise SettingsInvalid(str(path), [problem]) from failure
+    problems = find_problems(NodeSettings, document, _refuse_custom)
+    if problems:
+        raise SettingsInvalid(str(path), problems)
+    return convert(document, NodeSettings)
+
+
+def _refuse_custom(wanted: type, given: object) -> object:
+    raise TypeError(f'Expected `{wanted.__name__}`')
--- /dev/null
+++ b/src/sedgeshunt/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which proxy owns a group: it alone uses the group's primary."""
--- /dev/null
+++ b/src/sedgeshunt/ownership/claims.py
@@ -0,0 +1,309 @@
+"""Claim a group when it is this instance's turn, and hold it."""
+
+from abc import ABC, abstractmethod
+from asyncio import Event, TaskGroup, sleep, timeout
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+
+from sedgeshunt.clocks import read_boottime
+from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.exceptions import (
+    AnswerLost,
+    LeaseLapsed,
+    PlatformUnavailable,
+)
+from sedgeshunt.identifiers import (
+    Boottime,
+    GroupId,
+    OwnerToken,
+    ProxyId,
+    Seconds,
+    ZoneId,
+)
+from sedgeshunt.ownership.lease import InstanceLease
+from sedgeshunt.ownership.promises import (
+    PROMISE_TIME,
+    PromisesHeld,
+    PromisesMade,
+)
+from sedgeshunt.ownership.ranking import choose_candidates, rank_owners
+from sedgeshunt.ownership.records import GroupRecords
+from sedgeshunt.ownership.reign import LONGEST_EXTENSION, Reign
+from sedgeshunt.registry.entries import GroupRecord, InstanceEntry
+
+# How often a claim is thought about when nothing happens.
+LOOK_EVERY = Seconds(0.05)
+# Each instance that is better placed gets this long to claim first.
+RANK_DELAY = Seconds(0.06)
+# An heir that was named gets as long as this many others.
+HEIR_RANKS = 5
+# At the first start of all, others register within this time.
+SETTLE_TIME = Seconds(1)
+# The answer to a claim that was lost may yet come true for this long.
+LATE_EFFECT = Seconds(10)
+RECORDS_EVERY = Seconds(1)
+
+
+class KnownPeers(ABC):
+    """Know the other instances."""
+
+    @abstractmethod
+    def list_instances(self) -> Sequence[InstanceEntry]:
+        """List the instances that hold a lease, this one included."""
+
+    @abstractmethod
+    def find_instance(self, name: ProxyId) -> InstanceEntry | None:
+        """Return one listed instance."""
+
+    @abstractmethod
+    def is_owner_heard(self, group: GroupId, owner: ProxyId) -> bool:
+        """Tell whether a peer says that it still owns a group."""
+
+
+class ClaimContext:
+    """Hold what the claims of one instance share."""
+
+    def __init__(
+        self,
+        records: GroupRecords,
+        lease: InstanceLease,
+        made: PromisesMade,
+        held: PromisesHeld,
+        peers: KnownPeers,
+        decisions: DecisionLog,
+    ) -> None:
+        """Keep the parts."""
+        self.records = records
+        self.lease = lease
+        self.made = made
+        self.held = held
+        self.list_instances = peers.list_instances
+        self.find_instance = peers.find_instance
+        self.is_owner_heard = peers.is_owner_heard
+        self.decisions = decisions
+        self.started_at = read_boottime()
+        self.is_stopping = False
+
+
+class GroupClaim:
+    """Decide for one group whether this instance is to own it."""
+
+    def __init__(
+        self,
+        group: GroupId,
+        context: ClaimContext,
+        find_zone: Callable[[GroupId], ZoneId | None],
+    ) -> None:
+        """Own nothing before run()."""
+        self.group = group
+        self.changed = Event()
+        self._context = context
+        self._find_zone = find_zone
+        self._absent_since: Boottime | None = None
+        # Since when nothing but better placed instances is in the way.
+        self._free_since: Boottime | None = None
+        self._unsure_until = Boottime(0)
+        self._withheld: ProxyId | None = None
+
+    async def wait_reign(self) -> Reign:
+        """Wait until this instance owns the group."""
+        while True:
+            token = await self._try_claim()
+            if token is not None:
+                return self._open_reign(token)
+            await self._wait_change()
+
+    async def hold(self, reign: Reign) -> None:
+        """Return once the reign has ended."""
+        async with TaskGroup() as tasks:
+            keeping = tasks.create_task(self._keep_candidates(reign))
+            while self._still_owns(reign):
+                if reign.heir is not None and await self._give_up(reign):
+                    break
+                await self._claim_again(reign)
+                await self._wait_change()
+            keeping.cancel()
+        reign.end()
+        self._tell(DecisionKind.GROUP_LOST, reign.token)
+
+    async def _give_up(self, reign: Reign) -> bool:
+        heir = reign.heir
+        if heir is None:
+            return False
+        try:
+            await self._context.records.release(self.group, heir)
+        except (PlatformUnavailable, AnswerLost):
+            reign.heir = None
+            return False
+        self._tell(DecisionKind.GROUP_RELEASED, reign.token)
+        return True
+
+    async def _wait_change(self) -> None:
+        self.changed.clear()
+        with suppress(TimeoutError):
+            async with timeout(LOOK_EVERY):
+                await self.changed.wait()
+
+    def _still_owns(self, reign: Reign) -> bool:
+        if reign.is_over:
+            return False
+        records = self._context.records
+        owner = records.find_owner(self.group)
+        if owner is not None and not records.is_own(owner):
+            return False
+        return reign.is_held()
+
+    async def _claim_again(self, reign: Reign) -> None:
+        """Put the key back that lapsed while promises kept the reign up."""
+        records = self._context.records
+        if records.find_owner(self.group) is not None:
+            return
+        if self._context.lease.id is None or self._context.is_stopping:
+            return
+        with suppress(PlatformUnavailable, AnswerLost, LeaseLapsed):
+            token = await records.claim(self.group, reign.candidates)
+            if token is not None and reign.is_held():
+                reign.renew(token)
+
+    async def _try_claim(self) -> OwnerToken | None:
+        context = self._context
+        records = context.records
+        owner = records.find_owner(self.group)
+        if owner is not None and owner.owner != records.owner:
+            self._absent_since = None
+            self._free_since = None
+            self._allow()
+            return None
+        if context.is_stopping or context.lease.id is None:
+            return None
+        if owner is not None:
+            # An earlier process of this instance held it, so nobody else can.
+            return await self._claim(self._list_candidates())
+        if self._absent_since is None:
+            self._absent_since = read_boottime()
+        if not self._may_claim():
+            return None
+        return await self._claim(self._list_candidates())
+
+    def _may_claim(self) -> bool:
+        context = self._context
+        record = context.records.find_record(self.group)
+        now = read_boottime()
+        absent_for = now - (self._absent_since or now)
+        if record is None and now - context.started_at < SETTLE_TIME:
+            return False
+        last = self._find_bound(record)
+        if last:
+            if context.is_owner_heard(self.group, last):
+                # It goes on by our promise, or is about to claim again.
+                self._allow()
+                return False
+            self._withhold(last)
+            if context.made.measure_bond(last) > 0:
+                return False
+        if (
+            record is not None
+            and context.records.owner not in record.candidates
+        ):
+            return absent_for > LONGEST_EXTENSION + PROMISE_TIME
+        return absent_for >= self._find_rank(last) * RANK_DELAY
+
+    def _find_bound(self, record: GroupRecord | None) -> ProxyId:
+        """Return the latest owner if it may still go on by promises."""
+        if record is None or record.owner == self._context.records.owner:
+            return ProxyId('')
+        # A new process of that instance is there: the owner has ended.
+        entry = self._context.find_instance(record.owner)
+        if entry is not None and entry.incarnation != record.incarnation:
+            return ProxyId('')
+        return record.owner
+
+    def _find_rank(self, last: ProxyId) -> int:
+        own = self._context.records.owner
+        record = self._context.records.find_record(self.group)
+        if record is not None and record.heir:
+            return 0 if record.heir == own else HEIR_RANKS
+        ranked = rank_owners(
+            self.group,
+            self._context.list_instances(),
+            self._find_zone(self.group),
+        )
+        names = [entry.name for entry in ranked if entry.name != last]
+        return names.index(own) if own in names else len(names)
+
+    def _list_candidates(self) -> tuple[ProxyId, ...]:
+        record = self._context.records.find_record(self.group)
+        if record is not None and record.candidates:
+            return record.candidates
+        return self._choose_candidates()
+
+    def _choose_candidates(self) -> tuple[ProxyId, ...]:
+        own = self._context.records.owner
+        chosen = choose_candidates(
+            self.group,
+            self._context.list_instances(),
+            self._find_zone(self.group),
+        )
+        return tuple(sorted({own, *chosen}))
+
+    async def _claim(
+        self,
+        candidates: Sequence[ProxyId],
+    ) -> OwnerToken | None:
+        try:
+            return await self._context.records.claim(self.group, candidates)
+        except (PlatformUnavailable, LeaseLapsed):
+            await sleep(RANK_DELAY)
+        except AnswerLost:
+            # It may be done all the same; the watch will show it.
+            self._unsure_until = Boottime(read_boottime() + LATE_EFFECT)
+            await sleep(RANK_DELAY)
+        return None
+
+    def _open_reign(self, token: OwnerToken) -> Reign:
+        context = self._context
+        reign = Reign(
+            self.group,
+            context.records.owner,
+            token,
+            context.lease,
+            context.held,
+        )
+        reign.candidates = frozenset(self._list_candidates())
+        self._absent_since = None
+        self._free_since = None
+        self._allow()
+        self._tell(DecisionKind.GROUP_CLAIMED, token)
+        return reign
+
+    async def _keep_candidates(self, reign: Reign) -> None:
+        """Add instances that came and drop those that have gone."""
+        while True:
+            await sleep(RECORDS_EVERY)
+            chosen = frozenset(self._choose_candidates())
+            record = self._context.records.find_record(self.group)
+            if record is None or chosen == frozenset(record.candidates):
+                continue
+            # Until the store has answered, those of both lists may claim.
+            reign.candidates = reign.candidates | chosen
+            if await self._context.records.change_candidates(reign, chosen):
+                reign.candidates = chosen
+
+    def _withhold(self, owner: ProxyId) -> None:
+        if self._withheld != owner:
+            self._allow()
+            self._withheld = owner
+            self._context.made.withhold(owner)
+
+    def _allow(self) -> None:
+        # A claim whose answer was lost may come true after its maker has
+        # gone back to promising; so it does not, until it is surely over.
+        if self._withheld is None or read_boottime() < self._unsure_until:
+            return
+        self._context.made.allow(self._withheld)
+        self._withheld = None
+
+    def _tell(self, kind: DecisionKind, token: OwnerToken) -> None:
+        self._context.decisions.record(
+            Decision(kind, self.group, reasons={'token': str(token)}),
+        )
--- /dev/null
+++ b/src/sedgeshunt/ownership/lease.py
@@ -0,0 +1,101 @@
+"""Hold this instance's lease in the platform's store."""
+
+from asyncio import sleep
+
+from sedgeshunt.clocks import read_boottime
+from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.exceptions import (
+    AnswerLost,
+    LeaseLapsed,
+    PlatformUnavailable,
+)
+from sedgeshunt.identifiers import Boottime, Seconds
+from sedgeshunt.ports import KeyValueService, Put
+from sedgeshunt.registry.entries import InstanceEntry, encode_entry
+from sedgeshunt.registry.keys import make_instance_key
+
+# Time without a renewal after which another instance may take over. A little
+# above the store's shortest lease, so that two renewals may fail.
+LEASE_TIME = Seconds(1.2)
+RENEW_EVERY = Seconds(0.3)
+# A renewal that failed is tried again after so long.
+RETRY_AFTER = Seconds(0.1)
+# Without a renewal for so long the store counts as out of reach: three of
+# them are due in this time.
+REACH_LIMIT = Seconds(1)
+# The store's clock may run this much ahead over the time of a lease.
+DRIFT_MARGIN = Seconds(0.05)
+
+
+class InstanceLease:
+    """Renew the one lease to which all of an instance's keys are bound."""
+
+    def __init__(
+        self,
+        store: KeyValueService,
+        entry: InstanceEntry,
+        decisions: DecisionLog,
+    ) -> None:
+        """Take no lease before run()."""
+        self.id: int | None = None
+        self._entry = entry
+        self._store = store
+        self._decisions = decisions
+        self._held_until = Boottime(0)
+        self._renewed_at = Boottime(0)
+        self.is_released = False
+
+    def reaches_store(self) -> bool:
+        """Tell whether the store has answered of late."""
+        return read_boottime() - self._renewed_at < REACH_LIMIT
+
+    def read_end(self, lease: int) -> Boottime:
+        """Return until when `lease` is surely held; 0 if it ended."""
+        return self._held_until if lease == self.id else Boottime(0)
+
+    async def run(self) -> None:
+        """Hold a lease until cancelled."""
+        while True:
+            try:
+                await self._renew()
+            except (PlatformUnavailable, AnswerLost, LeaseLapsed):
+                await sleep(RETRY_AFTER)
+            else:
+                await sleep(RENEW_EVERY)
+
+    async def release(self) -> None:
+        """End the lease and all keys that are bound to it."""
+        self.is_released = True
+        lease = self.id
+        self.id = None
+        if lease is not None:
+            await self._store.revoke_lease(lease)
+
+    async def _renew(self) -> None:
+        if self.is_released:
+            return
+        # Counted from before the call: the store counts from its arrival.
+        asked_at = read_boottime()
+        if self.id is None:
+            self.id = await self._store.grant_lease(LEASE_TIME)
+            await self._register(self.id)
+        elif not await self._store.keep_lease(self.id):
+            self._note_lapse()
+            return
+        end = asked_at + LEASE_TIME - DRIFT_MARGIN
+        self._held_until = Boottime(max(self._held_until, end))
+        self._renewed_at = read_boottime()
+
+    async def _register(self, lease: int) -> None:
+        key = make_instance_key(self._entry.name)
+        await self._store.commit(
+            (),
+            (Put(key, encode_entry(self._entry), lease),),
+        )
+
+    def _note_lapse(self) -> None:
+        self._decisions.record(
+            Decision(DecisionKind.LEASE_LOST, reasons={'lease': str(self.id)}),
+        )
+        self.id = None
+        self._held_until = Boottime(0)
--- /dev/null
+++ b/src/sedgeshunt/ownership/promises.py
@@ -0,0 +1,72 @@
+"""Keep what candidates promise an owner while the store is away."""
+
+from collections.abc import Iterable
+
+from sedgeshunt.clocks import PROCESS_STARTED_AT, read_boottime
+from sedgeshunt.identifiers import Boottime, ProxyId, Seconds
+
+# How long a promise binds its maker, counted from when it is sent. Three
+# heartbeats fit in, so that one that is lost does no harm.
+PROMISE_TIME = Seconds(0.8)
+
+
+class PromisesMade:
+    """Remember to which owners this instance promised not to claim."""
+
+    # A promise says: "for PROMISE_TIME from now I will not claim a group that
+    # you own". A process that starts has forgotten the promises of the one
+    # before it, so it is bound to everybody for as long.
+
+    def __init__(self) -> None:
+        """Be bound as a process that may have promised before it ended."""
+        self._bound_until: dict[ProxyId, Boottime] = {}
+        self._withheld: set[ProxyId] = set()
+
+    def make(self, owner: ProxyId) -> bool:
+        """Promise `owner`, unless this instance is about to claim."""
+        if owner in self._withheld:
+            return False
+        self._bound_until[owner] = Boottime(read_boottime() + PROMISE_TIME)
+        return True
+
+    def withhold(self, owner: ProxyId) -> None:
+        """Promise `owner` nothing more."""
+        self._withheld.add(owner)
+
+    def allow(self, owner: ProxyId) -> None:
+        """Promise `owner` again."""
+        self._withheld.discard(owner)
+
+    def measure_bond(self, owner: ProxyId) -> Seconds:
+        """Return how long this instance is still bound to `owner`."""
+        since_start = PROCESS_STARTED_AT + PROMISE_TIME
+        until = max(since_start, self._bound_until.get(owner, Boottime(0)))
+        return Seconds(max(0, until - read_boottime()))
+
+
+class PromisesHeld:
+    """Remember what candidates promised this instance, by its own clock."""
+
+    def __init__(self) -> None:
+        """Hold none."""
+        self._made_after: dict[ProxyId, Boottime] = {}
+
+    def note(self, candidate: ProxyId, made_after: Boottime) -> None:
+        """Take in a promise that was surely made after a reading."""
+        # The candidate repeats the last reading that it got from here: its
+        # own clock can't be compared, and a late message is dated rightly.
+        known = self._made_after.get(candidate, Boottime(0))
+        self._made_after[candidate] = Boottime(max(known, made_after))
+
+    def forget(self, candidate: ProxyId) -> None:
+        """Drop the promise of a candidate that takes it back."""
+        self._made_after.pop(candidate, None)
+
+    def read_end(self, candidates: Iterable[ProxyId]) -> Boottime:
+        """Return until when none of `candidates` will claim."""
+        made = (
+            self._made_after.get(candidate, Boottime(0))
+            for candidate in candidates
+        )
+        oldest = min(made, default=Boottime(0))
+        return Boottime(oldest + PROMISE_TIME) if oldest else Boottime(0)
--- /dev/null
+++ b/src/sedgeshunt/ownership/records.py
@@ -0,0 +1,220 @@
+"""Claim groups, and keep what outlasts their owners, in the store."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from msgspec.structs import replace
+
+from sedgeshunt.exceptions import (
+    AnswerLost,
+    LeaseLapsed,
+    PlatformUnavailable,
+)
+from sedgeshunt.identifiers import (
+    GroupId,
+    Incarnation,
+    OwnerToken,
+    ProxyId,
+    Revision,
+    TargetId,
+    Term,
+)
+from sedgeshunt.ownership.lease import InstanceLease
+from sedgeshunt.ownership.reign import Reign
+from sedgeshunt.ports import (
+    CommitResult,
+    Compare,
+    Delete,
+    KeyValue,
+    KeyValueService,
+    Put,
+)
+from sedgeshunt.registry.entries import (
+    GroupRecord,
+    LeaderNote,
+    OwnerEntry,
+    ReplacementIntent,
+    encode_entry,
+    read_entry,
+)
+from sedgeshunt.registry.keys import make_owner_key, make_record_key
+from sedgeshunt.registry.store_view import StoreView
+
+ABSENT = Revision(0)
+STORE_FAILURES = (PlatformUnavailable, AnswerLost, LeaseLapsed)
+
+
+@dataclass(frozen=True, slots=True)
+class _SeenGroup:
+    """Hold what was last seen of a group, and the demand that it still is."""
+
+    owner_key: str
+    record_key: str
+    owner: OwnerEntry | None
+    record: GroupRecord | None
+    compares: tuple[Compare, ...]
+
+
+class GroupRecords:
+    """Read and change the owners and records of groups."""
+
+    def __init__(
+        self,
+        store: KeyValueService,
+        view: StoreView,
+        lease: InstanceLease,
+        owner: ProxyId,
+        incarnation: Incarnation,
+    ) -> None:
+        """Write as `owner` under `lease`."""
+        self.owner = owner
+        self.incarnation = incarnation
+        self._store = store
+        self._view = view
+        self._lease = lease
+
+    def find_owner(self, group: GroupId) -> OwnerEntry | None:
+        """Return who owns a group by the store, None for nobody."""
+        pair = self._view.get(make_owner_key(group))
+        return None if pair is None else read_entry(pair.value, OwnerEntry)
+
+    def find_token(self, group: GroupId) -> OwnerToken:
+        """Return the token of the present owner, 0 for none."""
+        pair = self._view.get(make_owner_key(group))
+        return OwnerToken(0 if pair is None else pair.revision)
+
+    def find_record(self, group: GroupId) -> GroupRecord | None:
+        """Return a group's record, None before its first owner."""
+        pair = self._view.get(make_record_key(group))
+        return None if pair is None else read_entry(pair.value, GroupRecord)
+
+    def find_intent(self, group: GroupId) -> ReplacementIntent | None:
+        """Return the promotion that may be under way."""
+        record = self.find_record(group)
+        return None if record is None else record.intent
+
+    def is_own(self, entry: OwnerEntry | None) -> bool:
+        """Tell whether this very process is an owner."""
+        return entry == OwnerEntry(self.owner, self.incarnation)
+
+    async def claim(
+        self,
+        group: GroupId,
+        candidates: Collection[ProxyId],
+    ) -> OwnerToken | None:
+        """Become the owner, if the store still is as it was seen.
+
+        Raise PlatformUnavailable, AnswerLost or LeaseLapsed.
+        """
+        lease = self._lease.id
+        if lease is None:
+            raise LeaseLapsed
+        # The owner's key may be that of an earlier process on this instance.
+        seen = self._read(group)
+        owner = encode_entry(OwnerEntry(self.owner, self.incarnation))
+        record = encode_entry(
+            replace(
+                seen.record or GroupRecord(group),
+                candidates=tuple(sorted(candidates)),
+                owner=self.owner,
+                incarnation=self.incarnation,
+                heir=ProxyId(''),
+            ),
+        )
+        committed = await self._store.commit(
+            seen.compares,
+            (Put(seen.owner_key, owner, lease), Put(seen.record_key, record)),
+        )
+        if not self._take(committed):
+            return None
+        self._note(seen.owner_key, owner, committed.revision)
+        self._note(seen.record_key, record, committed.revision)
+        return OwnerToken(committed.revision)
+
+    async def note_intent(self, reign: Reign, target: TargetId) -> bool:
+        """Write that a promotion is about to be ordered."""
+        intent = ReplacementIntent(target, reign.token)
+        return await self._change(reign, intent=intent)
+
+    async def clear_intent(self, reign: Reign) -> bool:
+        """Write that no promotion is under way."""
+        return await self._change(reign, intent=None)
+
+    async def note_leader(
+        self,
+        reign: Reign,
+        target: TargetId,
+        term: Term,
+    ) -> bool:
+        """Write which target leads, and that no promotion is under way."""
+        record = self.find_record(reign.group)
+        leader = LeaderNote(target, term)
+        if record is not None and record.leader == leader:
+            if record.intent is None:
+                return True
+        return await self._change(reign, leader=leader, intent=None)
+
+    async def change_candidates(
+        self,
+        reign: Reign,
+        candidates: Collection[ProxyId],
+    ) -> bool:
+        """Write who may claim the group."""
+        return await self._change(reign, candidates=tuple(sorted(candidates)))
+
+    async def release(self, group: GroupId, heir: ProxyId) -> None:
+        """Give a group up, so that `heir` may claim it at once.
+
+        Raise PlatformUnavailable or AnswerLost.
+        """
+        seen = self._read(group)
+        if seen.record is None or not self.is_own(self.find_owner(group)):
+            return
+        # With no latest owner named, nobody is bound by a promise to it.
+        freed = encode_entry(replace(seen.record, owner=ProxyId(''), heir=heir))
+        await self._store.commit(
+            seen.compares,
+            (Delete(seen.owner_key), Put(seen.record_key, freed)),
+        )
+
+    async def _change(self, reign: Reign, **changes: object) -> bool:
+        seen = self._read(reign.group)
+        if seen.record is None or not self.is_own(seen.owner):
+            return False
+        document = encode_entry(replace(seen.record, **changes))
+        try:
+            committed = await self._store.commit(
+                seen.compares,
+                (Put(seen.record_key, document),),
+            )
+        except STORE_FAILURES:
+            return False
+        if not self._take(committed):
+            return False
+        self._note(seen.record_key, document, committed.revision)
+        return True
+
+    def _read(self, group: GroupId) -> '_SeenGroup':
+        owner_key, record_key = make_owner_key(group), make_record_key(group)
+        return _SeenGroup(
+            owner_key,
+            record_key,
+            self.find_owner(group),
+            self.find_record(group),
+            tuple(
+                Compare(key, _read_revision(self._view.get(key)))
+                for key in (owner_key, record_key)
+            ),
+        )
+
+    def _take(self, committed: CommitResult) -> bool:
+        for pair in committed.current:
+            self._view.note(pair)
+        return committed.succeeded
+
+    def _note(self, key: str, document: bytes, revision: Revision) -> None:
+        self._view.note(KeyValue(key, document, revision))
+
+
+def _read_revision(pair: KeyValue | None) -> Revision:
+    return ABSENT if pair is None else pair.revision
--- /dev/null
+++ b/src/sedgeshunt/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to the users' platform: names, formats and calls, no decisions."""
--- /dev/null
+++ b/src/sedgeshunt/platform/documents.py
@@ -0,0 +1,167 @@
+"""Read what the operator and the databases write into the store."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from msgspec import Struct, ValidationError, field
+from msgspec.json import decode
+
+from sedgeshunt.configuration.objects import (
+    LEAVING,
+    STATE_LABEL,
+    Consistency,
+    Group,
+    Route,
+    Target,
+)
+from sedgeshunt.exceptions import SedgeshuntError
+from sedgeshunt.identifiers import GroupId, TargetId, TrafficClass, ZoneId
+from sedgeshunt.ports import KeyValue
+from sedgeshunt.registry.directory import (
+    Declared,
+    KnownTarget,
+    PlatformDocuments,
+)
+
+CONFIGURATION_KEY = 'op/config'
+TARGETS_PREFIX = 'servers/'
+
+_CONSISTENCIES = {
+    'primary': Consistency.CURRENT,
+    'read_your_writes': Consistency.OWN_WRITES,
+    'bounded_staleness': Consistency.BOUNDED_AGE,
+}
+READY_STATE = 'ready'
+PRIMARY_ROLE = 'primary'
+ROLE_LABEL = 'role'
+VERSION_LABEL = 'version'
+
+
+class DocumentUnreadable(SedgeshuntError):
+    """Say that a document of the store is not as the page has it."""
+
+    def __init__(self, key: str, reason: str) -> None:
+        """Keep the key and the reason."""
+        super().__init__(key, reason)
+        self.key = key
+        self.reason = reason
+
+    def format_message(self) -> str:
+        """Name the key and the remedy."""
+        return (
+            f'the value of {self.key} can not be read ({self.reason}); '
+            + 'the one before it stays in force, write a valid one'
+        )
+
+
+class _Route(Struct):
+    name: str
+    # The name of the database that callers ask for, no host.
+    host: str
+    service: str
+    type: str = ''
+    timeout_ms: int = 2000
+    target_latency_ms: int = 0
+    priority: int = 1
+    max_staleness_ms: int = 0
+
+
+class _Service(Struct):
+    name: str
+    max_connections: int = 20
+    sync_replicas: int = 0
+
+
+class _Limits(Struct):
+    tx_idle_ms: int = 0
+
+
+class _Configuration(Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = field(default_factory=_Limits)
+
+
+class _Server(Struct):
+    service: str
+    # IP number and port.
+    address: str
+    zone: str
+    state: str = 'ready'
+    version: str = ''
+    db_role: str = ''
+    # Statements that it runs at once.
+    capacity_slots: int = 3
+    cold_remaining_ms: int = 0
+
+
+class StoreDocuments(PlatformDocuments):
+    """Read the documents of the platform's store."""
+
+    configuration_key = CONFIGURATION_KEY
+    targets_prefix = TARGETS_PREFIX
+
+    def read_declared(self, pair: KeyValue) -> Declared:
+        """Read the operator's document; raise DocumentUnreadable."""
+        read = _decode(pair.value, _Configuration, pair.key)
+        groups = (_make_group(one, read.limits) for one in read.services)
+        return Declared(
+            read.version,
+            {group.name: group for group in groups},
+            {route.traffic_class: route for route in _make_routes(read.routes)},
+        )
+
+    def read_target(self, pair: KeyValue) -> KnownTarget:
+        """Read one database's entry; raise DocumentUnreadable."""
+        read = _decode(pair.value, _Server, pair.key)
+        host, _, port = read.address.rpartition(':')
+        labels = {VERSION_LABEL: read.version, ROLE_LABEL: read.db_role}
+        if read.state != READY_STATE:
+            labels[STATE_LABEL] = LEAVING
+        return KnownTarget(
+            Target(
+                TargetId(pair.key.removeprefix(TARGETS_PREFIX)),
+                GroupId(read.service),
+                host,
+                int(port),
+                ZoneId(read.zone),
+                labels,
+            ),
+            read.capacity_slots,
+            read.db_role == PRIMARY_ROLE,
+        )
+
+
+def _decode(document: bytes, kind: type[Any], key: str) -> Any:
+    try:
+        return decode(document, type=kind)
+    except (ValidationError, ValueError) as failure:
+        raise DocumentUnreadable(key, str(failure)) from failure
+
+
+def _make_group(service: _Service, limits: _Limits) -> Group:
+    return Group(
+        GroupId(service.name),
+        connection_limit=service.max_connections,
+        synchronous_replicas=service.sync_replicas,
+        transaction_idle_ms=limits.tx_idle_ms,
+    )
+
+
+def _make_routes(routes: Iterable[_Route]) -> Iterable[Route]:
+    for route in routes:
+        consistency = _CONSISTENCIES.get(route.type)
+        # The platform's routes of other kinds are for other protocols.
+        if consistency is None:
+            continue
+        yield Route(
+            route.name,
+            TrafficClass(route.host),
+            groups=f'name={route.service}',
+            accepted_age_ms=route.max_staleness_ms,
+            deadline_ms=route.timeout_ms,
+            consistency=consistency,
+            objective_ms=route.target_latency_ms,
+            priority=route.priority,
+        )
--- /dev/null
+++ b/src/sedgeshunt/platform/targets.py
@@ -0,0 +1,283 @@
+"""Open sessions with the platform's databases."""
+
+from asyncio import StreamReader, StreamWriter, open_connection, timeout
+from contextlib import suppress
+
+from sedgeshunt.configuration.objects import Target
+from sedgeshunt.connections.target_session import (
+    LogRole,
+    LogStatus,
+    RefusalKind,
+    SessionPhase,
+    TargetRefusal,
+    TargetReply,
+    TargetSession,
+    TargetSessionConnector,
+)
+from sedgeshunt.exceptions import (
+    TargetBusy,
+    TargetGone,
+    TargetLost,
+    TargetUnreachable,
+)
+from sedgeshunt.groups.points import ORIGIN, Point
+from sedgeshunt.identifiers import GroupId, Seconds, StatementId, Term
+from sedgeshunt.platform.lines import (
+    BLANK,
+    LONGEST_MESSAGE,
+    MessageMalformed,
+    MessageTooLong,
+    make_line,
+    read_line,
+    split_line,
+)
+from sedgeshunt.platform.sockets import watch_silence
+from sedgeshunt.platform.statements import (
+    OWN_ID,
+    make_after,
+    make_execute,
+    make_prepare,
+    read_point,
+)
+from sedgeshunt.statements.statement import PreparedStatement
+
+# Who connects; the databases take any word.
+CALLER = 'sedgeshunt'
+PRIMARY_ROLE = 'primary'
+
+_PHASES = {
+    'I': SessionPhase.IDLE,
+    'T': SessionPhase.OPEN,
+    'E': SessionPhase.FAILED,
+}
+_REFUSALS = {
+    'BUSY': RefusalKind.BUSY,
+    'NOSTMT': RefusalKind.NO_STATEMENT,
+    'LAGGING': RefusalKind.BEHIND,
+    'READONLY': RefusalKind.READ_ONLY,
+    'MISROUTED': RefusalKind.WRONG_TARGET,
+    'TOOMANY': RefusalKind.TOO_MANY,
+    'FAILED': RefusalKind.FAILED,
+    'TIMEOUT': RefusalKind.TIMED_OUT,
+}
+
+
+class _ReplyDraft:
+    """Gather the messages that make one reply."""
+
+    def __init__(self) -> None:
+        self.is_whole = False
+        self.rows: list[str] = []
+        self.signature = ''
+        self.refusal: TargetRefusal | None = None
+        self.phase = SessionPhase.IDLE
+        self.point: Point | None = None
+
+    def take(self, word: str, rest: str) -> bool:
+        """Take in one message; tell whether its word is known."""
+        if word == 'ROW':
+            self.rows.append(rest)
+        elif word == 'COMPLETE':
+            self.signature = rest
+        elif word == 'ERROR':
+            self.refusal = _read_refusal(rest)
+            self.is_whole = self.refusal.kind in _CLOSING
+        elif word == 'READY':
+            phase, place = split_line(rest, 1)
+            self.phase = _PHASES.get(phase, SessionPhase.FAILED)
+            self.point = read_point(place)
+            self.is_whole = True
+        else:
+            return False
+        return True
+
+
+class WireTargetSession(TargetSession):
+    """Speak the databases' protocol on one connection."""
+
+    def __init__(
+        self,
+        target: Target,
+        reader: StreamReader,
+        writer: StreamWriter,
+    ) -> None:
+        """Own an open connection."""
+        self.point: Point | None = None
+        self._target = target
+        self._reader = reader
+        self._writer = writer
+
+    async def start(self, group: GroupId) -> None:
+        """Say who is meant; raise TargetBusy, TargetUnreachable."""
+        target = self._target.name
+        self._writer.write(make_line('START', group, CALLER, target))
+        try:
+            reply = await self._read_reply()
+        except TargetLost as lost:
+            raise TargetUnreachable(target, lost.reason) from lost
+        if reply.refusal is None:
+            return
+        if reply.refusal.kind is RefusalKind.TOO_MANY:
+            raise TargetBusy(0, '', reply.refusal.reason)
+        raise TargetUnreachable(target, reply.refusal.reason)
+
+    async def run(
+        self,
+        statement: StatementId,
+        text: str,
+        after: Point | None = None,
+    ) -> TargetReply:
+        """Run a caller's own text under its id."""
+        if self._writer.is_closing() or self._reader.at_eof():
+            raise TargetGone(self._target.name, 'closed while idle')
+        self._writer.write(
+            make_line('QUERY', statement, make_after(after, text)),
+        )
+        return await self._read_reply()
+
+    async def execute(
+        self,
+        statement: StatementId,
+        prepared: PreparedStatement,
+        arguments: str,
+        after: Point | None = None,
+    ) -> TargetReply:
+        """Run what was prepared on this connection."""
+        text = make_execute(prepared, arguments)
+        return await self.run(statement, text, after)
+
+    async def prepare(self, prepared: PreparedStatement) -> TargetReply:
+        """Prepare a statement under a name of this connection's own."""
+        return await self.run(OWN_ID, make_prepare(prepared))
+
+    async def set_value(self, name: str, value: str) -> TargetReply:
+        """Set one session value."""
+        return await self.run(OWN_ID, f'SET {name} {value}')
+
+    async def reset(self) -> TargetReply:
+        """Drop all session values and prepared statements."""
+        return await self.run(OWN_ID, 'RESET')
+
+    async def begin(
+        self,
+        *,
+        is_read_only: bool,
+        after: Point | None = None,
+    ) -> TargetReply:
+        """Open a transaction."""
+        text = 'BEGIN READ' if is_read_only else 'BEGIN'
+        return await self.run(OWN_ID, text, after)
+
+    async def roll_back(self) -> TargetReply:
+        """Undo the open transaction."""
+        return await self.run(OWN_ID, 'ROLLBACK')
+
+    async def read_status(self) -> LogStatus | None:
+        """Ask for the log's state; None when the target is too busy."""
+        return await self._order('STATUS')
+
+    async def pause_replication(self, term: Term) -> LogStatus | None:
+        """Stop a replica from receiving, for a `term` above the newest."""
+        return await self._order(f'PAUSE {term}')
+
+    async def resume_replication(self) -> LogStatus | None:
+        """Let a paused replica receive again."""
+        return await self._order('RESUME')
+
+    async def demote(self, term: Term) -> LogStatus | None:
+        """Make a primary of a lower term a replica."""
+        return await self._order(f'DEMOTE {term}')
+
+    async def close(self) -> None:
+        """Drop the connection at once; closing twice does no harm."""
+        self._writer.transport.abort()
+
+    async def _order(self, text: str) -> LogStatus | None:
+        reply = await self.run(OWN_ID, text)
+        if reply.refusal is not None or not reply.rows:
+            return None
+        return _read_status(reply.rows[0])
+
+    async def _read_reply(self) -> TargetReply:
+        draft = _ReplyDraft()
+        while not draft.is_whole:
+            line = await self._read_line()
+            word, _, rest = line.partition(BLANK)
+            if not draft.take(word, rest):
+                raise self._lose(f'said "{word[:20]}"')
+        self.point = draft.point or self.point
+        return TargetReply(
+            tuple(draft.rows),
+            draft.phase,
+            self.point,
+            draft.signature,
+            draft.refusal,
+        )
+
+    async def _read_line(self) -> str:
+        try:
+            line = await read_line(self._reader)
+        except (OSError, MessageTooLong, MessageMalformed) as failure:
+            raise self._lose(str(failure)) from failure
+        if line is None:
+            raise self._lose('closed the connection')
+        return line
+
+    def _lose(self, reason: str) -> TargetLost:
+        self._writer.transport.abort()
+        return TargetLost(self._target.name, reason)
+
+
+# After these, said in answer to a start, the connection is closed.
+_CLOSING = frozenset((RefusalKind.WRONG_TARGET, RefusalKind.TOO_MANY))
+
+
+class WireTargetConnector(TargetSessionConnector):
+    """Open sessions with the platform's databases."""
+
+    async def connect(
+        self,
+        target: Target,
+        group: GroupId,
+        limit: Seconds,
+    ) -> TargetSession:
+        """Open a session; raise TargetUnreachable or TargetBusy."""
+        try:
+            async with timeout(limit):
+                return await self._connect(target, group)
+        except (OSError, TimeoutError) as failure:
+            reason = str(failure) or f'no answer in {limit} s'
+            raise TargetUnreachable(target.name, reason) from failure
+
+    async def _connect(self, target: Target, group: GroupId) -> TargetSession:
+        reader, writer = await open_connection(
+            target.host,
+            target.port,
+            limit=LONGEST_MESSAGE,
+        )
+        watch_silence(writer)
+        session = WireTargetSession(target, reader, writer)
+        try:
+            await session.start(group)
+        except BaseException:
+            with suppress(OSError):
+                writer.transport.abort()
+            raise
+        return session
+
+
+def _read_refusal(rest: str) -> TargetRefusal:
+    code, reason = split_line(rest, 1)
+    kind = _REFUSALS.get(code, RefusalKind.MALFORMED)
+    return TargetRefusal(kind, f'{code} {reason}'.strip())
+
+
+def _read_status(row: str) -> LogStatus:
+    # Role, term, place received, term held, lag in ms, busy, connections.
+    fields = row.split()
+    return LogStatus(
+        LogRole.PRIMARY if fields[0] == PRIMARY_ROLE else LogRole.REPLICA,
+        Term(int(fields[1])),
+        read_point(fields[2]) or ORIGIN,
+        Term(int(fields[3])),
+    )
--- a/src/sedgeshunt/ports.py
+++ b/src/sedgeshunt/ports.py
@@ -95,6 +95,8 @@
     key: str
     value: bytes
     revision: Revision
+    # The revision that made the key; 0 where the service does not tell.
+    created: Revision = Revision(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +137,8 @@
 
     succeeded: bool
     revision: Revision
+    # What the compared keys hold now, when a comparison failed.
+    current: Sequence[KeyValue] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +148,8 @@
     key: str
     value: bytes | None
     revision: Revision
+    # The revision that made the key; 0 where the service does not tell.
+    created: Revision = Revision(0)
 
 
 class KeyValueService(ABC):
--- a/src/sedgeshunt/proxy.py
+++ b/src/sedgeshunt/proxy.py
@@ -32,8 +32,8 @@
     InstanceList,
     KeyValueService,
     PeerConnector,
-    PrimaryReport,
     PeerService,
+    PrimaryReport,
     ProxyReport,
     TargetConnector,
 )
--- /dev/null
+++ b/src/sedgeshunt/registry/configuration.py
@@ -0,0 +1,154 @@
+"""Hold the newest configuration in force; it never goes back."""
+
+from asyncio import Event
+from collections.abc import Callable
+
+from sedgeshunt.configuration.objects import Group, Route
+from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.exceptions import SedgeshuntError
+from sedgeshunt.identifiers import GroupId, Revision, TrafficClass
+from sedgeshunt.ports import KeyValue
+from sedgeshunt.registry.directory import (
+    Declared,
+    GroupMembers,
+    KnownTarget,
+    PlatformDocuments,
+)
+from sedgeshunt.registry.store_view import StoreView
+
+NAME_SELECTOR = 'name='
+
+
+class LiveConfiguration:
+    """Follow the declared routes and groups, and the targets that are up."""
+
+    def __init__(
+        self,
+        view: StoreView,
+        documents: PlatformDocuments,
+        decisions: DecisionLog,
+    ) -> None:
+        """Follow `view` from now on."""
+        self.declared = Declared()
+        # The item that is in force, for peers that the store does not serve.
+        self.source: KeyValue | None = None
+        self._view = view
+        self._documents = documents
+        self._decisions = decisions
+        self._targets: dict[str, KnownTarget] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._loaded = Event()
+        view.listen(self._note_change)
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change."""
+        self._listeners.append(listener)
+
+    @property
+    def is_loaded(self) -> bool:
+        """Tell whether any configuration is in force."""
+        return self.declared.version > 0
+
+    @property
+    def revision(self) -> Revision:
+        """Return the store's revision of what is in force, 0 for nothing."""
+        return Revision(0) if self.source is None else self.source.revision
+
+    def copy_newer(self, known: Revision) -> bytes | None:
+        """Return the document in force if it is newer than `known`."""
+        if self.source is None or self.source.revision <= known:
+            return None
+        return self.source.value
+
+    async def wait_loaded(self) -> None:
+        """Wait until a configuration is in force."""
+        await self._loaded.wait()
+
+    def find_route(self, database: TrafficClass) -> Route | None:
+        """Return the route that callers of `database` take."""
+        return self.declared.routes.get(database)
+
+    def find_group(self, route: Route) -> GroupId:
+        """Return the group that a route leads to."""
+        return GroupId(route.groups.removeprefix(NAME_SELECTOR))
+
+    def list_groups(self) -> list[Group]:
+        """List the declared groups."""
+        return list(self.declared.groups.values())
+
+    def find_members(self, group: GroupId) -> GroupMembers | None:
+        """Return a group with its targets, None if it is not declared."""
+        declared = self.declared.groups.get(group)
+        if declared is None:
+            return None
+        return GroupMembers(
+            declared,
+            [
+                known
+                for known in self._targets.values()
+                if known.target.group == group
+            ],
+        )
+
+    def take(self, pair: KeyValue) -> None:
+        """Bring an item into force if it is newer than what is."""
+        if self.source is not None and pair.revision <= self.source.revision:
+            return
+        try:
+            declared = self._documents.read_declared(pair)
+        except SedgeshuntError as unreadable:
+            reasons = {'why': str(unreadable)}
+            self._decisions.record(
+                Decision(DecisionKind.CONFIGURATION_REFUSED, reasons=reasons),
+            )
+            return
+        self.source = pair
+        self._loaded.set()
+        self.declared = declared
+        self._decisions.record(
+            Decision(
+                DecisionKind.CONFIGURATION_APPLIED,
+                reasons={
+                    'version': str(declared.version),
+                    'revision': str(pair.revision),
+                },
+            ),
+        )
+        self._tell()
+
+    def take_copy(self, document: bytes, revision: Revision) -> None:
+        """Bring a peer's copy into force if it is newer than what is."""
+        key = self._documents.configuration_key
+        self.take(KeyValue(key, document, revision))
+
+    def _note_change(self, key: str) -> None:
+        if key in ('', self._documents.configuration_key):
+            pair = self._view.get(self._documents.configuration_key)
+            if pair is not None:
+                self.take(pair)
+        prefix = self._documents.targets_prefix
+        if not key:
+            self._targets.clear()
+            for pair in self._view.list_prefix(prefix):
+                self._note_target(pair.key)
+            self._tell()
+        elif key.startswith(prefix):
+            self._note_target(key)
+            self._tell()
+
+    def _note_target(self, key: str) -> None:
+        pair = self._view.get(key)
+        if pair is None:
+            self._targets.pop(key, None)
+            return
+        try:
+            self._targets[key] = self._documents.read_target(pair)
+        except SedgeshuntError as unreadable:
+            reasons = {'why': str(unreadable)}
+            self._decisions.record(
+                Decision(DecisionKind.CONFIGURATION_REFUSED, reasons=reasons),
+            )
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/src/sedgeshunt/registry/directory.py
@@ -0,0 +1,66 @@
+"""Put together what is declared and what the targets say of themselves."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from sedgeshunt.configuration.objects import Group, Route, Target
+from sedgeshunt.identifiers import GroupId, TargetId, TrafficClass
+from sedgeshunt.ports import KeyValue
+
+
+@dataclass(frozen=True, slots=True)
+class KnownTarget:
+    """Hold a target with what it says of itself."""
+
+    target: Target
+    # Statements that it runs at once.
+    slots: int
+    # It believes that it leads its group.
+    leads: bool
+
+
+@dataclass(frozen=True)
+class Declared:
+    """Hold one version of the operator's groups and routes."""
+
+    version: int = 0
+    groups: dict[GroupId, Group] = field(default_factory=dict)
+    routes: dict[TrafficClass, Route] = field(default_factory=dict)
+
+
+class PlatformDocuments(ABC):
+    """Read what the operator and the targets write."""
+
+    @property
+    @abstractmethod
+    def configuration_key(self) -> str:
+        """Return the key of the operator's document."""
+
+    @property
+    @abstractmethod
+    def targets_prefix(self) -> str:
+        """Return the prefix of the targets' documents."""
+
+    @abstractmethod
+    def read_declared(self, pair: KeyValue) -> Declared:
+        """Read the operator's document; raise DocumentUnreadable."""
+
+    @abstractmethod
+    def read_target(self, pair: KeyValue) -> KnownTarget:
+        """Read a target's document; raise DocumentUnreadable."""
+
+
+@dataclass(frozen=True, slots=True)
+class GroupMembers:
+    """Hold a group with its targets."""
+
+    group: Group
+    targets: Sequence[KnownTarget]
+
+    def find(self, target: TargetId) -> KnownTarget | None:
+        """Return one target, None if it is not listed."""
+        for known in self.targets:
+            if known.target.name == target:
+                return known
+        return None
--- a/src/sedgeshunt/requests/outcome.py
+++ b/src/sedgeshunt/requests/outcome.py
@@ -29,6 +29,8 @@
     served_by: TargetId | None = None
     # The signed session token, set after a write or a commit.
     token: str | None = None
+    # The target's own proof that it ran the statement, for those that sign.
+    signature: str = ''
 
 
 class Cause(Enum):
--- a/src/sedgeshunt/requests/statements.py
+++ b/src/sedgeshunt/requests/statements.py
@@ -1,7 +1,8 @@
 """Tell how a statement has to be routed, by its words alone."""
 
 from dataclasses import dataclass
-from re import DOTALL, IGNORECASE, VERBOSE, compile as compile_pattern
+from re import DOTALL, IGNORECASE, VERBOSE
+from re import compile as compile_pattern
 
 from result import Err, Ok, Result
 
--- /dev/null
+++ b/src/sedgeshunt/statements/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what callers ask for by statements, and their sessions."""
--- /dev/null
+++ b/src/sedgeshunt/statements/dispatch.py
@@ -0,0 +1,108 @@
+"""Choose where a call runs: here, or at the peer that can run it."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, replace
+
+from result import Err, Result
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.execution.transactions import TransactionBook
+from sedgeshunt.identifiers import GroupId, Monotonic, Seconds
+from sedgeshunt.limits.holding import find_retry, is_worth_holding
+from sedgeshunt.requests.outcome import Answer, Cause, NotRun, Refusal
+from sedgeshunt.statements.call import Access, StatementCall
+from sedgeshunt.statements.sites import CallSite
+
+# A call that found no owner looks again at each change, and after so long.
+LOOK_EVERY = Seconds(0.02)
+# What ended an attempt that another one may mend.
+_PASSING = frozenset((Cause.SUPERSEDED, Cause.CONNECTION_LOST))
+
+
+class SiteFinder(ABC):
+    """Know where a group's work can be done."""
+
+    @abstractmethod
+    def find_owner(self, group: GroupId) -> CallSite | None:
+        """Return the place that uses the primary, None when unknown."""
+
+    @abstractmethod
+    def find_reader(self, group: GroupId) -> CallSite | None:
+        """Return a place that reads the replicas."""
+
+    @abstractmethod
+    def expect_owner(self, group: GroupId) -> Monotonic | None:
+        """Return when an owner should be there, None when nobody knows."""
+
+    @abstractmethod
+    async def wait_change(self, deadline: Monotonic) -> None:
+        """Wait until an owner may have come or gone."""
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatched:
+    """Hold a call's outcome and the place where it ran."""
+
+    outcome: Result[Answer, Refusal]
+    site: CallSite | None = None
+
+
+class Dispatcher:
+    """Carry calls to the place that can run them, again where that is safe."""
+
+    def __init__(self, sites: SiteFinder) -> None:
+        """Look places up in `sites`."""
+        self._sites = sites
+
+    async def run(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Dispatched:
+        """Run a call that is not bound to a place yet."""
+        if call.access is Access.REPLICA:
+            site = self._sites.find_reader(call.group)
+            if site is not None:
+                outcome = await site.run_call(call, book, deadline)
+                if not isinstance(outcome.err(), NotRun):
+                    return Dispatched(outcome, site)
+        return await self._run_at_owner(
+            replace(call, access=Access.PRIMARY),
+            book,
+            deadline,
+        )
+
+    async def _run_at_owner(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Dispatched:
+        last: Refusal | None = None
+        while True:
+            site = self._sites.find_owner(call.group)
+            if site is not None:
+                outcome = await site.run_call(call, book, deadline)
+                last = outcome.err()
+                if not _may_repeat(last):
+                    return Dispatched(outcome, site)
+            expected_at = self._sites.expect_owner(call.group)
+            if not is_worth_holding(expected_at, deadline):
+                refusal = last or _refuse(call.group, expected_at)
+                return Dispatched(Err(refusal))
+            await self._sites.wait_change(
+                Monotonic(read_clock() + LOOK_EVERY),
+            )
+
+
+def _may_repeat(refusal: Refusal | None) -> bool:
+    return isinstance(refusal, NotRun) and refusal.cause in _PASSING
+
+
+def _refuse(group: GroupId, expected_at: Monotonic | None) -> NotRun:
+    return NotRun(
+        Cause.NO_PRIMARY,
+        f'group {group} has no owner now',
+        find_retry(expected_at),
+    )
--- /dev/null
+++ b/src/sedgeshunt/statements/owners.py
@@ -0,0 +1,101 @@
+"""Find the place that uses a group's primary at this moment."""
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.execution.group_table import GroupTable
+from sedgeshunt.forwarding.link import PeerLink
+from sedgeshunt.groups.waiters import ChangeSignal
+from sedgeshunt.identifiers import GroupId, Monotonic, Seconds
+from sedgeshunt.membership.neighbours import Neighbours
+from sedgeshunt.ownership.lease import InstanceLease
+from sedgeshunt.ownership.records import GroupRecords
+from sedgeshunt.statements.dispatch import SiteFinder
+from sedgeshunt.statements.sites import CallSite, LocalSite, PeerSite
+
+# From an owner's silence to the next owner's first answer: the silence itself,
+# promises and lease, a claim and a look at the primary.
+TAKEOVER_TIME = Seconds(1.3)
+
+
+class OwnerDirectory(SiteFinder):
+    """Know owners by the store and by what they say themselves."""
+
+    def __init__(
+        self,
+        groups: GroupTable,
+        neighbours: Neighbours,
+        records: GroupRecords,
+        lease: InstanceLease,
+        changed: ChangeSignal,
+    ) -> None:
+        """Wake those who wait at each of `changed`."""
+        self._groups = groups
+        self._neighbours = neighbours
+        self._records = records
+        self._lease = lease
+        self._changed = changed
+        self._missed_since: dict[GroupId, Monotonic] = {}
+
+    def find_owner(self, group: GroupId) -> CallSite | None:
+        """Return the place that uses the primary, None when unknown."""
+        site = self.find_direct(group) or self._find_relay(group)
+        if site is None:
+            self._missed_since.setdefault(group, read_clock())
+        else:
+            self._missed_since.pop(group, None)
+        return site
+
+    def find_direct(self, group: GroupId) -> CallSite | None:
+        """Return the owner if it is here, or is heard from here."""
+        access = self._groups.get(group)
+        if access is not None and access.owner is not None:
+            return LocalSite(access)
+        link = self._find_newest(group)
+        return None if link is None else PeerSite(link)
+
+    def find_reader(self, group: GroupId) -> CallSite | None:
+        """Return a place that reads the replicas."""
+        access = self._groups.get(group)
+        return None if access is None else LocalSite(access)
+
+    def expect_owner(self, group: GroupId) -> Monotonic | None:
+        """Return when an owner should be there, None when nobody knows."""
+        # Cut off alone: whoever owns the group is on the other side.
+        if not self._lease.reaches_store() and not self._hears_any():
+            return None
+        since = self._missed_since.get(group, read_clock())
+        expected = Monotonic(since + TAKEOVER_TIME)
+        return expected if read_clock() < expected else None
+
+    async def wait_change(self, deadline: Monotonic) -> None:
+        """Wait until an owner may have come or gone."""
+        await self._changed.wait(deadline)
+
+    def _hears_any(self) -> bool:
+        return any(True for _ in self._neighbours.list_heard())
+
+    def _find_newest(self, group: GroupId) -> PeerLink | None:
+        heard = [
+            (link.owned[group].token, link)
+            for link in self._neighbours.list_heard()
+            if group in link.owned
+        ]
+        stored = self._find_stored(group)
+        if stored is not None:
+            heard.append((self._records.find_token(group), stored))
+        return max(heard, key=lambda known: known[0])[1] if heard else None
+
+    def _find_stored(self, group: GroupId) -> PeerLink | None:
+        owner = self._records.find_owner(group)
+        if owner is None:
+            return None
+        link = self._neighbours.find_link(owner.owner)
+        if link is None or link.peer.incarnation != owner.incarnation:
+            return None
+        return link
+
+    def _find_relay(self, group: GroupId) -> CallSite | None:
+        # The way to the owner may be cut here and open from a peer.
+        for link in self._neighbours.list_heard():
+            if group in link.relayed:
+                return PeerSite(link, is_relay=True)
+        return None
--- /dev/null
+++ b/src/sedgeshunt/statements/session.py
@@ -0,0 +1,316 @@
+"""Answer one caller's statements in order, within its session."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from itertools import count
+
+from result import Err, Ok, Result
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.configuration.objects import Consistency, Route
+from sedgeshunt.connections.target_session import SessionPhase
+from sedgeshunt.execution.transactions import TransactionBook
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import (
+    GroupId,
+    Monotonic,
+    Seconds,
+    TrafficClass,
+    TransactionId,
+)
+from sedgeshunt.registry.configuration import LiveConfiguration
+from sedgeshunt.requests.outcome import (
+    Answer,
+    Cause,
+    NotRun,
+    Refusal,
+    Rejected,
+    Unknown,
+)
+from sedgeshunt.statements.call import Access, CallKind, StatementCall
+from sedgeshunt.statements.dispatch import Dispatcher
+from sedgeshunt.statements.sites import CallSite
+from sedgeshunt.statements.statement import (
+    PreparedStatement,
+    Statement,
+    StatementKind,
+)
+
+MILLISECONDS = 1000
+LOST_RETRY = Seconds(0.05)
+UNKNOWN_STATEMENT = 'no-statement'
+MALFORMED = 'malformed'
+NO_DATABASE = 'no-database'
+
+_Outcome = Result[Answer, Refusal]
+_DONE: _Outcome = Ok(Answer())
+
+
+class CallerTransaction:
+    """Hold a caller's transaction from its BEGIN to its end."""
+
+    def __init__(
+        self,
+        transaction: TransactionId,
+        route: Route,
+        *,
+        is_read_only: bool,
+    ) -> None:
+        """Begin nowhere before the first statement."""
+        self.id = transaction
+        # A change of the route applies from the next transaction on.
+        self.route = route
+        self.is_read_only = is_read_only
+        self.site: CallSite | None = None
+        self.wrote = False
+
+
+class StatementSession:
+    """Serve one caller's connection to one database."""
+
+    def __init__(
+        self,
+        database: TrafficClass,
+        name: str,
+        configuration: LiveConfiguration,
+        dispatcher: Dispatcher,
+    ) -> None:
+        """Open with no values, no statements and no transaction."""
+        self.database = database
+        self._name = name
+        self._configuration = configuration
+        self._dispatcher = dispatcher
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, PreparedStatement] = {}
+        self._commits: dict[GroupId, Point] = {}
+        self._transaction: CallerTransaction | None = None
+        self._book = TransactionBook()
+        self._numbers = count(1)
+
+    @property
+    def phase(self) -> SessionPhase:
+        """Tell whether a transaction is open."""
+        if self._transaction is None:
+            return SessionPhase.IDLE
+        return SessionPhase.OPEN
+
+    @property
+    def in_transaction(self) -> bool:
+        """Tell whether the caller has a transaction to end."""
+        return self._transaction is not None
+
+    async def answer(self, statement: Statement) -> _Outcome:
+        """Carry one statement to its one outcome."""
+        kind = statement.kind
+        if kind is StatementKind.BEGIN:
+            return self._begin(statement)
+        if kind in _LOCAL:
+            return self._change_session(statement)
+        if kind is StatementKind.ROLLBACK:
+            return await self._roll_back()
+        if kind is StatementKind.COMMIT:
+            return await self._commit(statement)
+        return await self._run(statement)
+
+    async def close(self) -> None:
+        """Undo an open transaction; the caller has left."""
+        await self._drop_transaction()
+        await self._book.undo_all()
+
+    def _begin(self, statement: Statement) -> _Outcome:
+        if self._transaction is not None:
+            return _reject(MALFORMED, 'a transaction is open already')
+        route = self._find_route()
+        if route is None:
+            return _reject(NO_DATABASE, f'no route leads to {self.database}')
+        self._transaction = CallerTransaction(
+            TransactionId(f'{self._name}.{next(self._numbers)}'),
+            route,
+            is_read_only=statement.is_read_only,
+        )
+        return _DONE
+
+    def _change_session(self, statement: Statement) -> _Outcome:
+        name = statement.name
+        if statement.kind is StatementKind.SET_VALUE:
+            self._values[name] = statement.rest
+        elif statement.prepared is not None:
+            self._prepared[name] = statement.prepared
+        elif self._prepared.pop(name, None) is None:
+            return _reject(UNKNOWN_STATEMENT, f'no statement is named {name}')
+        return _DONE
+
+    async def _roll_back(self) -> _Outcome:
+        await self._drop_transaction()
+        return _DONE
+
+    async def _commit(self, statement: Statement) -> _Outcome:
+        transaction = self._transaction
+        if transaction is None:
+            return _reject(MALFORMED, 'no transaction is open')
+        call = self._make_call(
+            statement,
+            transaction.route,
+            CallKind.COMMIT,
+            None,
+        )
+        outcome = await self._run_in(transaction, call)
+        self._transaction = None
+        if transaction.wrote and isinstance(outcome, Ok):
+            self._note_commit(call.group, outcome.ok_value)
+        return outcome
+
+    async def _run(self, statement: Statement) -> _Outcome:
+        is_prepared = statement.kind is StatementKind.EXECUTE
+        prepared = self._prepared.get(statement.name) if is_prepared else None
+        if is_prepared and prepared is None:
+            return _reject(
+                UNKNOWN_STATEMENT,
+                f'no statement is named {statement.name}',
+            )
+        route = self._find_route()
+        if route is None:
+            return _reject(NO_DATABASE, f'no route leads to {self.database}')
+        kind = _find_kind(statement, prepared)
+        call = self._make_call(statement, route, kind, prepared)
+        if self._transaction is not None:
+            return await self._run_inside(self._transaction, call)
+        return await self._run_single(call, route)
+
+    def _find_route(self) -> Route | None:
+        if self._transaction is not None:
+            return self._transaction.route
+        return self._configuration.find_route(self.database)
+
+    async def _run_single(self, call: StatementCall, route: Route) -> _Outcome:
+        deadline = _find_deadline(route)
+        ran = await self._dispatcher.run(call, self._book, deadline)
+        outcome = ran.outcome
+        if call.kind is CallKind.WRITE and isinstance(outcome, Ok):
+            self._note_commit(call.group, outcome.ok_value)
+        return outcome
+
+    async def _run_inside(
+        self,
+        transaction: CallerTransaction,
+        call: StatementCall,
+    ) -> _Outcome:
+        transaction.wrote |= call.kind is CallKind.WRITE
+        outcome = await self._run_in(transaction, call)
+        if isinstance(outcome, Err):
+            # It ends here: nothing of it is kept, and the caller begins anew.
+            self._transaction = None
+            return Err(_describe_end(outcome.err_value))
+        return outcome
+
+    async def _run_in(
+        self,
+        transaction: CallerTransaction,
+        call: StatementCall,
+    ) -> _Outcome:
+        deadline = _find_deadline(transaction.route)
+        if transaction.site is not None:
+            return await transaction.site.run_call(call, self._book, deadline)
+        ran = await self._dispatcher.run(
+            replace(call, begins=True),
+            self._book,
+            deadline,
+        )
+        transaction.site = ran.site
+        return ran.outcome
+
+    def _make_call(
+        self,
+        statement: Statement,
+        route: Route,
+        kind: CallKind,
+        prepared: PreparedStatement | None,
+    ) -> StatementCall:
+        transaction = self._transaction
+        group = self._configuration.find_group(route)
+        return StatementCall(
+            group,
+            self._find_access(route, kind),
+            kind,
+            statement.id,
+            statement.text,
+            self.database,
+            Seconds(route.deadline_ms / MILLISECONDS),
+            Seconds(route.objective_ms / MILLISECONDS),
+            route.priority,
+            None if transaction is None else transaction.id,
+            begins=False,
+            is_read_only=transaction is not None and transaction.is_read_only,
+            values=self._copy_values(),
+            prepared=prepared,
+            arguments=statement.rest,
+            after=self._find_commit(route, group),
+            max_age=Seconds(route.accepted_age_ms / MILLISECONDS),
+        )
+
+    def _copy_values(self) -> Mapping[str, str]:
+        return dict(self._values)
+
+    def _find_commit(self, route: Route, group: GroupId) -> Point | None:
+        if route.consistency is Consistency.OWN_WRITES:
+            return self._commits.get(group)
+        return None
+
+    def _find_access(self, route: Route, kind: CallKind) -> Access:
+        transaction = self._transaction
+        if route.consistency is Consistency.CURRENT:
+            return Access.PRIMARY
+        if transaction is not None:
+            reads = transaction.is_read_only
+        else:
+            reads = kind is CallKind.READ
+        return Access.REPLICA if reads else Access.PRIMARY
+
+    def _note_commit(self, group: GroupId, answer: Answer) -> None:
+        if answer.point is not None:
+            self._commits[group] = answer.point
+
+    async def _drop_transaction(self) -> None:
+        transaction = self._transaction
+        self._transaction = None
+        if transaction is None or transaction.site is None:
+            return
+        await transaction.site.end_transaction(transaction.id, self._book)
+
+
+_LOCAL = frozenset(
+    (
+        StatementKind.SET_VALUE,
+        StatementKind.PREPARE,
+        StatementKind.FORGET,
+    ),
+)
+
+
+def _find_kind(
+    statement: Statement,
+    prepared: PreparedStatement | None,
+) -> CallKind:
+    writes = statement.kind is StatementKind.WRITE
+    if prepared is not None:
+        writes = prepared.writes
+    return CallKind.WRITE if writes else CallKind.READ
+
+
+def _find_deadline(route: Route) -> Monotonic:
+    return Monotonic(read_clock() + route.deadline_ms / MILLISECONDS)
+
+
+def _reject(kind: str, reason: str) -> Err[Refusal]:
+    return Err(Rejected(0, kind, reason))
+
+
+def _describe_end(refusal: Refusal) -> Refusal:
+    if isinstance(refusal, Unknown | NotRun):
+        return NotRun(
+            Cause.TRANSACTION_LOST,
+            refusal.reason,
+            LOST_RETRY,
+            refusal.target,
+        )
+    return refusal
--- /dev/null
+++ b/src/sedgeshunt/statements/sites.py
@@ -0,0 +1,80 @@
+"""Name the places where calls run: this instance, or a peer."""
+
+from abc import abstractmethod
+from dataclasses import replace
+
+from result import Result
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.execution.group_access import GroupAccess
+from sedgeshunt.execution.transactions import TransactionBook, TransactionKeeper
+from sedgeshunt.forwarding.link import PeerLink
+from sedgeshunt.identifiers import Monotonic, Seconds, TransactionId
+from sedgeshunt.requests.outcome import Answer, Refusal
+from sedgeshunt.statements.call import StatementCall
+
+
+class CallSite(TransactionKeeper):
+    """Run calls in one place."""
+
+    @abstractmethod
+    async def run_call(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Run a call; `book` keeps transactions that are run here."""
+
+
+class LocalSite(CallSite):
+    """Run calls at this instance."""
+
+    def __init__(self, access: GroupAccess) -> None:
+        """Run them by `access`."""
+        self._access = access
+
+    async def run_call(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Run a call here."""
+        return await self._access.run_call(call, book, deadline)
+
+    async def end_transaction(
+        self,
+        transaction: TransactionId,
+        book: TransactionBook,
+    ) -> None:
+        """Undo a transaction that its caller gives up."""
+        await book.undo(transaction)
+
+
+class PeerSite(CallSite):
+    """Run calls at a peer, or through it at the owner that it hears."""
+
+    def __init__(self, link: PeerLink, *, is_relay: bool = False) -> None:
+        """Run them over `link`."""
+        self._link = link
+        self._is_relay = is_relay
+
+    async def run_call(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Have the peer run a call."""
+        left = Seconds(max(0, deadline - read_clock()))
+        sent = replace(call, time_left=left, is_relayed=not self._is_relay)
+        return await self._link.call(sent, deadline)
+
+    async def end_transaction(
+        self,
+        transaction: TransactionId,
+        book: TransactionBook,
+    ) -> None:
+        """Have the peer undo a transaction."""
+        self._link.end_transaction(transaction)
