--- a/src/sedgeshunt/adapters/json_client.py
+++ b/src/sedgeshunt/adapters/json_client.py
@@ -1,22 +1,19 @@
 """Call JSON services and tell what surely did not arrive."""
 
+from asyncio import open_connection, timeout
 from collections.abc import AsyncIterator, Mapping, Sequence
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from json import JSONDecodeError, loads
+from json import dumps, loads
 from typing import Any
 
-from aiohttp import (
-    ClientConnectorError,
-    ClientError,
-    ClientResponse,
-    ClientSession,
-    ClientTimeout,
-    ConnectionTimeoutError,
-    SocketTimeoutError,
-    TCPConnector,
+from sedgeshunt.adapters.http_connection import (
+    HttpBroken,
+    HttpConnection,
+    HttpReply,
+    HttpRequest,
 )
-
+from sedgeshunt.adapters.sockets import watch_silence
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.ports import Address
 
@@ -71,8 +68,8 @@
         """Connect to nothing yet; the first address is tried first."""
         self._addresses = list(addresses)
         self._keeps_connections = keeps_connections
-        self._owned = AsyncExitStack()
-        self._session: ClientSession | None = None
+        self._idle: list[HttpConnection] = []
+        self._is_closed = False
 
     async def post(self, path: str, body: Any) -> Any:
         """Send a document and return the answer; raise CallFailed."""
@@ -94,23 +91,13 @@
 
         Raise ServiceAway when not a byte of the call has left.
         """
-        call = self._open_session().request(
-            method,
-            self._make_url(path),
-            json=body,
-            headers=headers,
-            timeout=ClientTimeout(limit, sock_connect=limit),
-            allow_redirects=False,
+        reply = await self._exchange(
+            HttpRequest(method, path, headers or {}, _make_body(body)),
+            limit,
         )
         try:
-            async with call as response:
-                return JsonReply(
-                    response.status,
-                    _read_body(await response.read()),
-                )
-        except (ClientConnectorError, ConnectionTimeoutError) as failure:
-            raise ServiceAway(_describe(failure)) from failure
-        except (ClientError, TimeoutError, ValueError) as failure:
+            return JsonReply(reply.status, _read_body(reply.body))
+        except ValueError as failure:
             raise CallFailed(_describe(failure)) from failure
 
     @asynccontextmanager
@@ -121,26 +108,27 @@
         silence: Seconds,
     ) -> AsyncIterator[AsyncIterator[Any]]:
         """Open a stream of documents that ends after a `silence`."""
-        limits = ClientTimeout(sock_connect=CONNECT_TIMEOUT, sock_read=silence)
-        async with AsyncExitStack() as owned:
-            try:
-                response = await owned.enter_async_context(
-                    self._open_session().post(
-                        self._make_url(path),
-                        json=body,
-                        timeout=limits,
-                    ),
-                )
-            except (ClientError, TimeoutError) as failure:
-                self._rotate()
-                raise CallFailed(_describe(failure)) from failure
-            await _check(response)
-            yield _read_documents(response)
+        request = HttpRequest('POST', path, {}, _make_body(body))
+        connection = await self._connect(CONNECT_TIMEOUT)
+        try:
+            connection.send_request(self._host, request)
+            async with timeout(silence):
+                status = await connection.read_status()
+            if status >= FIRST_BAD_STATUS:
+                text = await _read_reason(connection, silence)
+                raise _explain(status, f'status {status}: {text}')
+            yield _read_documents(connection, silence)
+        except (HttpBroken, TimeoutError) as failure:
+            self._rotate()
+            raise CallFailed(_describe(failure)) from failure
+        finally:
+            connection.close()
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._owned.aclose()
-        self._session = None
+        self._is_closed = True
+        while self._idle:
+            self._idle.pop().close()
 
     async def _call(self, method: str, path: str, body: Any) -> Any:
         failure = ServiceAway('no address is known')
@@ -153,46 +141,90 @@
         raise failure
 
     async def _call_one(self, method: str, path: str, body: Any) -> Any:
-        call = self._open_session().request(
-            method,
-            self._make_url(path),
-            json=body,
-            timeout=ClientTimeout(CALL_TIMEOUT, sock_connect=CONNECT_TIMEOUT),
-            allow_redirects=False,
+        reply = await self._exchange(
+            HttpRequest(method, path, {}, _make_body(body)),
+            CALL_TIMEOUT,
         )
+        if reply.status >= FIRST_BAD_STATUS:
+            text = reply.body.decode(errors='replace')[:MAX_REASON]
+            raise _explain(reply.status, f'status {reply.status}: {text}')
+        try:
+            return _read_body(reply.body)
+        except ValueError as failure:
+            raise CallFailed(_describe(failure)) from failure
+
+    async def _exchange(
+        self,
+        request: HttpRequest,
+        limit: Seconds,
+    ) -> HttpReply:
+        connection = await self._take_connection(limit)
+        is_whole = False
         try:
-            async with call as response:
-                await _check(response)
-                return await response.json(content_type=None)
-        except (ClientConnectorError, ConnectionTimeoutError) as failure:
+            async with timeout(limit):
+                reply = await connection.exchange(self._host, request)
+            is_whole = True
+        except (HttpBroken, TimeoutError) as failure:
+            raise CallFailed(_describe(failure)) from failure
+        finally:
+            self._give_back(connection, is_whole=is_whole)
+        return reply
+
+    async def _take_connection(self, limit: Seconds) -> HttpConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable():
+                return connection
+            connection.close()
+        return await self._connect(min(limit, CONNECT_TIMEOUT))
+
+    async def _connect(self, limit: float) -> HttpConnection:
+        address = self._addresses[0]
+        try:
+            async with timeout(limit):
+                reader, writer = await open_connection(
+                    address.host,
+                    address.port,
+                )
+        except (OSError, TimeoutError) as failure:
             # Not a byte of the call has left.
             raise ServiceAway(_describe(failure)) from failure
-        except (ClientError, TimeoutError, JSONDecodeError) as failure:
-            raise CallFailed(_describe(failure)) from failure
+        watch_silence(writer)
+        return HttpConnection(reader, writer)
 
-    def _open_session(self) -> ClientSession:
-        if self._session is None:
-            # A kept connection may have been closed by the other side, and
-            # what is sent into it is lost without a trace: for a change,
-            # nobody could tell. Calls are few enough for new connections.
-            connector = TCPConnector(force_close=not self._keeps_connections)
-            self._session = ClientSession(connector=connector)
-            self._owned.push_async_callback(self._session.close)
-        return self._session
-
-    def _make_url(self, path: str) -> str:
+    def _give_back(
+        self,
+        connection: HttpConnection,
+        *,
+        is_whole: bool,
+    ) -> None:
+        # A kept connection may have been closed by the other side, and what
+        # is sent into it is lost without a trace: for a change, nobody could
+        # tell. So connections are kept only where the caller can bear that.
+        keeps = is_whole and self._keeps_connections and not self._is_closed
+        if keeps and connection.is_usable():
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    @property
+    def _host(self) -> str:
         address = self._addresses[0]
         host = f'[{address.host}]' if ':' in address.host else address.host
-        return f'http://{host}:{address.port}{path}'
+        return f'{host}:{address.port}'
 
     def _rotate(self) -> None:
         self._addresses.append(self._addresses.pop(0))
 
 
-async def _check(response: ClientResponse) -> None:
-    if response.status >= FIRST_BAD_STATUS:
-        text = (await response.text())[:MAX_REASON]
-        raise _explain(response.status, f'status {response.status}: {text}')
+def _make_body(body: Any) -> bytes:
+    return b'' if body is None else dumps(body).encode()
+
+
+async def _read_reason(connection: HttpConnection, limit: Seconds) -> str:
+    async with timeout(limit):
+        body = b''.join([chunk async for chunk in connection.read_body()])
+    return body.decode(errors='replace')[:MAX_REASON]
 
 
 def _explain(status: int, text: str) -> CallFailed:
@@ -210,24 +242,34 @@
     return loads(body) if body.strip() else None
 
 
-async def _read_documents(response: ClientResponse) -> AsyncIterator[Any]:
+async def _read_documents(
+    connection: HttpConnection,
+    silence: Seconds,
+) -> AsyncIterator[Any]:
     # Lines hold values of up to a megabyte, more than a reader of lines
     # takes.
-    kept = bytearray()
+    kept = b''
+    body = connection.read_body()
+    while True:
+        try:
+            async with timeout(silence):
+                kept += await anext(body)
+        except TimeoutError:
+            return
+        except StopAsyncIteration as ended:
+            raise CallFailed('the stream has ended') from ended
+        for line in kept.split(b'\n')[:-1]:
+            yield _read_line(line)
+        kept = kept.rpartition(b'\n')[2]
+        if len(kept) > MAX_LINE:
+            raise CallFailed('a line of the stream never ends')
+
+
+def _read_line(line: bytes) -> Any:
     try:
-        async for chunk in response.content.iter_any():
-            kept += chunk
-            *lines, rest = kept.split(b'\n')
-            kept = rest
-            for line in lines:
-                yield loads(line)
-            if len(kept) > MAX_LINE:
-                raise CallFailed('a line of the stream never ends')
-    except SocketTimeoutError:
-        return
-    except (ClientError, TimeoutError, JSONDecodeError) as failure:
+        return loads(line)
+    except ValueError as failure:
         raise CallFailed(_describe(failure)) from failure
-    raise CallFailed('the stream has ended')
 
 
 def _describe(failure: Exception) -> str:
--- a/src/sedgeshunt/decisions.py
+++ b/src/sedgeshunt/decisions.py
@@ -23,6 +23,7 @@
     DRAINING = 'draining'
     WRITES_REFUSED = 'writes-refused'
     ZONE_CUT = 'zone-cut'
+    ZONE_REJOINED = 'zone-rejoined'
     CONFIGURATION_APPLIED = 'configuration-applied'
     CONFIGURATION_REFUSED = 'configuration-refused'
     SEAT_TAKEN = 'seat-taken'
--- a/src/sedgeshunt/execution/group_access.py
+++ b/src/sedgeshunt/execution/group_access.py
@@ -8,6 +8,7 @@
 from sedgeshunt.execution.group_owner import GroupOwner
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.primary_keeper import PrimaryKeeper
+from sedgeshunt.execution.primary_probe import PrimaryProbe
 from sedgeshunt.execution.primary_state import PrimaryState
 from sedgeshunt.execution.replica_reader import ReplicaReader
 from sedgeshunt.execution.runner import run_in_transaction
@@ -30,12 +31,14 @@
         group: GroupId,
         claim: GroupClaim,
         reader: ReplicaReader,
+        probe: PrimaryProbe,
         parts: KeeperParts,
     ) -> None:
         """Own nothing yet."""
         self.group = group
         self.claim = claim
         self.reader = reader
+        self.probe = probe
         self.freshness = reader.freshness
         self.owner: GroupOwner | None = None
         self._parts = parts
@@ -44,6 +47,8 @@
         """Own the group whenever it is this instance's turn."""
         async with AsyncExitStack() as owned:
             owned.push_async_callback(self.reader.close)
+            tasks = await owned.enter_async_context(TaskGroup())
+            tasks.create_task(self.probe.run(lambda: self.claim.is_pressing))
             while True:
                 await self._serve(await self.claim.wait_reign())
 
@@ -77,7 +82,7 @@
         owner = GroupOwner(
             reign,
             state,
-            PrimaryKeeper(reign, state, self._parts),
+            PrimaryKeeper(reign, state, self.probe, self._parts),
             self.freshness,
         )
         self.owner = owner
--- a/src/sedgeshunt/execution/group_owner.py
+++ b/src/sedgeshunt/execution/group_owner.py
@@ -1,8 +1,12 @@
 """Use a group's primary, alone, for as long as this instance owns it."""
 
+from functools import partial
+from itertools import repeat
+
 from result import Err, Result
 
-from sedgeshunt.clocks import read_boottime, read_clock
+from sedgeshunt.clocks import read_boottime
+from sedgeshunt.execution.hedging import Hedger
 from sedgeshunt.execution.primary_keeper import PrimaryKeeper
 from sedgeshunt.execution.primary_state import PrimaryState
 from sedgeshunt.execution.runner import (
@@ -44,6 +48,7 @@
         self._state = state
         self._keeper = keeper
         self._freshness = freshness
+        self._hedger = Hedger()
 
     @property
     def group(self) -> GroupId:
@@ -70,20 +75,28 @@
         deadline: Monotonic,
     ) -> Result[Answer, Refusal]:
         """Run a single statement, or a transaction's first one."""
-        outcome: Result[Answer, Refusal] = Err(_refuse_reign())
-        for _ in range(READ_ATTEMPTS):
-            if not self.reign.is_held():
-                return Err(_refuse_reign())
-            found = await self._state.wait_executor(deadline)
-            if isinstance(found, Err):
-                return found
-            outcome = self._check(
-                call,
-                await _run_at(found.ok_value, call, book, deadline),
-            )
-            if not _may_repeat(outcome, deadline):
-                break
-        return outcome
+        attempt = partial(self._try, call, book, deadline)
+        if call.is_final:
+            return await attempt()
+        attempts = repeat(attempt, READ_ATTEMPTS)
+        outcome = await self._hedger.run(call, attempts, deadline)
+        return outcome or Err(_refuse_reign())
+
+    async def _try(
+        self,
+        call: StatementCall,
+        book: TransactionBook,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        if not self.reign.is_held():
+            return Err(_refuse_reign())
+        found = await self._state.wait_executor(deadline)
+        if isinstance(found, Err):
+            return found
+        return self._check(
+            call,
+            await _run_at(found.ok_value, call, book, deadline),
+        )
 
     async def continue_transaction(
         self,
@@ -147,22 +160,6 @@
     return await run_in_transaction(begun.ok_value, call, book, deadline)
 
 
-def _may_repeat(
-    outcome: Result[Answer, Refusal],
-    deadline: Monotonic,
-) -> bool:
-    refusal = outcome.err()
-    if not isinstance(refusal, NotRun) or read_clock() >= deadline:
-        return False
-    return refusal.cause in _PASSING
-
-
-# Nothing ran, and the next connection or the next primary may do better.
-_PASSING = frozenset(
-    (Cause.CONNECTION_LOST, Cause.DEADLINE, Cause.SUPERSEDED),
-)
-
-
 def _refuse_reign(cause: Cause = Cause.SUPERSEDED) -> NotRun:
     return NotRun(
         cause,
--- a/src/sedgeshunt/execution/group_table.py
+++ b/src/sedgeshunt/execution/group_table.py
@@ -6,6 +6,7 @@
 from sedgeshunt.connections.target_session import TargetSessionConnector
 from sedgeshunt.execution.group_access import GroupAccess
 from sedgeshunt.execution.keeper_parts import KeeperParts
+from sedgeshunt.execution.primary_probe import PrimaryProbe
 from sedgeshunt.execution.replica_reader import ReplicaReader
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import Boottime, GroupId, ZoneId
@@ -92,6 +93,12 @@
                 FreshnessProof(),
                 self._find_share,
             ),
+            PrimaryProbe(
+                name,
+                self._configuration,
+                self._parts.records,
+                self._connector,
+            ),
             self._parts,
         )
 
--- a/src/sedgeshunt/execution/primary_finder.py
+++ b/src/sedgeshunt/execution/primary_finder.py
@@ -46,6 +46,10 @@
                 since = read_clock()
         return None
 
+    def is_settled(self) -> bool:
+        """Tell whether no promotion of an earlier owner is under way."""
+        return self._parts.records.find_intent(self._reign.group) is None
+
     def list_members(self) -> GroupMembers | None:
         """Return the group's targets, None when none are listed."""
         members = self._parts.configuration.find_members(self._reign.group)
--- a/src/sedgeshunt/execution/primary_keeper.py
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -4,11 +4,13 @@
 from contextlib import suppress
 
 from sedgeshunt.clocks import read_clock
-from sedgeshunt.connections.target_session import LogRole
+from sedgeshunt.connections.target_session import LogRole, LogStatus
 from sedgeshunt.decisions import DecisionKind
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.primary_finder import Leader, PrimaryFinder
+from sedgeshunt.execution.primary_probe import PrimaryProbe
 from sedgeshunt.execution.primary_state import PrimaryState
+from sedgeshunt.execution.replacement import Successor
 from sedgeshunt.execution.statuses import read_status, read_statuses
 from sedgeshunt.execution.target_executor import TargetExecutor
 from sedgeshunt.groups.points import Point
@@ -26,6 +28,9 @@
 RETRY_PAUSE = Seconds(0.05)
 # Connections to the primary that are left to its own control and to others.
 SPARE_CONNECTIONS = 4
+# Statements sent beyond the primary's slots, so that none of these is idle
+# while an answer is on its way.
+SENT_AHEAD = 1
 # What is told to those who wait: finding a primary takes two round trips and
 # a connection, replacing one 0.3 s more.
 FINDING_TIME = Seconds(0.15)
@@ -46,12 +51,14 @@
         self,
         reign: Reign,
         state: PrimaryState,
+        probe: PrimaryProbe,
         parts: KeeperParts,
     ) -> None:
         """Keep nothing before run()."""
         self._reign = reign
         self._state = state
         self._parts = parts
+        self._probe_before = probe
         self._finder = PrimaryFinder(reign, parts)
 
     async def run(self) -> None:
@@ -69,15 +76,26 @@
     async def _find(self) -> None:
         """Serve the primary that the targets themselves tell, or make one."""
         self._state.expect(FINDING_TIME)
-        found = await self._finder.find()
-        if found is not None:
-            await self._serve(found)
-            return
         members = self._finder.list_members()
         if members is None:
             await sleep(RETRY_PAUSE)
-        else:
+            return
+        known_lost = self._find_known_lost()
+        if known_lost is not None:
+            await self._replace_lost(members, known_lost, None)
+            return
+        found = await self._finder.find()
+        if found is None:
             await self._replace(members, None, None)
+        else:
+            await self._serve(found)
+
+    def _find_known_lost(self) -> TargetId | None:
+        """Return the noted primary if it is known not to answer."""
+        noted = self._probe_before.find_recorded()
+        if noted is None or not self._probe_before.is_unreachable():
+            return None
+        return noted.target.name if self._finder.is_settled() else None
 
     async def _serve(self, leader: Leader) -> None:
         members = self._finder.list_members()
@@ -88,8 +106,7 @@
             known.target,
             self._parts.connector,
             max(1, members.group.connection_limit - SPARE_CONNECTIONS),
-            known.slots,
-            1,
+            known.slots + SENT_AHEAD,
         )
         executor.tip = leader.status.received
         self._state.serve(executor)
@@ -154,21 +171,21 @@
         self._state.expect(REPLACING_TIME)
         await self._state.drop()
         if status is None:
-            await self._replace_lost(members, executor)
+            await self._replace_lost(members, name, executor.tip)
 
     async def _replace_lost(
         self,
         members: GroupMembers,
-        executor: TargetExecutor,
+        lost: TargetId,
+        acknowledged: Point | None,
     ) -> None:
         """Have a peer that reaches the primary own the group, or promote."""
         # A promotion loses what no replica has received, and takes longer.
-        name = executor.target.name
-        heir = await self._parts.peers.find_reaching(self._reign.group, name)
+        heir = await self._parts.peers.find_reaching(self._reign.group, lost)
         if heir is not None:
             self._reign.leave_to(heir)
             await sleep(HANDOVER_TIME)
-        await self._replace(members, name, executor.tip)
+        await self._replace(members, lost, acknowledged)
 
     async def _replace(
         self,
@@ -178,27 +195,15 @@
     ) -> None:
         """Have another target lead, if one can."""
         self._state.expect(REPLACING_TIME)
-        others = [
-            known
-            for known in members.targets
-            if known.target.name != lost and not known.target.is_leaving()
-        ]
-        statuses = await read_statuses(self._parts.connector, others)
+        statuses = await self._ask_others(members, lost)
         leading = find_leader(statuses)
         known = None if leading is None else members.find(leading)
         if leading is not None and known is not None:
             await self._serve(Leader(known, statuses[leading]))
             return
-        successor = await self._parts.replacement.replace(
-            self._reign,
-            members,
-            statuses,
-            acknowledged,
-        )
-        if successor is None:
-            await sleep(RETRY_PAUSE)
-        else:
-            await self._serve(Leader(successor.known, successor.status))
+        chosen = await self._choose(members, statuses)
+        if chosen is not None:
+            await self._promote(members, chosen, acknowledged)
 
     async def _replace_planned(
         self,
@@ -207,6 +212,14 @@
     ) -> None:
         """Replace a primary that leaves, with nothing lost and little wait."""
         await _wait_quiet(executor)
+        statuses = await self._ask_others(members, executor.target.name)
+        chosen = await self._choose(members, statuses)
+        if chosen is not None:
+            await self._suspend(executor)
+            await self._promote(members, chosen, executor.tip)
+
+    async def _suspend(self, executor: TargetExecutor) -> None:
+        """Start nothing more at the primary, and let what is open end."""
         self._state.expect(REPLACING_TIME)
         self._state.suspend()
         await _wait_end(executor)
@@ -217,7 +230,50 @@
             transactions=len(executor.transactions),
         )
         await executor.abandon()
-        await self._replace(members, executor.target.name, executor.tip)
+
+    async def _promote(
+        self,
+        members: GroupMembers,
+        chosen: Successor,
+        acknowledged: Point | None,
+    ) -> None:
+        successor = await self._parts.replacement.promote(
+            self._reign,
+            chosen,
+            acknowledged,
+            must_cover=bool(members.group.synchronous_replicas),
+        )
+        if successor is None:
+            await sleep(RETRY_PAUSE)
+        else:
+            await self._serve(Leader(successor.known, successor.status))
+
+    async def _choose(
+        self,
+        members: GroupMembers,
+        statuses: dict[TargetId, LogStatus],
+    ) -> Successor | None:
+        """Choose a successor; pause when there is none, or no store."""
+        chosen = await self._parts.replacement.choose(
+            self._reign,
+            members,
+            statuses,
+        )
+        if chosen is None:
+            await sleep(RETRY_PAUSE)
+        return chosen
+
+    async def _ask_others(
+        self,
+        members: GroupMembers,
+        primary: TargetId | None,
+    ) -> dict[TargetId, LogStatus]:
+        others = [
+            known
+            for known in members.targets
+            if known.target.name != primary and not known.target.is_leaving()
+        ]
+        return await read_statuses(self._parts.connector, others)
 
 
 def _must_go(members: GroupMembers, primary: TargetId) -> bool:
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Successor:
-    """Hold the target that leads now, and its log."""
+    """Hold the target that is to lead, or leads, and its log."""
 
     known: KnownTarget
     status: LogStatus
@@ -59,28 +59,43 @@
         self._records = records
         self._decisions = decisions
 
-    async def replace(
+    async def choose(
         self,
         reign: Reign,
         members: GroupMembers,
         statuses: Mapping[TargetId, LogStatus],
-        acknowledged: Point | None,
     ) -> Successor | None:
-        """Promote the replica whose log is furthest; None if none leads."""
+        """Choose the replica whose log is furthest, and note it.
+
+        None if there is none, or the store did not take the note.
+        """
         chosen = choose_successor(reign.group, statuses)
         known = None if chosen is None else members.find(chosen)
         if chosen is None or known is None:
             return None
-        if not await self._catch_up(known, statuses[chosen], acknowledged):
-            # Where each acknowledged write waits for a replica, one of them
-            # has all; it may be the one that did not answer yet.
-            if members.group.synchronous_replicas:
-                return None
         # The next owner must know that an order is under way: it takes effect
         # hundreds of milliseconds after it was sent.
         if not await self._records.note_intent(reign, chosen):
             return None
-        return await self._promote(reign, known)
+        return Successor(known, statuses[chosen])
+
+    async def promote(
+        self,
+        reign: Reign,
+        chosen: Successor,
+        acknowledged: Point | None,
+        *,
+        must_cover: bool,
+    ) -> Successor | None:
+        """Have the chosen replica lead; None if it does not.
+
+        With `must_cover` only if it has received all that was acknowledged.
+        """
+        covers_all = await self._catch_up(chosen, acknowledged)
+        if must_cover and not covers_all:
+            await self._records.clear_intent(reign)
+            return None
+        return await self._promote(reign, chosen.known)
 
     async def finish_pending(
         self,
@@ -104,16 +119,16 @@
 
     async def _catch_up(
         self,
-        known: KnownTarget,
-        status: LogStatus,
+        chosen: Successor,
         acknowledged: Point | None,
     ) -> bool:
         give_up = read_clock() + CATCH_UP_LIMIT
+        status = chosen.status
         while not covers(status, acknowledged):
             if read_clock() > give_up:
                 return False
             await sleep(POLL_EVERY)
-            newer = await read_status(self._connector, known)
+            newer = await read_status(self._connector, chosen.known)
             status = newer or status
         return True
 
--- a/src/sedgeshunt/execution/replica_reader.py
+++ b/src/sedgeshunt/execution/replica_reader.py
@@ -1,12 +1,14 @@
 """Read from a group's replicas as old a state as the caller accepts."""
 
 from collections.abc import Callable
+from functools import partial
 
 from result import Err, Result
 
 from sedgeshunt.clocks import read_boottime, read_clock
 from sedgeshunt.configuration.objects import Group
 from sedgeshunt.connections.target_session import TargetSessionConnector
+from sedgeshunt.execution.hedging import Hedger
 from sedgeshunt.execution.runner import (
     begin_transaction,
     run_in_transaction,
@@ -36,9 +38,6 @@
 # One that failed is passed over for so long, doubled at each further failure.
 FAILED_PAUSE = Seconds(0.3)
 LONGEST_PAUSE = Seconds(4)
-# A read that was not answered for so long is asked of another target.
-SHORTEST_PATIENCE = Seconds(0.25)
-PATIENCE_FACTOR = 6
 STALE_RETRY = Seconds(0.2)
 
 
@@ -94,6 +93,7 @@
         self.freshness = freshness
         self._find_share = find_share
         self._replicas: dict[TargetId, Replica] = {}
+        self._hedger = Hedger()
 
     async def follow(self) -> None:
         """Take in a new list of targets."""
@@ -117,17 +117,12 @@
         required = self._find_required(call)
         if required is None:
             return Err(self._refuse('the age of no replica can be proved'))
-        outcome: Result[Answer, Refusal] = Err(
-            self._refuse('no replica can serve'),
+        attempts = (
+            partial(self._try, replica, call, book, deadline, required)
+            for replica in self._rank(required)
         )
-        for replica in self._rank(required):
-            outcome = await self._try(replica, call, book, deadline, required)
-            replica.note(outcome.err())
-            if not isinstance(outcome.err(), NotRun):
-                break
-            if read_clock() >= deadline:
-                break
-        return outcome
+        outcome = await self._hedger.run(call, attempts, deadline)
+        return outcome or Err(self._refuse('no replica can serve'))
 
     async def close(self) -> None:
         """Close all connections."""
@@ -146,29 +141,9 @@
         deadline: Monotonic,
         required: Point,
     ) -> Result[Answer, Refusal]:
-        executor = replica.executor
-        patience = max(
-            SHORTEST_PATIENCE,
-            PATIENCE_FACTOR * executor.admission.latency,
-        )
-        attempt_end = Monotonic(min(deadline, read_clock() + patience))
-        if call.transaction is None:
-            return await executor.run_single(call, attempt_end, required)
-        begun = await begin_transaction(
-            executor,
-            call,
-            book,
-            attempt_end,
-            required,
-        )
-        if isinstance(begun, Err):
-            return begun
-        return await run_in_transaction(
-            begun.ok_value,
-            call,
-            book,
-            attempt_end,
-        )
+        outcome = await _run_at(replica, call, book, deadline, required)
+        replica.note(outcome.err())
+        return outcome
 
     def _rank(self, required: Point) -> list[Replica]:
         now = read_clock()
@@ -188,13 +163,8 @@
         )
 
     def _make(self, known: KnownTarget, group: Group) -> Replica:
-        executor = TargetExecutor(
-            known.target,
-            self._connector,
-            self._find_share(group.connection_limit),
-            known.slots,
-            1,
-        )
+        share = self._find_share(group.connection_limit)
+        executor = TargetExecutor(known.target, self._connector, share, share)
         return Replica(known, executor)
 
     def _refuse(self, reason: str) -> NotRun:
@@ -211,3 +181,19 @@
         for known in members.targets
         if not known.leads and not known.target.is_leaving()
     }
+
+
+async def _run_at(
+    replica: Replica,
+    call: StatementCall,
+    book: TransactionBook,
+    deadline: Monotonic,
+    required: Point,
+) -> Result[Answer, Refusal]:
+    executor = replica.executor
+    if call.transaction is None:
+        return await executor.run_single(call, deadline, required)
+    begun = await begin_transaction(executor, call, book, deadline, required)
+    if isinstance(begun, Err):
+        return begun
+    return await run_in_transaction(begun.ok_value, call, book, deadline)
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -24,6 +24,7 @@
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import Monotonic, Seconds
 from sedgeshunt.limits.admission import TargetAdmission
+from sedgeshunt.limits.concurrency import FixedConcurrency
 from sedgeshunt.requests.outcome import (
     Answer,
     Cause,
@@ -35,10 +36,12 @@
 from sedgeshunt.statements.call import StatementCall
 
 LOST_RETRY = Seconds(0.1)
-# An answer that takes longer than both counts as lost: work takes at most
-# eight times its mean, and a fast target may have a slow moment.
+# A place that waits longer than both for its answer is given to the next
+# statement: work takes at most eight times its mean.
 SHORTEST_PATIENCE = Seconds(0.25)
 PATIENCE_FACTOR = 8
+# A transaction whose statement waits for so many objectives is undone.
+OPEN_FACTOR = 2
 
 Work = Callable[[], Awaitable[Result[Answer, Refusal]]]
 
@@ -60,13 +63,16 @@
         target: Target,
         connector: TargetSessionConnector,
         share: int,
-        slots: int,
-        seats: int,
+        at_once: int,
     ) -> None:
-        """Open no connection before the first statement."""
+        """Open at most `share` connections, run `at_once` statements."""
         self.target = target
         self.pool = SessionPool(connector, target, share)
-        self.admission = TargetAdmission(target.name, share, slots, seats)
+        self.admission = TargetAdmission(
+            target.name,
+            share,
+            limit=FixedConcurrency(at_once),
+        )
         # The end of the target's log, as it last showed it.
         self.tip: Point | None = None
         # When the target last answered anything, and when something was
@@ -79,7 +85,7 @@
 
     @property
     def patience(self) -> Seconds:
-        """Return how long an answer may take before it counts as lost."""
+        """Return how long a statement keeps its place without an answer."""
         usual = PATIENCE_FACTOR * self.admission.latency
         return Seconds(max(SHORTEST_PATIENCE, usual))
 
@@ -134,10 +140,11 @@
             raise
         finally:
             timer.cancel()
-        permit.release(
-            Seconds(read_clock() - started),
-            ok=not isinstance(outcome.err(), Unknown),
-        )
+        if isinstance(outcome, Ok):
+            permit.release(Seconds(read_clock() - started), ok=True)
+        else:
+            # A quick refusal says nothing of how long work takes.
+            permit.cancel()
         return outcome
 
     async def _run_lent(
@@ -172,9 +179,10 @@
                 return prepared
             if prepared.ok_value.refusal is not None:
                 return Err(self._name_refusal(prepared.ok_value.refusal))
-        if not call.is_final:
-            # Given up early it can be asked again, with time left for it.
-            deadline = Monotonic(min(deadline, read_clock() + self.patience))
+        if call.transaction is not None and not call.is_final:
+            # Given up early, the transaction can be begun again in time.
+            patience = max(SHORTEST_PATIENCE, OPEN_FACTOR * call.aim_left)
+            deadline = Monotonic(min(deadline, read_clock() + patience))
         reply = await self.ask(
             session,
             lambda: self._send(session, call, after),
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -47,6 +47,8 @@
 BEAT_EVERY = Seconds(0.2)
 # Silence after which a peer counts as gone: two heartbeats and a margin.
 SILENCE_LIMIT = Seconds(0.5)
+# Silence after which an answer was missed.
+MISSED_AFTER = Seconds(0.3)
 CONNECT_LIMIT = Seconds(0.5)
 SHORTEST_PAUSE = Seconds(0.1)
 LONGEST_PAUSE = Seconds(0.5)
@@ -59,7 +61,13 @@
     """Say what to tell peers, and take in what they tell."""
 
     @abstractmethod
-    def make_beat(self, peer: ProxyId, echo: Boottime) -> Beat:
+    def make_beat(
+        self,
+        peer: ProxyId,
+        echo: Boottime,
+        *,
+        is_answering: bool,
+    ) -> Beat:
         """Return the next heartbeat for a peer."""
 
     @abstractmethod
@@ -110,7 +118,11 @@
         """Tell whether the peer has answered of late."""
         if self._channel is None:
             return False
-        return read_clock() - self._heard_at < SILENCE_LIMIT
+        return self.measure_silence() < SILENCE_LIMIT
+
+    def measure_silence(self) -> Seconds:
+        """Return the time since the peer's last answer."""
+        return Seconds(read_clock() - self._heard_at)
 
     async def run(self) -> None:
         """Stay connected until cancelled."""
@@ -200,11 +212,16 @@
 
     async def _beat(self, channel: FrameChannel) -> None:
         while True:
-            if read_clock() - self._heard_at > SILENCE_LIMIT:
+            if self.measure_silence() > SILENCE_LIMIT:
                 channel.close()
                 return
             self._number += 1
-            beat = self._events.make_beat(self.peer.name, self._echo)
+            silence = self.measure_silence()
+            beat = self._events.make_beat(
+                self.peer.name,
+                self._echo,
+                is_answering=silence < MISSED_AFTER,
+            )
             self._beats[self._number] = read_boottime()
             channel.send(Frame(self._number, beat=beat))
             await sleep(BEAT_EVERY)
--- a/src/sedgeshunt/limits/admission.py
+++ b/src/sedgeshunt/limits/admission.py
@@ -13,7 +13,7 @@
     TrafficClass,
 )
 from sedgeshunt.limits.average import MovingAverage
-from sedgeshunt.limits.concurrency import ConcurrencyLimit
+from sedgeshunt.limits.concurrency import Concurrency, ConcurrencyLimit
 from sedgeshunt.limits.fair_queue import FairQueue, Waiter
 from sedgeshunt.limits.permit import Permit
 from sedgeshunt.requests.outcome import Cause, NotRun
@@ -46,11 +46,18 @@
         share: int,
         slots: int = 3,
         seats: int = 6,
+        limit: Concurrency | None = None,
     ) -> None:
-        """Run at most `share` at once; `seats` proxies share the slots."""
+        """Run at most `share` at once; `seats` proxies share the slots.
+
+        Without a `limit`, the proxy finds its own part of the slots.
+        """
         self.target = target
         self.running = 0
-        self.limit = ConcurrencyLimit(share, max(1, slots // max(1, seats)))
+        self.limit = limit or ConcurrencyLimit(
+            share,
+            max(1, slots // max(1, seats)),
+        )
         self._queue: FairQueue[_Turn] = FairQueue()
         self._latency = MovingAverage(WEIGHT)
         self._released_at = Monotonic(0)
--- a/src/sedgeshunt/limits/concurrency.py
+++ b/src/sedgeshunt/limits/concurrency.py
@@ -1,5 +1,6 @@
-"""Find out how many statements a target takes at once."""
+"""Say how many statements a target takes at once."""
 
+from abc import ABC, abstractmethod
 from collections import deque
 
 from sedgeshunt.identifiers import Monotonic, Seconds
@@ -12,7 +13,46 @@
 BEST_WINDOW = Seconds(30)
 
 
-class ConcurrencyLimit:
+class Concurrency(ABC):
+    """Bound the statements that one proxy runs at a target at once."""
+
+    value: int
+
+    @abstractmethod
+    def resize(self, share: int) -> None:
+        """Change the share of the target's connections."""
+
+    @abstractmethod
+    def note_full(self) -> None:
+        """Take in that a statement found no room."""
+
+    @abstractmethod
+    def note(self, latency: Seconds, *, ok: bool, now: Monotonic) -> None:
+        """Take in the end of one statement."""
+
+
+class FixedConcurrency(Concurrency):
+    """Keep to a number that is known beforehand."""
+
+    # Where a target tells its slots, latencies need not be asked: those of a
+    # mixed load vary by more than what an overload adds.
+
+    def __init__(self, value: int) -> None:
+        """Run at most `value` at once."""
+        self.value = max(1, value)
+
+    def resize(self, share: int) -> None:
+        """Keep to a new number."""
+        self.value = max(1, share)
+
+    def note_full(self) -> None:
+        """Learn nothing."""
+
+    def note(self, latency: Seconds, *, ok: bool, now: Monotonic) -> None:
+        """Learn nothing."""
+
+
+class ConcurrencyLimit(Concurrency):
     """Adapt a limit between 1 and a share by the latencies seen."""
 
     def __init__(self, share: int, start: int) -> None:
--- a/src/sedgeshunt/membership/heartbeats.py
+++ b/src/sedgeshunt/membership/heartbeats.py
@@ -49,11 +49,19 @@
         self._neighbours = neighbours
         self._groups = groups
 
-    def make_beat(self, peer: ProxyId, echo: Boottime) -> Beat:
+    def make_beat(
+        self,
+        peer: ProxyId,
+        echo: Boottime,
+        *,
+        is_answering: bool,
+    ) -> Beat:
         """Return the next heartbeat for a peer."""
+        # A peer that is silent may be gone, and each promise to it delays the
+        # next owner.
         return Beat(
             self._own,
-            self._made.make(peer),
+            is_answering and self._made.make(peer),
             echo,
             self._configuration.revision,
             self._view.revision,
@@ -65,8 +73,6 @@
         sender = beat.sender.name
         if beat.promises:
             self._held.note(sender, beat.echo)
-        else:
-            self._held.forget(sender)
         self._view.note_newer(beat.store_revision)
         return BeatReply(
             read_boottime(),
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -1,7 +1,7 @@
 """Run one proxy for statement sessions as a process."""
 
 import sys
-from asyncio import Event, Runner, TaskGroup, get_running_loop
+from asyncio import Event, Runner, TaskGroup, get_running_loop, sleep
 from contextlib import AsyncExitStack
 from pathlib import Path
 from signal import SIGHUP, SIGINT, SIGTERM
@@ -9,6 +9,7 @@
 from uvloop import new_event_loop
 
 from sedgeshunt.adapters.forwarding import ForwardingServer, StreamConnector
+from sedgeshunt.clocks import read_clock
 from sedgeshunt.exceptions import SedgeshuntError
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent, open_log
@@ -22,8 +23,15 @@
 from sedgeshunt.platform.targets import WireTargetConnector
 
 SETTINGS_OPTION = '--settings'
-# Share of the grace in which open transactions may end.
+# The balancer asks each second, and leaves an instance out after two misses.
+ROTATION_TIME = Seconds(2.2)
+# How often callers that came nevertheless are sent away from a zone that is
+# cut off.
+SEND_EVERY = Seconds(0.3)
+# Share of the grace in which open transactions may end, and share that is
+# left then for statements under way.
 DRAIN_SHARE = 0.5
+LAST_SHARE = 0.25
 
 
 class NodeProcess:
@@ -51,11 +59,24 @@
     async def _serve(self, node: NodeService, callers: CallerServer) -> None:
         async with TaskGroup() as tasks:
             running = tasks.create_task(node.run())
+            sending = tasks.create_task(self._watch_isolation(node, callers))
             await self._stopping.wait()
             self._log.note(ProcessEvent.STOPPING)
             await self._stop(node, callers)
+            sending.cancel()
             running.cancel()
 
+    async def _watch_isolation(
+        self,
+        node: NodeService,
+        callers: CallerServer,
+    ) -> None:
+        """Send callers to other zones while this one is cut off."""
+        while True:
+            await sleep(SEND_EVERY)
+            if node.isolation.measure() > ROTATION_TIME:
+                callers.send_idle_away()
+
     def _open_node(self, owned: AsyncExitStack) -> NodeService:
         settings = self._settings
         store = MetadataStore(settings.store.place)
@@ -97,8 +118,16 @@
         return callers
 
     async def _stop(self, node: NodeService, callers: CallerServer) -> None:
+        """Stop so that nobody who comes or is there notices."""
+        grace = self._settings.grace
+        began = read_clock()
         await node.hand_over()
-        await callers.stop(Seconds(self._settings.grace * DRAIN_SHARE))
+        # The balancer sends callers here until it has asked twice in vain.
+        await sleep(max(0, began + ROTATION_TIME - read_clock()))
+        callers.close()
+        patience = began + grace * DRAIN_SHARE - read_clock()
+        await callers.send_away(Seconds(max(0, patience)))
+        await callers.abort(Seconds(grace * LAST_SHARE))
         await node.leave()
 
     def _note_reload(self) -> None:
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -23,6 +23,7 @@
     TrafficClass,
 )
 from sedgeshunt.membership.heartbeats import Heartbeats
+from sedgeshunt.membership.isolation import Isolation
 from sedgeshunt.membership.neighbours import Neighbours
 from sedgeshunt.node_settings import NodeSettings
 from sedgeshunt.ownership.claims import ClaimContext
@@ -125,6 +126,12 @@
                 decisions,
             ),
         )
+        self.isolation = Isolation(
+            self.entry.zone,
+            self._lease,
+            self._neighbours,
+            decisions,
+        )
         self._heartbeats.bind(self._neighbours, self._groups)
         owners = OwnerDirectory(
             self._groups,
@@ -148,6 +155,7 @@
         async with TaskGroup() as tasks:
             tasks.create_task(self._lease.run())
             tasks.create_task(self._view.run())
+            tasks.create_task(self.isolation.run())
             while True:
                 await self._groups.changed.wait()
                 self._groups.changed.clear()
@@ -158,8 +166,9 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers can be served here."""
-        is_loaded = self._configuration.is_loaded
-        return is_loaded and not self._heartbeats.is_stopping
+        if self._heartbeats.is_stopping or self.isolation.is_isolated():
+            return False
+        return self._configuration.is_loaded
 
     async def open_session(
         self,
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -105,6 +105,17 @@
         self._unsure_until = Boottime(0)
         self._withheld: ProxyId | None = None
 
+    @property
+    def is_pressing(self) -> bool:
+        """Tell whether the owner is silent, so that a claim may follow."""
+        records = self._context.records
+        record = records.find_record(self.group)
+        if record is None or records.owner not in record.candidates:
+            return False
+        if record.owner in ('', records.owner):
+            return False
+        return not self._context.is_owner_heard(self.group, record.owner)
+
     async def wait_reign(self) -> Reign:
         """Wait until this instance owns the group."""
         while True:
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -14,15 +14,15 @@
 from sedgeshunt.registry.entries import InstanceEntry, encode_entry
 from sedgeshunt.registry.keys import make_instance_key
 
-# Time without a renewal after which another instance may take over. A little
-# above the store's shortest lease, so that two renewals may fail.
-LEASE_TIME = Seconds(1.2)
-RENEW_EVERY = Seconds(0.3)
+# Time without a renewal after which another instance may take over: the
+# store's shortest lease. Two renewals may fail in it.
+LEASE_TIME = Seconds(1)
+RENEW_EVERY = Seconds(0.25)
 # A renewal that failed is tried again after so long.
 RETRY_AFTER = Seconds(0.1)
-# Without a renewal for so long the store counts as out of reach: three of
-# them are due in this time.
-REACH_LIMIT = Seconds(1)
+# Without a renewal for so long the store counts as out of reach: two of them
+# are due in this time.
+REACH_LIMIT = Seconds(0.6)
 # The store's clock may run this much ahead over the time of a lease.
 DRIFT_MARGIN = Seconds(0.05)
 
--- a/src/sedgeshunt/ownership/promises.py
+++ b/src/sedgeshunt/ownership/promises.py
@@ -5,9 +5,10 @@
 from sedgeshunt.clocks import PROCESS_STARTED_AT, read_boottime
 from sedgeshunt.identifiers import Boottime, ProxyId, Seconds
 
-# How long a promise binds its maker, counted from when it is sent. Three
-# heartbeats fit in, so that one that is lost does no harm.
-PROMISE_TIME = Seconds(0.8)
+# How long a promise binds its maker, counted from when it is sent. It is dated
+# by the heartbeat before, 0.2 s earlier, and renewed 0.2 s later; the rest lets
+# one heartbeat be lost.
+PROMISE_TIME = Seconds(0.7)
 
 
 class PromisesMade:
@@ -58,10 +59,6 @@
         known = self._made_after.get(candidate, Boottime(0))
         self._made_after[candidate] = Boottime(max(known, made_after))
 
-    def forget(self, candidate: ProxyId) -> None:
-        """Drop the promise of a candidate that takes it back."""
-        self._made_after.pop(candidate, None)
-
     def read_end(self, candidates: Iterable[ProxyId]) -> Boottime:
         """Return until when none of `candidates` will claim."""
         made = (
--- a/src/sedgeshunt/platform/callers.py
+++ b/src/sedgeshunt/platform/callers.py
@@ -6,6 +6,7 @@
     StreamWriter,
     Task,
     current_task,
+    sleep,
     start_server,
     wait,
 )
@@ -26,13 +27,16 @@
     split_line,
 )
 from sedgeshunt.platform.refusals import name_refusal
-from sedgeshunt.platform.sockets import watch_silence
+from sedgeshunt.adapters.sockets import watch_silence
 from sedgeshunt.platform.statements import read_statement
 from sedgeshunt.ports import Address
 from sedgeshunt.requests.outcome import Answer, Refusal
 from sedgeshunt.statements.session import StatementSession
 
 NO_SIGNATURE = '-'
+# Time for a caller to read the last words, in seconds; a way takes 3 ms.
+LINGER = Seconds(0.2)
+STOPPING = 'this proxy is shutting down; connect again to reach another'
 NO_POINT = '-'
 _PHASES = {
     SessionPhase.IDLE: 'I',
@@ -68,17 +72,32 @@
         """Count the callers that are connected."""
         return len(self._conversations)
 
-    async def stop(self, patience: Seconds) -> None:
-        """Let what is under way finish, for `patience` at most."""
+    def close(self) -> None:
+        """Let nobody in any more."""
         if self._server is not None:
             self._server.close()
+
+    async def send_away(self, patience: Seconds) -> None:
+        """End each session once nothing is under way, within `patience`."""
         for conversation in self._conversations.values():
             conversation.stop()
+        if self._conversations:
+            await wait(tuple(self._conversations), timeout=patience)
+
+    def send_idle_away(self) -> None:
+        """End the sessions with nothing under way; others may follow them."""
+        for conversation in tuple(self._conversations.values()):
+            conversation.send_idle_away()
+
+    async def abort(self, patience: Seconds) -> None:
+        """Undo the transactions that are left; let statements finish."""
+        for conversation in self._conversations.values():
+            conversation.abort()
         tasks = tuple(self._conversations)
         if tasks:
-            _, late = await wait(tasks, timeout=patience)
-            for task in late:
-                task.cancel()
+            await wait(tasks, timeout=patience)
+        for task in tasks:
+            task.cancel()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         conversation = CallerConversation(reader, writer, self._open_session)
@@ -93,6 +112,10 @@
                 self._conversations.pop(task, None)
 
 
+class _SentAway(Exception):
+    """End the wait for a caller's next message."""
+
+
 class CallerConversation:
     """Serve one caller's connection, one statement after the other."""
 
@@ -108,14 +131,35 @@
         self._open_session = open_session
         self._session: StatementSession | None = None
         self._is_stopping = False
-        # Nothing is under way: the next message is waited for.
-        self._is_idle = False
+        self._is_aborting = False
+        # The next message is waited for, with no statement under way.
+        self._is_waiting = False
 
     def stop(self) -> None:
         """End the session as soon as nothing is under way."""
         self._is_stopping = True
-        if self._is_idle:
-            self._reader.feed_eof()
+        self.send_idle_away()
+
+    def send_idle_away(self) -> None:
+        """End the session if nothing is under way."""
+        if self._is_waiting and not self._is_open():
+            self._send_away()
+
+    def abort(self) -> None:
+        """End the session as soon as no statement is under way."""
+        self._is_aborting = True
+        if self._is_waiting:
+            self._send_away()
+
+    def _is_open(self) -> bool:
+        return self._session is not None and self._session.in_transaction
+
+    def _send_away(self) -> None:
+        # Callers take an error that answers nothing as a request to close. If
+        # a statement crosses it, it is its answer: nothing is run after it.
+        code = 'ABORTED' if self._is_open() else 'BUSY'
+        self._say_error(code, STOPPING)
+        self._reader.set_exception(_SentAway())
 
     async def run(self) -> None:
         """Serve until the caller leaves."""
@@ -123,6 +167,10 @@
         with suppress(OSError):
             try:
                 await self._serve()
+            except _SentAway:
+                # Closing at once could reset the connection, and the reset
+                # overtake the last words.
+                await sleep(LINGER)
             except MessageTooLong as failure:
                 self._say_error('TOOBIG', str(failure))
             except MessageMalformed as failure:
@@ -135,7 +183,7 @@
         session = await self._start()
         if session is None:
             return
-        while (line := await self._read_idle(session)) is not None:
+        while (line := await self._read_next()) is not None:
             word, rest = split_line(line, 1)
             if word == 'CLOSE':
                 return
@@ -143,14 +191,17 @@
                 raise MessageMalformed(f'"{word[:20]}" is no message')
             await self._answer(session, rest)
 
-    async def _read_idle(self, session: StatementSession) -> str | None:
-        if self._is_stopping and not session.in_transaction:
-            return None
-        self._is_idle = not session.in_transaction
+    async def _read_next(self) -> str | None:
+        if self._must_end():
+            self._send_away()
+        self._is_waiting = True
         try:
             return await read_line(self._reader)
         finally:
-            self._is_idle = False
+            self._is_waiting = False
+
+    def _must_end(self) -> bool:
+        return self._is_aborting or (self._is_stopping and not self._is_open())
 
     async def _start(self) -> StatementSession | None:
         line = await read_line(self._reader)
--- a/src/sedgeshunt/platform/readiness.py
+++ b/src/sedgeshunt/platform/readiness.py
@@ -1,20 +1,16 @@
 """Tell the platform's balancer whether this proxy takes callers."""
 
+from asyncio import Server, StreamReader, StreamWriter, start_server
 from collections.abc import Callable
-from contextlib import AsyncExitStack
-
-from aiohttp.web import (
-    Application,
-    AppRunner,
-    Request,
-    Response,
-    TCPSite,
-)
+from contextlib import suppress
 
+from sedgeshunt.adapters.http_connection import HttpBroken, HttpConnection
 from sedgeshunt.ports import Address
 
 READY = 200
+NOT_FOUND = 404
 NOT_READY = 503
+PATH = b'/ready'
 
 
 class ReadinessServer:
@@ -24,20 +20,34 @@
         """Ask `is_ready` at each question."""
         self.address = address
         self._is_ready = is_ready
-        self._owned = AsyncExitStack()
+        self._server: Server | None = None
 
     async def start(self) -> None:
         """Listen; raise OSError."""
-        application = Application()
-        application.router.add_get('/ready', self._answer)
-        runner = AppRunner(application, access_log=None)
-        await runner.setup()
-        self._owned.push_async_callback(runner.cleanup)
-        await TCPSite(runner, self.address.host, self.address.port).start()
+        self._server = await start_server(
+            self._serve,
+            self.address.host,
+            self.address.port,
+        )
 
     async def stop(self) -> None:
         """Listen no more."""
-        await self._owned.aclose()
-
-    async def _answer(self, request: Request) -> Response:
-        return Response(status=READY if self._is_ready() else NOT_READY)
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        connection = HttpConnection(reader, writer, is_server=True)
+        try:
+            with suppress(HttpBroken):
+                await self._answer(connection)
+        finally:
+            connection.close()
+
+    async def _answer(self, connection: HttpConnection) -> None:
+        while (request := await connection.serve_next()) is not None:
+            if request.target.partition(b'?')[0] != PATH:
+                connection.send_answer(NOT_FOUND)
+            else:
+                connection.send_answer(
+                    READY if self._is_ready() else NOT_READY,
+                )
--- a/src/sedgeshunt/platform/targets.py
+++ b/src/sedgeshunt/platform/targets.py
@@ -31,7 +31,7 @@
     read_line,
     split_line,
 )
-from sedgeshunt.platform.sockets import watch_silence
+from sedgeshunt.adapters.sockets import watch_silence
 from sedgeshunt.platform.statements import (
     OWN_ID,
     make_after,
--- a/src/sedgeshunt/statements/peer_desk.py
+++ b/src/sedgeshunt/statements/peer_desk.py
@@ -83,10 +83,14 @@
 
     async def reaches(self, group: GroupId, target: TargetId) -> bool:
         """Tell whether a target that leads its group is reached from here."""
+        access = self._groups.get(group)
         members = self._configuration.find_members(group)
         known = None if members is None else members.find(target)
-        if known is None or self._heartbeats.is_stopping:
+        if known is None or access is None or self._heartbeats.is_stopping:
             return False
+        if known == access.probe.find_recorded():
+            if access.probe.is_unreachable():
+                return False
         status = await read_status(self._connector, known)
         return status is not None and status.role is LogRole.PRIMARY
 
