Specify owners and promotions, and test whole proxies in virtual time

Eleven safeguards taken out in turn each give a counterexample.

Mended, found by these tests: with synchronous replicas a new owner promoted a replica that lacked an acknowledged write after its first attempt had failed; the furthest of too few logs is not promoted now. A read that both replicas did not answer waited for its deadline; it goes to the owner now. All claims were made at once, as the delay by rank counted from the wrong moment.

--- a/src/sedgeshunt/execution/group_owner.py
+++ b/src/sedgeshunt/execution/group_owner.py
@@ -48,7 +48,7 @@
         self._state = state
         self._keeper = keeper
         self._freshness = freshness
-        self._hedger = Hedger()
+        self._hedger = Hedger(is_last_resort=True)
 
     @property
     def group(self) -> GroupId:
--- a/src/sedgeshunt/execution/hedging.py
+++ b/src/sedgeshunt/execution/hedging.py
@@ -23,8 +23,13 @@
 class Hedger:
     """Run attempts of one read, the next when the last seems lost."""
 
-    def __init__(self) -> None:
-        """Start with a budget of its own."""
+    def __init__(self, *, is_last_resort: bool) -> None:
+        """Start with a budget of its own.
+
+        A last resort waits for the last attempt to its end; any other leaves
+        what is not answered to the next resort.
+        """
+        self._is_last_resort = is_last_resort
         self._budget = RetryBudget()
         # Attempts that were overtaken: cutting them off would cost their
         # connection, and the target has done the work anyway.
@@ -36,28 +41,21 @@
         attempts: Iterator[Attempt],
         deadline: Monotonic,
     ) -> Outcome | None:
-        """Return the first answer, the last refusal, None without attempts."""
+        """Return the first answer, the last refusal, None without either."""
         self._budget.note_request()
         running: set[Task[Outcome]] = set()
         refused: Outcome | None = None
         try:
             while self._start_next(attempts, running):
-                answered = await _wait_one(running, _find_patience(call))
-                if answered is None:
-                    if not self._budget.try_spend():
-                        break
-                    continue
-                refused = answered
-                if not isinstance(refused.err(), NotRun):
-                    return refused
-                if read_clock() >= deadline:
+                ended = await _wait_one(running, _find_patience(call))
+                refused = ended or refused
+                if _is_final(ended) or read_clock() >= deadline:
                     return refused
-            while running:
-                answered = await _wait_one(running, None)
-                refused = answered or refused
-                if answered and not isinstance(answered.err(), NotRun):
-                    return answered
-            return refused
+                if ended is None and not self._budget.try_spend():
+                    return await _wait_final(running, refused)
+            if not self._is_last_resort:
+                return refused
+            return await _wait_final(running, refused)
         finally:
             self._leave(running, call)
 
@@ -106,8 +104,25 @@
     return ended.result()
 
 
+async def _wait_final(
+    running: set[Task[Outcome]],
+    refused: Outcome | None,
+) -> Outcome | None:
+    """Return the first answer, or the last refusal once all have ended."""
+    while running:
+        ended = await _wait_one(running, None)
+        refused = ended or refused
+        if _is_final(ended):
+            return ended
+    return refused
+
+
 def _find_patience(call: StatementCall) -> Seconds | None:
     # A transaction is open in one place only.
     if call.transaction is not None:
         return None
     return Seconds(max(SHORTEST_HEDGE, HEDGE_SHARE * call.aim_left))
+
+
+def _is_final(ended: Outcome | None) -> bool:
+    return ended is not None and not isinstance(ended.err(), NotRun)
--- a/src/sedgeshunt/execution/primary_keeper.py
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -10,7 +10,6 @@
 from sedgeshunt.execution.primary_finder import Leader, PrimaryFinder
 from sedgeshunt.execution.primary_probe import PrimaryProbe
 from sedgeshunt.execution.primary_state import PrimaryState
-from sedgeshunt.execution.replacement import Successor
 from sedgeshunt.execution.statuses import read_status, read_statuses
 from sedgeshunt.execution.target_executor import TargetExecutor
 from sedgeshunt.groups.points import Point
@@ -60,6 +59,8 @@
         self._parts = parts
         self._probe_before = probe
         self._finder = PrimaryFinder(reign, parts)
+        # The end of what callers were told by the primary before.
+        self._acknowledged: Point | None = None
 
     async def run(self) -> None:
         """Keep the primary until cancelled."""
@@ -109,6 +110,7 @@
             known.slots + SENT_AHEAD,
         )
         executor.tip = leader.status.received
+        self._acknowledged = None
         self._state.serve(executor)
         self._parts.tell(
             DecisionKind.PRIMARY_FOUND,
@@ -201,9 +203,7 @@
         if leading is not None and known is not None:
             await self._serve(Leader(known, statuses[leading]))
             return
-        chosen = await self._choose(members, statuses)
-        if chosen is not None:
-            await self._promote(members, chosen, acknowledged)
+        await self._promote(members, statuses, acknowledged)
 
     async def _replace_planned(
         self,
@@ -213,10 +213,12 @@
         """Replace a primary that leaves, with nothing lost and little wait."""
         await _wait_quiet(executor)
         statuses = await self._ask_others(members, executor.target.name)
-        chosen = await self._choose(members, statuses)
-        if chosen is not None:
-            await self._suspend(executor)
-            await self._promote(members, chosen, executor.tip)
+        # Without a successor or the store it would be suspended for nothing.
+        if not (statuses and self._parts.records.reaches_store()):
+            await sleep(RETRY_PAUSE)
+            return
+        await self._suspend(executor)
+        await self._promote(members, statuses, executor.tip)
 
     async def _suspend(self, executor: TargetExecutor) -> None:
         """Start nothing more at the primary, and let what is open end."""
@@ -234,35 +236,22 @@
     async def _promote(
         self,
         members: GroupMembers,
-        chosen: Successor,
+        statuses: dict[TargetId, LogStatus],
         acknowledged: Point | None,
     ) -> None:
+        # Once told, it stays acknowledged, however many attempts it takes.
+        self._acknowledged = acknowledged or self._acknowledged
         successor = await self._parts.replacement.promote(
             self._reign,
-            chosen,
-            acknowledged,
-            must_cover=bool(members.group.synchronous_replicas),
+            members,
+            statuses,
+            self._acknowledged,
         )
         if successor is None:
             await sleep(RETRY_PAUSE)
         else:
             await self._serve(Leader(successor.known, successor.status))
 
-    async def _choose(
-        self,
-        members: GroupMembers,
-        statuses: dict[TargetId, LogStatus],
-    ) -> Successor | None:
-        """Choose a successor; pause when there is none, or no store."""
-        chosen = await self._parts.replacement.choose(
-            self._reign,
-            members,
-            statuses,
-        )
-        if chosen is None:
-            await sleep(RETRY_PAUSE)
-        return chosen
-
     async def _ask_others(
         self,
         members: GroupMembers,
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -18,7 +18,11 @@
     PromotionService,
 )
 from sedgeshunt.groups.points import Point
-from sedgeshunt.groups.successors import choose_successor, covers
+from sedgeshunt.groups.successors import (
+    choose_successor,
+    covers,
+    is_safe_choice,
+)
 from sedgeshunt.identifiers import Seconds, TargetId
 from sedgeshunt.ownership.records import GroupRecords
 from sedgeshunt.ownership.reign import Reign
@@ -59,43 +63,37 @@
         self._records = records
         self._decisions = decisions
 
-    async def choose(
+    async def promote(
         self,
         reign: Reign,
         members: GroupMembers,
         statuses: Mapping[TargetId, LogStatus],
+        acknowledged: Point | None,
     ) -> Successor | None:
-        """Choose the replica whose log is furthest, and note it.
+        """Have the replica with the furthest log lead; None if none does.
 
-        None if there is none, or the store did not take the note.
+        `statuses` are those of replicas that answered, `acknowledged` is the
+        end of what this owner told callers, None if it told nothing.
         """
-        chosen = choose_successor(reign.group, statuses)
-        known = None if chosen is None else members.find(chosen)
-        if chosen is None or known is None:
+        target = choose_successor(reign.group, statuses)
+        known = None if target is None else members.find(target)
+        if target is None or known is None:
+            return None
+        chosen = Successor(known, statuses[target])
+        covers_all = await self._catch_up(chosen, acknowledged)
+        is_safe = is_safe_choice(
+            len(members.targets) - 1,
+            len(statuses),
+            members.group.synchronous_replicas,
+            covers_all=covers_all and acknowledged is not None,
+        )
+        if not is_safe:
             return None
         # The next owner must know that an order is under way: it takes effect
         # hundreds of milliseconds after it was sent.
-        if not await self._records.note_intent(reign, chosen):
-            return None
-        return Successor(known, statuses[chosen])
-
-    async def promote(
-        self,
-        reign: Reign,
-        chosen: Successor,
-        acknowledged: Point | None,
-        *,
-        must_cover: bool,
-    ) -> Successor | None:
-        """Have the chosen replica lead; None if it does not.
-
-        With `must_cover` only if it has received all that was acknowledged.
-        """
-        covers_all = await self._catch_up(chosen, acknowledged)
-        if must_cover and not covers_all:
-            await self._records.clear_intent(reign)
+        if not await self._records.note_intent(reign, target):
             return None
-        return await self._promote(reign, chosen.known)
+        return await self._promote(reign, known)
 
     async def finish_pending(
         self,
--- a/src/sedgeshunt/execution/replica_reader.py
+++ b/src/sedgeshunt/execution/replica_reader.py
@@ -93,7 +93,7 @@
         self.freshness = freshness
         self._find_share = find_share
         self._replicas: dict[TargetId, Replica] = {}
-        self._hedger = Hedger()
+        self._hedger = Hedger(is_last_resort=False)
 
     async def follow(self) -> None:
         """Take in a new list of targets."""
--- a/src/sedgeshunt/groups/successors.py
+++ b/src/sedgeshunt/groups/successors.py
@@ -35,5 +35,24 @@
 
 
 def covers(status: LogStatus, acknowledged: Point | None) -> bool:
-    """Tell whether a log has received all that was acknowledged."""
+    """Tell whether a log has received all that is known as acknowledged."""
     return acknowledged is None or acknowledged <= status.received
+
+
+def is_safe_choice(
+    replicas: int,
+    heard: int,
+    synchronous: int,
+    *,
+    covers_all: bool,
+) -> bool:
+    """Tell whether the furthest log heard must hold all acknowledged writes.
+
+    `covers_all` says that it holds all that this owner acknowledged itself.
+    """
+    # Each acknowledged write is on `synchronous` of the replicas. Among so
+    # many that fewer than this are missing, one has it, and the furthest log
+    # has all of them.
+    if not synchronous:
+        return True
+    return covers_all or replicas - heard < synchronous
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -4,10 +4,11 @@
 from contextlib import suppress
 from uuid import uuid4
 
-from sedgeshunt.clocks import read_clock
+from sedgeshunt.clocks import PROCESS_STARTED_AT, read_clock
 from sedgeshunt.connections.target_session import TargetSessionConnector
 from sedgeshunt.decisions import DecisionLog
 from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
+from sedgeshunt.execution.group_access import GroupAccess
 from sedgeshunt.execution.group_table import GroupTable
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.replacement import PrimaryReplacement
@@ -15,6 +16,7 @@
 from sedgeshunt.forwarding.server import PeerConversation
 from sedgeshunt.groups.orders import PromotionService
 from sedgeshunt.identifiers import (
+    Boottime,
     GroupId,
     Incarnation,
     Monotonic,
@@ -58,6 +60,7 @@
         promotions: PromotionService,
         peers: FrameConnector,
         decisions: DecisionLog,
+        started_at: Boottime = PROCESS_STARTED_AT,
     ) -> None:
         """Bring the parts together; nothing runs before run()."""
         self.entry = _make_entry(settings)
@@ -82,7 +85,7 @@
             self.entry.name,
             self.entry.incarnation,
         )
-        made, held = PromisesMade(), PromisesHeld()
+        made, held = PromisesMade(started_at), PromisesHeld()
         self._heartbeats = Heartbeats(
             self.entry,
             self._view,
@@ -186,6 +189,14 @@
             self._dispatcher,
         )
 
+    def find_access(self, group: GroupId) -> GroupAccess | None:
+        """Return what runs here for a group, None when it is not declared."""
+        return self._groups.get(group)
+
+    def find_lease(self) -> InstanceLease:
+        """Return this instance's lease in the store."""
+        return self._lease
+
     async def serve_peer(self, channel: FrameChannel) -> None:
         """Serve one peer's connection."""
         await PeerConversation(channel, self._desk).run()
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -217,7 +217,9 @@
             and context.records.owner not in record.candidates
         ):
             return absent_for > LONGEST_EXTENSION + PROMISE_TIME
-        return absent_for >= self._find_rank(last) * RANK_DELAY
+        if self._free_since is None:
+            self._free_since = now
+        return now - self._free_since >= self._find_rank(last) * RANK_DELAY
 
     def _find_bound(self, record: GroupRecord | None) -> ProxyId:
         """Return the latest owner if it may still go on by promises."""
--- a/src/sedgeshunt/ownership/promises.py
+++ b/src/sedgeshunt/ownership/promises.py
@@ -18,8 +18,9 @@
     # you own". A process that starts has forgotten the promises of the one
     # before it, so it is bound to everybody for as long.
 
-    def __init__(self) -> None:
-        """Be bound as a process that may have promised before it ended."""
+    def __init__(self, started_at: Boottime = PROCESS_STARTED_AT) -> None:
+        """Be bound by what the process before may have promised."""
+        self._started_at = started_at
         self._bound_until: dict[ProxyId, Boottime] = {}
         self._withheld: set[ProxyId] = set()
 
@@ -40,7 +41,7 @@
 
     def measure_bond(self, owner: ProxyId) -> Seconds:
         """Return how long this instance is still bound to `owner`."""
-        since_start = PROCESS_STARTED_AT + PROMISE_TIME
+        since_start = self._started_at + PROMISE_TIME
         until = max(since_start, self._bound_until.get(owner, Boottime(0)))
         return Seconds(max(0, until - read_boottime()))
 
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -73,6 +73,10 @@
         self._view = view
         self._lease = lease
 
+    def reaches_store(self) -> bool:
+        """Tell whether the store has answered of late."""
+        return self._lease.reaches_store()
+
     def find_owner(self, group: GroupId) -> OwnerEntry | None:
         """Return who owns a group by the store, None for nobody."""
         pair = self._view.get(make_owner_key(group))
--- /dev/null
+++ b/tests/features/node_callers.py
@@ -0,0 +1,116 @@
+"""Keep callers busy at whole proxies and remember what they were told."""
+
+from asyncio import sleep
+from dataclasses import dataclass, field
+from typing import Any
+
+from result import Ok
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.requests.outcome import NotRun, Unknown
+from sedgeshunt.statements.session import StatementSession
+from tests.features.node_bench import NodeBench, Outcome
+
+WATCH_EVERY = 0.005
+
+
+@dataclass
+class Told:
+    """Hold one statement and what its caller was told."""
+
+    text: str
+    asked_at: float
+    answered_at: float
+    outcome: Outcome
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether it was acknowledged."""
+        return isinstance(self.outcome, Ok)
+
+    @property
+    def row(self) -> str:
+        """Return the first row of an answer."""
+        assert isinstance(self.outcome, Ok), self.outcome
+        return str(self.outcome.ok_value.rows[0][0])
+
+    @property
+    def refusal(self) -> NotRun | Unknown:
+        """Return why there is no answer."""
+        refusal = self.outcome.err()
+        assert isinstance(refusal, NotRun | Unknown), self.outcome
+        return refusal
+
+
+@dataclass
+class Callers:
+    """Hold what callers of one scenario were told."""
+
+    bench: NodeBench
+    told: list[Told] = field(default_factory=list)
+    # Owners of the group whenever it was looked at.
+    owners: list[tuple[float, str]] = field(default_factory=list)
+    is_over: bool = False
+
+    async def ask(self, session: StatementSession, text: str) -> Told:
+        """Run one statement and keep its end."""
+        asked_at = read_clock()
+        outcome = await self.bench.answer(session, text)
+        told = Told(text, asked_at, read_clock(), outcome)
+        self.told.append(told)
+        return told
+
+    async def write_on(self, session: StatementSession, pause: float) -> None:
+        """Write one thing after the other until the scenario's end."""
+        number = 0
+        while not self.is_over:
+            number += 1
+            await self.ask(session, f'WRITE item{number} {number}')
+            await sleep(pause)
+
+    async def read_on(
+        self,
+        session: StatementSession,
+        until: float,
+        pause: float = 0,
+    ) -> None:
+        """Read the newest write's item until a moment."""
+        while read_clock() < until:
+            await self.ask(session, 'READ item')
+            await sleep(pause)
+
+    async def watch_owners(self) -> None:
+        """Look again and again who owns the group; two at once fail."""
+        while not self.is_over:
+            owner = self.bench.find_owner()
+            if owner is not None:
+                self.owners.append((read_clock(), owner))
+            await sleep(WATCH_EVERY)
+
+    def list_writes(self) -> list[Told]:
+        """List the writes in the order of their answers."""
+        return [told for told in self.told if told.text.startswith('WRITE')]
+
+    def measure_gap(self) -> float:
+        """Return the longest time without an acknowledged write."""
+        moments = [
+            told.answered_at for told in self.list_writes() if told.is_done
+        ]
+        pairs = zip(moments, moments[1:], strict=False)
+        return max(late - early for early, late in pairs)
+
+
+def open_bench(context: Any) -> NodeBench:
+    """Return the scenario's bench, a new one at its first use."""
+    if not hasattr(context, 'nodes'):
+        context.nodes = NodeBench()
+        context.callers = Callers(context.nodes)
+        context.add_cleanup(close_bench, context)
+    bench: NodeBench = context.nodes
+    return bench
+
+
+def close_bench(context: Any) -> None:
+    """End the scenario's callers and proxies."""
+    context.callers.is_over = True
+    context.nodes.close()
--- /dev/null
+++ b/tests/features/ownership.feature
@@ -0,0 +1,160 @@
+Feature: One owner of a group at a time
+  The owner alone uses the primary. It holds the group by a lease in the store,
+  or by the promises of all who could claim it.
+
+  Scenario: The best placed proxy owns a group
+    Three proxies start at once. Each sees the same order of the others; the one
+    in the primary's zone claims, and the others see that they need not.
+    Given proxies "north-1, east-1, west-1"
+    Then "east-1" owns the group
+    And the group was claimed 1 time
+
+  Scenario: A proxy that forwards and the owner see the same data
+    Given proxies "north-1, east-1, west-1"
+    When a caller of "settle" at "west-1" runs "WRITE turn 1"
+    Then it is done
+    When a caller of "settle" at "north-1" runs "READ turn"
+    Then it is done with "1"
+
+  Scenario: The group goes on after its owner's death
+    A caller's writes fail for a moment and then go on. The owner's process is
+    gone; the others miss its answers, its lease lapses, and one of them claims.
+    No two owned the group at any time, and the token has grown.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When "east-1" is killed
+    And 3 s go by
+    Then another proxy than "east-1" owns the group
+    And no write was done for 0.5 to 1.4 s at most
+    And no two proxies owned the group at once
+    And every acknowledged write is on the primary
+
+  Scenario: A process that comes back at once takes its group back
+    The owner's process dies and is started again within its lease. The store
+    still names its instance: nobody else can have claimed meanwhile.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When "east-1" is killed
+    And 0.3 s go by
+    And "east-1" starts again
+    And 2 s go by
+    Then "east-1" owns the group
+    And no write was done for 0.2 to 0.9 s at most
+
+  Scenario: An outage of the store stops no writes
+    The store answers nobody for six seconds, six times the lease. The owner
+    still hears each candidate promise not to claim, and goes on.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the store is down for 6 s
+    And 2 s go by
+    Then "east-1" owns the group
+    And no write was done for 0 to 0.2 s at most
+    And no two proxies owned the group at once
+
+  Scenario: Without the store and with a candidate lost, the owner stops
+    The store is down and one candidate is dead. Nobody can say that the dead
+    one has not claimed just before; so the owner stops with its lease. A write
+    in the meantime is refused as not run, at once, and works after the outage.
+    Given proxies "north-1, east-1, west-1"
+    When the store goes down
+    And "north-1" is killed
+    And 2.5 s go by
+    Then nobody owns the group
+    When a caller of "settle" at "west-1" runs "WRITE turn 1"
+    Then it is refused as not run within 2 ms
+    When the store comes back
+    And 2 s go by
+    And a caller of "settle" at "west-1" runs "WRITE turn 1"
+    Then it is done
+
+  Scenario: The store refuses only the owner
+    The owner can't renew its lease while all others can. Its key lapses, but
+    the candidates hear it and keep their promises: nobody claims.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the store is cut off from "east-1" for 5 s
+    And 2 s go by
+    Then "east-1" owns the group
+    And no write was done for 0 to 0.2 s at most
+    And no two proxies owned the group at once
+
+  Scenario: An owner that is cut off has stopped before the next one starts
+    The owner reaches nobody, but the primary still reaches it. It stops by
+    itself with its lease and its promises, on its own clock. The next owner
+    acts only after that.
+    Given proxies "north-1, east-1, west-1"
+    When "east-1" is cut off from proxies and store
+    And 3 s go by
+    Then another proxy than "east-1" owns the group
+    And no two proxies owned the group at once
+
+  Scenario: A process that was suspended tells nothing of an old primary
+    The owner sends a read and a write, then the instance is suspended for five
+    seconds, and the answers arrive. Another may own the group by now: the read
+    is not passed on, and of the write nobody can say that it was kept.
+    Given proxies "east-1"
+    When a caller of "settle" at "east-1" runs "READ turn" across a suspension
+    Then it is refused as not run within 900 ms
+    Given the suspension is over
+    When a caller of "settle" at "east-1" runs "WRITE turn 1" across a suspension
+    Then its outcome is unknown
+
+  Scenario: A new owner's token is above those before
+    Given proxies "north-1, east-1, west-1"
+    When each proxy is killed in turn and started again after 3 s
+    Then each claim's token is above the one before
+
+  Scenario: A stopping proxy hands its group over
+    The owner is told to stop. It gives the group to the best placed peer, which
+    looks at the primary and goes on; callers at other proxies see no gap.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When "east-1" hands over
+    And 1 s goes by
+    Then another proxy than "east-1" owns the group
+    And no write was done for 0 to 0.25 s at most
+    And no two proxies owned the group at once
+
+  Scenario: A silent watch does not keep an old configuration in force
+    The store's watches hear nothing, although nothing is reported as broken. One
+    proxy asks how far the store is; what the watch does not bring is listed.
+    Given proxies "north-1, east-1, west-1"
+    When the watches go deaf
+    And the operator drops the route "browse"
+    And 2.5 s go by
+    Then no proxy lets a caller of "browse" in
+
+  Scenario: A proxy that the store does not serve learns the newest from peers
+    Given proxies "north-1, east-1, west-1"
+    When the store is cut off from "west-1"
+    And the operator drops the route "browse"
+    And 1 s goes by
+    Then no proxy lets a caller of "browse" in
+
+  Scenario: Who promised waits before it claims
+    The store was down and all keys have lapsed; the owner goes on by promises.
+    The store is back for all but the owner, and in this moment one candidate
+    misses the owner's answers. It claims, but its own promise still binds it:
+    the owner counts on it until then.
+    Given proxies "north-1, east-1, west-1"
+    When the store is down for 2 s
+    And the store is cut off from "east-1"
+    And nothing passes from "east-1" to "north-1"
+    And 2 s go by
+    Then another proxy than "east-1" owns the group
+    And no two proxies owned the group at once
+
+  Scenario: Promises carry on only what still holds
+    An owner was held up until its lease and all promises were over. Another may
+    have owned the group since. Promises that come again prove nothing.
+    Given a reign that a promise held up
+    When 2 s go by without any
+    And the promise is made again
+    Then the reign does not hold
+
+  Scenario: A process that starts is bound as the one before it
+    The one before may have promised just before it ended, and promises are kept
+    in memory alone.
+    Given a process that has just started
+    Then it is bound to any owner for 0.7 s
--- a/tests/features/promise_time.py
+++ b/tests/features/promise_time.py
@@ -26,6 +26,10 @@
             Runner(loop_factory=make_loop),
         )
 
+    def read_now(self) -> float:
+        """Return the clock, in seconds."""
+        return self._runner.get_loop().time()
+
     def run(self, work: Coroutine[Any, Any, Value]) -> Value:
         """Run until `work` is done."""
         return self._runner.run(work)
@@ -50,6 +54,12 @@
         """Let `work` go on until the end."""
         self.act(lambda: self._watching.append(create_task(work)))
 
+    def list_failures(self) -> list[BaseException]:
+        """List what made watched work fail."""
+        ended = [task for task in self._watching if task.done()]
+        errors = (task.exception() for task in ended if not task.cancelled())
+        return [error for error in errors if error is not None]
+
     def cancel_watches(self) -> None:
         """End what would go on for ever."""
         for task in self._watching:
--- /dev/null
+++ b/tests/features/replacement.feature
@@ -0,0 +1,85 @@
+Feature: Replacing a primary by an order
+  The owner of a group has the platform promote another target when the primary
+  is lost or leaves.
+
+  Scenario: A primary crashes
+    Writes stop for a moment. The owner's connections break, a probe finds
+    nobody, the furthest replica is promoted and serves. All that was
+    acknowledged and had reached a replica is there.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the primary crashes
+    And 2 s go by
+    Then "db-east" does not lead
+    And no write was done for 0.3 to 0.7 s at most
+    And every acknowledged write is on the primary
+    And no write ran twice
+
+  Scenario: A primary falls silent
+    Nothing is reset: statements just get no answer any more. The stall is
+    noticed while work is under way, and the probe gets no answer either.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the primary freezes
+    And 3 s go by
+    Then "db-east" does not lead
+    And no write was done for 0.4 to 1.5 s at most
+    And no write ran twice
+
+  Scenario: A primary that leaves is replaced before its end
+    The primary says that it leaves. Its successor has everything before it
+    leads, nothing is refused, and nothing reaches the old one any more.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the primary says that it leaves
+    And 4 s go by
+    Then "db-east" does not lead
+    And no write was done for 0.3 to 0.6 s at most
+    And every write was done
+    And every acknowledged write is on the primary
+    And nothing ran on "db-east" in the last second
+
+  Scenario: The owner loses its way to the primary, a peer has one
+    The primary is well and only the owner can't reach it. The group is handed
+    to a peer that can: no promotion, no loss.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When "east-1" is cut off from "db-east"
+    And 2 s go by
+    Then "db-east" leads
+    And another proxy than "east-1" owns the group
+    And no write was done for 0.1 to 1 s at most
+    And every acknowledged write is on the primary
+
+  Scenario: An owner dies after its order, before it takes effect
+    The primary is silent for a moment, so its owner orders another one; then the
+    owner dies and the primary goes on. The order takes effect late. The next
+    owner finds the intent in the store and must not use the old primary: what
+    is written there is lost when the order takes effect.
+    Given proxies "north-1, east-1, west-1"
+    And a promotion takes 2.5 s
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the primary freezes
+    And "east-1" is killed as soon as it has ordered
+    And "db-east" goes on
+    And 6 s go by
+    Then "db-east" does not lead
+    And every acknowledged write is on the primary
+    And no write ran twice
+
+  Scenario: Where a replica acknowledges each write, one that lacks it is not promoted
+    Each acknowledged write is on one replica at least. The one that has it is
+    out of reach when the primary dies; promoting the other would lose it.
+    Given groups with 1 synchronous replica
+    And proxies "north-1, east-1, west-1"
+    And "db-north" receives nothing
+    When a caller of "settle" at "west-1" runs "WRITE turn 1"
+    Then it is done
+    Given a caller of "settle" at "west-1" writes every 20 ms
+    When "db-west" freezes
+    And the primary crashes
+    And 3 s go by
+    Then no promotion was ordered
+    When "db-west" goes on
+    And 2 s go by
+    Then "db-west" leads
--- a/tests/features/specs.feature
+++ b/tests/features/specs.feature
@@ -16,6 +16,8 @@
       | acknowledgement             | 300    |
       | operators                   | 600    |
       | configuration               | 150    |
+      | ownership                   | 500000 |
+      | succession                  | 150    |
 
   Scenario: Every accepted change can still come into force everywhere
     Then the specification "configuration" can always reach its goal
@@ -75,3 +77,32 @@
       | events below what is in force are passed over         | an accepted change is never reverted   | 6     |
       | a watch that goes backwards is replaced by a listing  | an accepted change is never reverted   | 5     |
       | a watch leaves out no change between two others       | what is in force is whole              | 3     |
+
+  Scenario Outline: An ownership without one of its safeguards
+    An owner holds a group by its lease and by the promises of a candidate. The
+    store goes down, processes freeze and start anew, messages are late.
+    When the ownership lacks "<safeguard>"
+    Then the search breaks "<property>" in <steps> steps
+
+    Examples:
+      | safeguard                                            | property                                  | steps |
+      | a lease counts from when its renewal was sent        | one owner at once                         | 7     |
+      | a promise is dated by its owner's own clock          | one owner at once                         | 7     |
+      | who promised waits before it claims                  | one owner at once                         | 7     |
+      | a process that starts is bound as if it had promised | one owner at once                         | 8     |
+      | promises carry on only what still holds              | no reign comes back once another followed | 8     |
+      | the store gives the key away only when it is absent  | one owner at once                         | 2     |
+
+  Scenario Outline: A succession without one of its safeguards
+    An owner has the primary replaced and loses the group to another one, at any
+    point of its way.
+    When the succession lacks "<safeguard>"
+    Then the search breaks "<property>" in <steps> steps
+
+    Examples:
+      | safeguard                                               | property                                        | steps |
+      | an owner looks again before it passes an answer on      | nothing is read from a superseded primary       | 7     |
+      | an owner stops using a primary before it orders another | nothing is acknowledged at a superseded primary | 4     |
+      | an order is noted before it is sent, and seen through   | nothing is acknowledged at a superseded primary | 5     |
+      | an order is dropped with the end of its sender          | tokens of orders never go down                  | 6     |
+      | an owner looks which target leads after it has claimed  | nothing is acknowledged at a superseded primary | 6     |
--- /dev/null
+++ b/tests/features/steps/ownership_steps.py
@@ -0,0 +1,314 @@
+"""Check who owns a group while proxies, store and links fail."""
+
+from asyncio import create_task, sleep
+from typing import Any
+
+from behave import given, then, when
+
+from sedgeshunt.clocks import read_boottime
+from sedgeshunt.decisions import DecisionKind
+from sedgeshunt.identifiers import OwnerToken, ProxyId
+from sedgeshunt.ownership.promises import PromisesHeld, PromisesMade
+from sedgeshunt.ownership.reign import Reign
+from sedgeshunt.requests.outcome import NotRun, Unknown
+from tests.features.node_bench import GROUP, ROUTES
+from tests.features.node_callers import open_bench
+from tests.standins.network import PLATFORM
+
+SUSPENSION = 5
+MILLISECONDS = 1000
+
+
+@given('proxies "{names}"')
+def start_proxies(context: Any, names: str) -> None:
+    bench = open_bench(context)
+    bench.start(*names.split(', '))
+    bench.time.watch(context.callers.watch_owners())
+
+
+@given('a caller of "{database}" at "{node}" writes every {pause:d} ms')
+def keep_writing(context: Any, database: str, node: str, pause: int) -> None:
+    bench = context.nodes
+    session = bench.open(node, database)
+    bench.time.watch(
+        context.callers.write_on(session, pause / MILLISECONDS),
+    )
+    bench.wait(0.5)
+
+
+@when('a caller of "{database}" at "{node}" runs "{text}"')
+def run_statement(context: Any, database: str, node: str, text: str) -> None:
+    context.session = context.nodes.open(node, database)
+    run_again(context, text)
+
+
+@when('the same caller runs "{text}"')
+def run_again(context: Any, text: str) -> None:
+    asked = context.callers.ask(context.session, text)
+    context.told = context.nodes.run(asked)
+
+
+@when('a caller of "{database}" at "{node}" runs "{text}" across a suspension')
+def run_suspended(context: Any, database: str, node: str, text: str) -> None:
+    bench = context.nodes
+    session = bench.open(node, database)
+
+    async def suspend() -> None:
+        asked = create_task(context.callers.ask(session, text))
+        # The statement is at the target now, and its answer not here yet.
+        await sleep(0.005)
+        bench.suspended += SUSPENSION
+        context.told = await asked
+
+    bench.run(suspend())
+
+
+@given('the suspension is over')
+def settle_again(context: Any) -> None:
+    context.nodes.wait(3)
+
+
+@when('"{node}" is killed')
+def kill_node(context: Any, node: str) -> None:
+    context.nodes.time.act(context.nodes.nodes[node].kill)
+
+
+@when('"{node}" starts again')
+def restart_node(context: Any, node: str) -> None:
+    context.nodes.restart(node)
+
+
+@when('"{node}" hands over')
+def hand_over(context: Any, node: str) -> None:
+    context.nodes.run(context.nodes.nodes[node].service.hand_over())
+
+
+@when('each proxy is killed in turn and started again after {seconds:g} s')
+def kill_all_in_turn(context: Any, seconds: float) -> None:
+    for name in tuple(context.nodes.nodes):
+        kill_node(context, name)
+        context.nodes.wait(seconds)
+        context.nodes.restart(name)
+        context.nodes.wait(seconds)
+
+
+@when('the store is down for {seconds:g} s')
+def stop_store_for(context: Any, seconds: float) -> None:
+    stop_store(context)
+    context.nodes.wait(seconds)
+    resume_store(context)
+
+
+@when('the store goes down')
+def stop_store(context: Any) -> None:
+    context.nodes.time.act(context.nodes.store.outage)
+
+
+@when('the store comes back')
+def resume_store(context: Any) -> None:
+    context.nodes.time.act(context.nodes.store.recover)
+
+
+@when('the store is cut off from "{node}" for {seconds:g} s')
+def cut_store_for(context: Any, node: str, seconds: float) -> None:
+    cut_store(context, node)
+    context.nodes.wait(seconds)
+    heal_all(context)
+
+
+@when('the store is cut off from "{node}"')
+def cut_store(context: Any, node: str) -> None:
+    context.nodes.network.cut(PLATFORM.name, node)
+
+
+@when('"{node}" is cut off from proxies and store')
+def cut_node(context: Any, node: str) -> None:
+    cut_store(context, node)
+    for other in context.nodes.nodes:
+        if other != node:
+            context.nodes.network.cut(node, other)
+
+
+@when('"{node}" is cut off from "{other}"')
+def cut_pair(context: Any, node: str, other: str) -> None:
+    context.nodes.network.cut(node, other)
+
+
+@when('nothing passes from "{node}" to "{other}"')
+def close_way(context: Any, node: str, other: str) -> None:
+    context.nodes.network.close_way(node, other)
+
+
+@when('all cuts heal')
+def heal_all(context: Any) -> None:
+    context.nodes.time.act(context.nodes.network.heal)
+
+
+@when('the watches go deaf')
+def deafen(context: Any) -> None:
+    context.nodes.store.is_deaf = True
+
+
+@when('the operator drops the route "{database}"')
+def drop_route(context: Any, database: str) -> None:
+    kept = [route for route in ROUTES if route.name != database]
+    context.nodes.declare(tuple(kept))
+
+
+@when('{seconds:g} s go by')
+@when('{seconds:g} s goes by')
+def let_pass(context: Any, seconds: float) -> None:
+    context.nodes.wait(seconds)
+
+
+@then('"{node}" owns the group')
+def check_owner(context: Any, node: str) -> None:
+    owner = context.nodes.find_owner()
+    assert owner == node, f'{owner} owns it'
+
+
+@then('another proxy than "{node}" owns the group')
+def check_other_owner(context: Any, node: str) -> None:
+    owner = context.nodes.find_owner()
+    assert owner not in (None, node), f'{owner} owns it'
+
+
+@then('nobody owns the group')
+def check_no_owner(context: Any) -> None:
+    owner = context.nodes.find_owner()
+    assert owner is None, f'{owner} owns it'
+
+
+@then('the group was claimed {times:d} time')
+def check_claims(context: Any, times: int) -> None:
+    claims = context.nodes.count_decisions(DecisionKind.GROUP_CLAIMED)
+    assert claims == times, claims
+
+
+@then('no two proxies owned the group at once')
+def check_single_owner(context: Any) -> None:
+    # The watch itself fails when it sees two.
+    assert context.callers.owners
+    assert not context.nodes.time.list_failures()
+
+
+@then("each claim's token is above the one before")
+def check_tokens(context: Any) -> None:
+    tokens = [
+        int(decision.reasons['token'])
+        for decision in context.nodes.list_decisions(
+            DecisionKind.GROUP_CLAIMED,
+        )
+    ]
+    assert len(tokens) >= len(context.nodes.nodes), tokens
+    assert tokens == sorted(set(tokens)), tokens
+
+
+@then('no proxy lets a caller of "{database}" in')
+def check_closed(context: Any, database: str) -> None:
+    for name, node in context.nodes.nodes.items():
+        opened = context.nodes.run(node.service.open_session(database))
+        assert opened is None, name
+
+
+@then('it is done')
+def check_done(context: Any) -> None:
+    assert context.told.is_done, context.told.outcome
+
+
+@then('it is done with "{row}"')
+def check_row(context: Any, row: str) -> None:
+    assert context.told.row == row, context.told.outcome
+
+
+@then('it is done within {limit:d} ms')
+def check_quick(context: Any, limit: int) -> None:
+    check_done(context)
+    check_time(context, limit)
+
+
+@then('it is refused as not run within {limit:d} ms')
+def check_not_run(context: Any, limit: int) -> None:
+    assert isinstance(context.told.refusal, NotRun), context.told.outcome
+    assert context.told.refusal.retry_after > 0
+    check_time(context, limit)
+
+
+@then('its outcome is unknown')
+def check_unknown(context: Any) -> None:
+    assert isinstance(context.told.refusal, Unknown), context.told.outcome
+
+
+@then('no write was done for {least:g} to {most:g} s at most')
+def check_gap(context: Any, least: float, most: float) -> None:
+    gap = context.callers.measure_gap()
+    assert least <= gap <= most, f'{gap:.3f} s'
+
+
+@then('every acknowledged write is on the primary')
+def check_kept(context: Any) -> None:
+    primary = context.nodes.group.find_primary()
+    writes = [told for told in context.callers.list_writes() if told.is_done]
+    assert writes
+    for told in writes:
+        _, item, data = told.text.split()
+        assert primary.read(item) == data, told
+
+
+def check_time(context: Any, limit: int) -> None:
+    """Demand that the answer came within `limit` milliseconds."""
+    spent = context.told.answered_at - context.told.asked_at
+    assert spent * MILLISECONDS <= limit + 0.1, f'{spent:.3f} s'
+
+
+@given('a reign that a promise held up')
+def open_reign(context: Any) -> None:
+    bench = open_bench(context)
+    bench.start('east-1')
+    lease = bench.nodes['east-1'].service.find_lease()
+    context.held = PromisesHeld()
+    context.reign = Reign(
+        GROUP,
+        ProxyId('east-1'),
+        OwnerToken(1),
+        lease,
+        context.held,
+    )
+    context.reign.candidates = frozenset((ProxyId('north-1'),))
+    assert context.reign.is_held()
+    stop_store(context)
+    promise(context)
+    bench.wait(0.6)
+    promise(context)
+    bench.wait(0.6)
+    assert context.reign.is_held()
+
+
+@when('{seconds:g} s go by without any')
+def let_lapse(context: Any, seconds: float) -> None:
+    context.nodes.wait(seconds)
+
+
+@when('the promise is made again')
+def promise(context: Any) -> None:
+    context.held.note(ProxyId('north-1'), read_boottime())
+    context.reign.is_held()
+
+
+@then('the reign does not hold')
+def check_lapsed(context: Any) -> None:
+    assert not context.reign.is_held()
+
+
+@given('a process that has just started')
+def open_promises(context: Any) -> None:
+    open_bench(context)
+    context.made = PromisesMade(read_boottime())
+
+
+@then('it is bound to any owner for {seconds:g} s')
+def check_bound(context: Any, seconds: float) -> None:
+    owner = ProxyId('east-1')
+    assert context.made.measure_bond(owner) > seconds - 0.01
+    context.nodes.wait(seconds)
+    assert not context.made.measure_bond(owner)
--- a/tests/features/steps/specs_steps.py
+++ b/tests/features/steps/specs_steps.py
@@ -4,7 +4,13 @@
 
 from behave import then, when
 
-from tests.specs import configuration_spec, operators_spec, promotion_state
+from tests.specs import (
+    configuration_spec,
+    operators_spec,
+    ownership_spec,
+    promotion_state,
+    succession_spec,
+)
 from tests.specs.acknowledgement_spec import specify_acknowledgement
 from tests.specs.checking import always_reaches, explore, refute
 from tests.specs.configuration_spec import (
@@ -23,6 +29,8 @@
     'acknowledgement': specify_acknowledgement(),
     'operators': specify_operators(),
     'configuration': specify_configuration(),
+    'ownership': ownership_spec.specify_ownership(),
+    'succession': succession_spec.specify_succession(),
 }
 
 
@@ -62,6 +70,18 @@
     context.finding = refute(specify_configuration(removed))
 
 
+@when('the ownership lacks "{safeguard}"')
+def search_ownership(context: Any, safeguard: str) -> None:
+    removed = ownership_spec.Safeguard(safeguard)
+    context.finding = refute(ownership_spec.specify_ownership(removed))
+
+
+@when('the succession lacks "{safeguard}"')
+def search_succession(context: Any, safeguard: str) -> None:
+    removed = succession_spec.Safeguard(safeguard)
+    context.finding = refute(succession_spec.specify_succession(removed))
+
+
 @then('the search visits all of at least {states:d} states')
 def check_exhaustive(context: Any, states: int) -> None:
     assert context.finding.is_exhaustive
--- a/tests/standins/network.py
+++ b/tests/standins/network.py
@@ -57,6 +57,7 @@
         self.listeners: list[Callable[[], None]] = []
         self._latencies: dict[frozenset[str], float] = {}
         self._cuts: set[frozenset[str]] = set()
+        self._closed_ways: set[tuple[str, str]] = set()
 
     def set_latency(self, one: str, other: str, seconds: float) -> None:
         """Set the one-way latency between two zones, both ways."""
@@ -66,16 +67,25 @@
         """Let nothing pass between two places or zones."""
         self._cuts.add(frozenset((one, other)))
 
+    def close_way(self, source: str, destination: str) -> None:
+        """Let nothing pass from one place to another; the way back is open."""
+        self._closed_ways.add((source, destination))
+
     def heal(self, one: str | None = None, other: str | None = None) -> None:
         """End the cuts that touch the given names; without names, all."""
         names = {name for name in (one, other) if name is not None}
         self._cuts = {cut for cut in self._cuts if not names <= cut}
+        self._closed_ways = {
+            way for way in self._closed_ways if not names <= set(way)
+        }
         self.changed.fire()
         for listener in self.listeners:
             listener()
 
     def is_cut(self, one: Place, other: Place) -> bool:
         """Tell whether nothing passes between two places now."""
+        if (one.name, other.name) in self._closed_ways:
+            return True
         if not self._cuts:
             return False
         ends = ((one.name, one.zone), (other.name, other.zone))
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -26,6 +26,8 @@
         # Calls by name, as the service's rates count them.
         self.counts: Counter[str] = Counter()
         self.down = False
+        # Watches hear nothing of what changes.
+        self.is_deaf = False
         self._delay = ANSWER_TIME
         self._answers_to_lose = 0
         self._tasks: set[Task[object]] = set()
@@ -81,6 +83,9 @@
         while True:
             if self.down:
                 raise PlatformUnavailable('watch ended')
+            if self.is_deaf:
+                await self.store.changed.wait()
+                continue
             events = self.store.list_events(seen, matches)
             seen = max(seen, self.store.revision)
             if events:
--- /dev/null
+++ b/tests/standins/statement_group.py
@@ -0,0 +1,217 @@
+"""Stand in for a group of databases that take statement sessions."""
+
+from asyncio import Event, Semaphore, Task, create_task, sleep
+from collections.abc import Coroutine, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.connections.target_session import LogRole, LogStatus
+from sedgeshunt.groups.orders import (
+    PromotionAnswer,
+    PromotionOrder,
+    PromotionService,
+)
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import Position, Seconds, TargetId, Term
+from tests.standins.network import Network, Place
+
+WORK = 0.01
+LAG = 0.02
+PROMOTION_TIME = 0.3
+SLOTS = 3
+CONNECTION_LIMIT = 22
+
+
+@dataclass(frozen=True, slots=True)
+class Commit:
+    """Hold one commit of a log."""
+
+    point: Point
+    writes: tuple[tuple[str, str], ...]
+
+
+FIRST_COMMIT = Commit(Point(Term(1), Position(0)), ())
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """Hold one statement that a target ran, and what it found."""
+
+    at: float
+    target: TargetId
+    statement: str
+    text: str
+    connection: int
+    values: dict[str, str]
+    # The connection was inside a transaction.
+    is_inside: bool
+
+
+@dataclass(eq=False)
+class StatementTarget:
+    """Keep one database's log and let it fail."""
+
+    name: TargetId
+    place: Place
+    port: int
+    role: LogRole = LogRole.REPLICA
+    term: Term = Term(1)
+    held_term: Term = Term(0)
+    log: list[Commit] = field(default_factory=lambda: [FIRST_COMMIT])
+    # Commits of the log that reads see.
+    applied: int = 1
+    lag: float = LAG
+    work: float = WORK
+    is_down: bool = False
+    is_leaving: bool = False
+    # Statements that are run and never answered.
+    answers_to_lose: int = 0
+    connections: int = 0
+    slots: Semaphore = field(default_factory=lambda: Semaphore(SLOTS))
+    # Held back while cleared: the target has frozen.
+    thawed: Event = field(default_factory=Event)
+
+    def __post_init__(self) -> None:
+        """Start awake."""
+        self.thawed.set()
+
+    @property
+    def end(self) -> Point:
+        """Return the end of what was received."""
+        return self.log[-1].point
+
+    @property
+    def applied_end(self) -> Point:
+        """Return the end of what reads see."""
+        return self.log[self.applied - 1].point
+
+    def covers(self, point: Point) -> bool:
+        """Tell whether what reads see includes a place in the log."""
+        return any(commit.point == point for commit in self.log[: self.applied])
+
+    def read(self, item: str) -> str:
+        """Return the value of an item as far as it is applied."""
+        for commit in reversed(self.log[: self.applied]):
+            for key, value in reversed(commit.writes):
+                if key == item:
+                    return value
+        return ''
+
+    def read_status(self) -> LogStatus:
+        """Tell the log's state."""
+        return LogStatus(self.role, self.term, self.end, self.held_term)
+
+
+class StatementGroup(PromotionService):
+    """Replicate between the targets of a group and promote them."""
+
+    def __init__(self, network: Network) -> None:
+        """Start with no target."""
+        self.network = network
+        self.targets: dict[TargetId, StatementTarget] = {}
+        self.runs: list[Run] = []
+        self.orders: list[tuple[float, PromotionOrder]] = []
+        self.promotion_time = PROMOTION_TIME
+        self.synchronous = 0
+        self._tasks: set[Task[None]] = set()
+
+    def add(self, target: StatementTarget) -> None:
+        """Let a target take part."""
+        self.targets[target.name] = target
+
+    def find_primary(self) -> StatementTarget:
+        """Return the target that leads in the highest term."""
+        leading = [
+            target
+            for target in self.targets.values()
+            if target.role is LogRole.PRIMARY
+        ]
+        return max(leading, key=lambda target: target.term)
+
+    def list_replicas(self) -> Iterator[StatementTarget]:
+        """Yield all but the primary."""
+        primary = self.find_primary()
+        for target in self.targets.values():
+            if target is not primary:
+                yield target
+
+    def commit(
+        self,
+        target: StatementTarget,
+        writes: tuple[tuple[str, str], ...],
+    ) -> Point:
+        """Add a commit to a primary's log and send it to the replicas."""
+        number = Position(target.end.position + 1)
+        point = Point(target.term, number)
+        target.log.append(Commit(point, writes))
+        target.applied = len(target.log)
+        for other in self.targets.values():
+            if other is not target:
+                self._start(self._ship(target, other, len(target.log)))
+        return point
+
+    async def order(
+        self,
+        order: PromotionOrder,
+        limit: Seconds,
+    ) -> PromotionAnswer:
+        """Take an order and carry it out some time later."""
+        self.orders.append((read_clock(), order))
+        target = self.targets[order.target]
+        if target.is_down:
+            return PromotionAnswer.TARGET_DOWN
+        self._start(self._promote(target))
+        return PromotionAnswer.ACCEPTED
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _promote(self, target: StatementTarget) -> None:
+        await sleep(self.promotion_time)
+        if target.role is LogRole.PRIMARY:
+            return
+        newest = max(other.term for other in self.targets.values())
+        target.term = Term(newest + 1)
+        target.role = LogRole.PRIMARY
+        target.applied = len(target.log)
+        for other in self.targets.values():
+            if other is not target:
+                self._start(self._demote(target, other))
+
+    async def _demote(
+        self,
+        leader: StatementTarget,
+        other: StatementTarget,
+    ) -> None:
+        """Have another target follow, within a second of reaching it."""
+        await self.network.cross(leader.place, other.place)
+        await sleep(1)
+        while other.is_down:
+            await sleep(1)
+        if other.term < leader.term:
+            other.role = LogRole.REPLICA
+            other.term = leader.term
+            other.log = list(leader.log)
+            other.applied = min(other.applied, len(other.log))
+            await sleep(other.lag)
+            other.applied = len(other.log)
+
+    async def _ship(
+        self,
+        source: StatementTarget,
+        other: StatementTarget,
+        upto: int,
+    ) -> None:
+        await self.network.cross(source.place, other.place)
+        if other.is_down or other.role is LogRole.PRIMARY:
+            return
+        if other.term > source.term or other.held_term > source.term:
+            return
+        other.term = source.term
+        if upto > len(other.log):
+            other.log = list(source.log[:upto])
+        await sleep(other.lag)
+        other.applied = max(other.applied, min(upto, len(other.log)))
