Move callers out of the part of a split that has no owner

Isolated is now who hears neither the store nor any owner; and what the store said of owners before it fell silent counts no more. - With the store down, the loss of one candidate ended each reign, as its promise was missed. A candidate that the store does not answer promises for four seconds: it can't claim anyway. - Half of the bytes between zones and a fifth of the processor time were heartbeats of a full mesh, and polls. Heartbeats are frequent between an owner and the others only, say who sends them once, and waits are woken.

Ruled out: too few slots on the side that goes on (75 % in use).

Also a line for each refused, unknown, rejected or late statement, with what decided it, bounded for each outcome.

--- a/src/sedgeshunt/adapters/forwarding.thrift
+++ b/src/sedgeshunt/adapters/forwarding.thrift
@@ -10,39 +10,44 @@
   2: string shape
 }
 
+// What is empty or false is left out.
 struct Call {
   1: string group
-  2: string access
-  3: string kind
+  // 0 for the primary, 1 for a replica.
+  2: i8 access
+  // 0 read, 1 write, 2 commit, 3 rollback.
+  3: i8 kind
   4: string statement
-  5: string text
+  5: optional string text
   6: string traffic_class
-  7: double time_left
-  8: double aim_left
-  9: i32 priority
+  7: i32 time_left_ms
+  8: i32 aim_left_ms
+  9: i8 priority
   10: optional string transaction
-  11: bool begins
-  12: bool is_read_only
-  13: map<string, string> session_values
+  11: optional bool begins
+  12: optional bool is_read_only
+  13: optional map<string, string> session_values
   14: optional Prepared prepared
-  15: string arguments
+  15: optional string arguments
   16: optional Place after
-  17: double max_age
-  18: bool is_relayed
+  17: optional i32 max_age_ms
+  18: optional bool is_relayed
 }
 
 struct Reply {
-  // done, not-run, unknown or rejected
-  1: string outcome
-  2: list<string> rows
+  // 0 done, 1 not run, 2 unknown, 3 rejected.
+  1: i8 outcome
+  2: optional list<string> rows
   3: optional Place point
-  4: string signature
-  5: string served_by
-  6: string cause
-  7: string reason
-  8: double retry_after
+  4: optional string signature
+  5: optional string served_by
+  6: optional string cause
+  7: optional string reason
+  8: optional i32 retry_after_ms
   // The end of the primary's log, if its owner has answered.
   9: optional Place tip
+  // That end is the point above.
+  10: optional bool is_tip
 }
 
 // A group that the sender owns, and the end of its primary's log.
@@ -68,9 +73,10 @@
 }
 
 struct Beat {
-  1: Instance sender
-  // The sender won't claim a group of the receiver for a while.
-  3: bool promises
+  // Left out after a connection's first.
+  1: optional Instance sender
+  // For so long the sender won't claim a group of the receiver; 0: it may.
+  3: i32 promised_ms
   // The receiver's clock as it stood in its last reply.
   4: double echo
   // The newest configuration that the sender has.
@@ -85,8 +91,8 @@
   4: bool is_stopping
   // Sent when the asker's configuration is older.
   5: optional binary document
-  // Groups whose owner the sender hears.
-  6: list<Owned> relayed
+  // Groups whose owner the sender hears; left out while unchanged.
+  6: optional list<Owned> relayed
   7: i64 store_revision
   8: bool reaches_store
 }
@@ -98,7 +104,7 @@
   4: optional Beat beat
   5: optional BeatReply beat_reply
   // The caller has left: give the call up.
-  6: bool is_cancelled
+  6: optional bool is_cancelled
   // The caller has given this transaction up.
   7: optional string undone
   // Does the receiver reach this target, and does it lead?
--- a/src/sedgeshunt/adapters/forwarding_codec.py
+++ b/src/sedgeshunt/adapters/forwarding_codec.py
@@ -57,6 +57,19 @@
     str(Path(__file__).with_name('forwarding.thrift')),
     module_name='forwarding_thrift',
 )
+MILLISECONDS = 1000
+# Outcomes of a reply, as the definition file numbers them.
+DONE = 0
+NOT_RUN = 1
+UNKNOWN = 2
+REJECTED = 3
+_ACCESSES = (Access.PRIMARY, Access.REPLICA)
+_KINDS = (
+    CallKind.READ,
+    CallKind.WRITE,
+    CallKind.COMMIT,
+    CallKind.ROLLBACK,
+)
 _PROTOCOL = TCyBinaryProtocolFactory()
 
 
@@ -100,7 +113,7 @@
             if frame.beat_reply is None
             else _make_beat_reply(frame.beat_reply)
         ),
-        is_cancelled=frame.is_cancelled,
+        is_cancelled=frame.is_cancelled or None,
         undone=frame.undone,
         reach=(
             None
@@ -116,7 +129,7 @@
         raw.number,
         None if raw.call is None else _read_call(raw.call),
         None if raw.reply is None else _read_reply(raw.reply),
-        None if raw.reply is None else _read_place(raw.reply.tip),
+        None if raw.reply is None else _read_tip(raw.reply),
         None if raw.beat is None else _read_beat(raw.beat),
         None if raw.beat_reply is None else _read_beat_reply(raw.beat_reply),
         bool(raw.is_cancelled),
@@ -133,6 +146,10 @@
     )
 
 
+def _read_tip(raw: Any) -> Point | None:
+    return _read_place(raw.point if raw.is_tip else raw.tip)
+
+
 def _make_place(point: Point | None) -> Any:
     return None if point is None else frames.Place(point.term, point.position)
 
@@ -145,93 +162,113 @@
 
 def _make_call(call: StatementCall) -> Any:
     prepared = call.prepared
+    is_prepared = prepared is not None
     return frames.Call(
         group=call.group,
-        access=call.access.value,
-        kind=call.kind.value,
+        access=_ACCESSES.index(call.access),
+        kind=_KINDS.index(call.kind),
         statement=call.statement,
-        text=call.text,
+        # What is prepared is told by its shape and its arguments.
+        text=None if is_prepared else call.text,
         traffic_class=call.traffic_class,
-        time_left=call.time_left,
-        aim_left=call.aim_left,
+        time_left_ms=_count_ms(call.time_left),
+        aim_left_ms=_count_ms(call.aim_left),
         priority=call.priority,
         transaction=call.transaction,
-        begins=call.begins,
-        is_read_only=call.is_read_only,
-        session_values=dict(call.values),
-        prepared=(
-            None
-            if prepared is None
-            else frames.Prepared(prepared.writes, prepared.shape)
-        ),
-        arguments=call.arguments,
+        begins=call.begins or None,
+        is_read_only=call.is_read_only or None,
+        session_values=dict(call.values) or None,
+        prepared=_make_prepared(prepared),
+        arguments=call.arguments if is_prepared else None,
         after=_make_place(call.after),
-        max_age=call.max_age,
-        is_relayed=call.is_relayed,
+        max_age_ms=_count_ms(call.max_age) or None,
+        is_relayed=call.is_relayed or None,
     )
 
 
 def _read_call(raw: Any) -> StatementCall:
-    prepared = raw.prepared
     return StatementCall(
         GroupId(raw.group),
-        Access(raw.access),
-        CallKind(raw.kind),
+        _ACCESSES[raw.access],
+        _KINDS[raw.kind],
         StatementId(raw.statement),
-        raw.text,
+        raw.text or '',
         TrafficClass(raw.traffic_class),
-        Seconds(raw.time_left),
-        Seconds(raw.aim_left),
+        _read_ms(raw.time_left_ms),
+        _read_ms(raw.aim_left_ms),
         raw.priority,
         None if raw.transaction is None else TransactionId(raw.transaction),
         bool(raw.begins),
         bool(raw.is_read_only),
         raw.session_values or {},
-        (
-            None
-            if prepared is None
-            else PreparedStatement(bool(prepared.writes), prepared.shape)
-        ),
+        _read_prepared(raw.prepared),
         raw.arguments or '',
         _read_place(raw.after),
-        Seconds(raw.max_age),
+        _read_ms(raw.max_age_ms),
         bool(raw.is_relayed),
     )
 
 
+def _make_prepared(prepared: PreparedStatement | None) -> Any:
+    if prepared is None:
+        return None
+    return frames.Prepared(prepared.writes, prepared.shape)
+
+
+def _read_prepared(raw: Any) -> PreparedStatement | None:
+    if raw is None:
+        return None
+    return PreparedStatement(bool(raw.writes), raw.shape)
+
+
+def _count_ms(span: Seconds) -> int:
+    return round(span * MILLISECONDS)
+
+
+def _read_ms(span: int | None) -> Seconds:
+    return Seconds((span or 0) / MILLISECONDS)
+
+
 def _make_reply(outcome: Result[Answer, Refusal], tip: Point | None) -> Any:
     if isinstance(outcome, Ok):
         answer = outcome.ok_value
+        # An owner's answer mostly shows the log's end already.
+        is_tip = tip is not None and tip == answer.point
         return frames.Reply(
-            outcome='done',
-            rows=[str(row[0]) for row in answer.rows],
+            outcome=DONE,
+            rows=[str(row[0]) for row in answer.rows] or None,
             point=_make_place(answer.point),
-            signature=answer.signature,
-            served_by=answer.served_by or '',
-            tip=_make_place(tip),
+            signature=answer.signature or None,
+            served_by=answer.served_by,
+            tip=None if is_tip else _make_place(tip),
+            is_tip=is_tip or None,
         )
     refusal = outcome.err_value
     if isinstance(refusal, Rejected):
         return frames.Reply(
-            outcome='rejected',
+            outcome=REJECTED,
             cause=refusal.sqlstate,
             reason=refusal.reason,
             tip=_make_place(tip),
         )
     is_not_run = isinstance(refusal, NotRun)
     return frames.Reply(
-        outcome='not-run' if is_not_run else 'unknown',
+        outcome=NOT_RUN if is_not_run else UNKNOWN,
         cause=refusal.cause.value,
         reason=refusal.reason,
-        served_by=refusal.target or '',
-        retry_after=(refusal.retry_after if isinstance(refusal, NotRun) else 0),
+        served_by=refusal.target,
+        retry_after_ms=(
+            _count_ms(refusal.retry_after)
+            if isinstance(refusal, NotRun)
+            else None
+        ),
         tip=_make_place(tip),
     )
 
 
 def _read_reply(raw: Any) -> Result[Answer, Refusal]:
     target = TargetId(raw.served_by) if raw.served_by else None
-    if raw.outcome == 'done':
+    if raw.outcome == DONE:
         return Ok(
             Answer(
                 rows=[(row,) for row in raw.rows or ()],
@@ -240,31 +277,31 @@
                 signature=raw.signature or '',
             ),
         )
-    if raw.outcome == 'rejected':
+    if raw.outcome == REJECTED:
         return Err(Rejected(0, raw.cause, raw.reason))
-    if raw.outcome == 'not-run':
-        return Err(
-            NotRun(
-                Cause(raw.cause),
-                raw.reason,
-                Seconds(raw.retry_after or 0),
-                target,
-            ),
-        )
-    return Err(Unknown(Cause(raw.cause), raw.reason, target))
+    cause = Cause(raw.cause)
+    if raw.outcome == NOT_RUN:
+        retry_after = _read_ms(raw.retry_after_ms)
+        return Err(NotRun(cause, raw.reason, retry_after, target))
+    return Err(Unknown(cause, raw.reason, target))
 
 
 def _make_beat(beat: Beat) -> Any:
+    sender = beat.sender
     return frames.Beat(
-        sender=frames.Instance(
-            beat.sender.name,
-            beat.sender.incarnation,
-            beat.sender.zone,
-            beat.sender.host,
-            beat.sender.port,
-            beat.sender.capacity,
+        sender=(
+            None
+            if sender is None
+            else frames.Instance(
+                sender.name,
+                sender.incarnation,
+                sender.zone,
+                sender.host,
+                sender.port,
+                sender.capacity,
+            )
         ),
-        promises=beat.promises,
+        promised_ms=_count_ms(beat.promised),
         echo=beat.echo,
         revision=beat.revision,
         store_revision=beat.store_revision,
@@ -273,8 +310,8 @@
 
 def _read_beat(raw: Any) -> Beat:
     return Beat(
-        _read_instance(raw.sender),
-        bool(raw.promises),
+        None if raw.sender is None else _read_instance(raw.sender),
+        _read_ms(raw.promised_ms),
         Boottime(raw.echo),
         Revision(raw.revision),
         Revision(raw.store_revision),
@@ -296,7 +333,7 @@
     return frames.BeatReply(
         stamp=reply.stamp,
         owned=_make_owned(reply.owned),
-        relayed=_make_owned(reply.relayed),
+        relayed=None if reply.relayed is None else _make_owned(reply.relayed),
         store_revision=reply.store_revision,
         reaches_store=reply.reaches_store,
         revision=reply.revision,
@@ -311,7 +348,7 @@
         _read_owned(raw.owned),
         Revision(raw.revision),
         bool(raw.is_stopping),
-        _read_owned(raw.relayed),
+        None if raw.relayed is None else _read_owned(raw.relayed),
         Revision(raw.store_revision),
         bool(raw.reaches_store),
         raw.document,
--- a/src/sedgeshunt/execution/group_table.py
+++ b/src/sedgeshunt/execution/group_table.py
@@ -49,6 +49,10 @@
         """Yield what runs."""
         return iter(tuple(self._groups.values()))
 
+    def names(self) -> tuple[GroupId, ...]:
+        """Return the names of the groups that run."""
+        return tuple(self._groups)
+
     def get(self, group: GroupId) -> GroupAccess | None:
         """Return what runs for a group, None when it is not declared."""
         return self._groups.get(group)
@@ -110,9 +114,14 @@
         instances = max(1, len(self._claims.list_instances()))
         return max(1, (limit - RESERVED_CONNECTIONS) // instances)
 
-    def _note_change(self, key: str) -> None:
+    def wake(self) -> None:
+        """Have each group look whether its owner is still there."""
         for access in self._groups.values():
             access.claim.changed.set()
+            access.probe.wake()
+
+    def _note_change(self, key: str) -> None:
+        self.wake()
 
 
 def find_primary_zone(
--- a/src/sedgeshunt/execution/primary_keeper.py
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -18,8 +18,10 @@
 from sedgeshunt.ownership.reign import Reign
 from sedgeshunt.registry.directory import GroupMembers
 
-# How often the primary's signs of life are looked at.
-CHECK_EVERY = Seconds(0.05)
+# How often an idle primary's signs of life are looked at, and the shortest
+# pause between two looks at a busy one.
+CHECK_EVERY = Seconds(0.1)
+SHORTEST_CHECK = Seconds(0.02)
 # A primary with work that answers nothing for so long is probed.
 STALL_AFTER = Seconds(0.2)
 # A connection that broke says little while others go on.
@@ -137,7 +139,7 @@
 
     async def _shows_trouble(self, executor: TargetExecutor) -> bool:
         with suppress(TimeoutError):
-            async with timeout(CHECK_EVERY):
+            async with timeout(_find_pause(executor)):
                 await executor.failed.wait()
         if executor.failed.is_set():
             executor.failed.clear()
@@ -276,6 +278,15 @@
     )
 
 
+def _find_pause(executor: TargetExecutor) -> Seconds:
+    """Return the time until a stall would show."""
+    since = executor.waiting_since
+    if since is None:
+        return CHECK_EVERY
+    left = since + STALL_AFTER - read_clock()
+    return Seconds(min(CHECK_EVERY, max(SHORTEST_CHECK, left)))
+
+
 async def _wait_quiet(executor: TargetExecutor) -> None:
     give_up = read_clock() + QUIET_WAIT
     while executor.transactions and read_clock() < give_up:
--- a/src/sedgeshunt/execution/primary_probe.py
+++ b/src/sedgeshunt/execution/primary_probe.py
@@ -1,6 +1,6 @@
 """Ask a primary whether it still leads while its owner is silent."""
 
-from asyncio import sleep
+from asyncio import Event, sleep
 from collections.abc import Callable
 
 from sedgeshunt.clocks import read_clock
@@ -39,13 +39,21 @@
         self._records = records
         self._connector = connector
         self._failed_at: Monotonic | None = None
+        self._awake = Event()
+
+    def wake(self) -> None:
+        """Look whether a look is wanted."""
+        self._awake.set()
 
     async def run(self, is_wanted: Callable[[], bool]) -> None:
         """Look again and again while it is wanted, until cancelled."""
         while True:
+            self._awake.clear()
             if is_wanted():
                 await self._look()
-            await sleep(LOOK_EVERY)
+                await sleep(LOOK_EVERY)
+            else:
+                await self._awake.wait()
 
     def is_unreachable(self) -> bool:
         """Tell whether the primary has just failed to answer."""
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from asyncio import (
     CancelledError,
+    Event,
     Future,
     TaskGroup,
     get_running_loop,
@@ -10,6 +11,10 @@
     timeout_at,
 )
 
+from collections.abc import Mapping
+from contextlib import suppress
+from dataclasses import replace
+
 from result import Err, Result
 
 from sedgeshunt.clocks import read_boottime, read_clock
@@ -43,12 +48,15 @@
 )
 from sedgeshunt.statements.call import CallKind, StatementCall
 
-# Often enough that three fit into the time for which a promise binds.
-BEAT_EVERY = Seconds(0.2)
-# Silence after which a peer counts as gone: two heartbeats and a margin.
-SILENCE_LIMIT = Seconds(0.5)
-# Silence after which an answer was missed.
-MISSED_AFTER = Seconds(0.3)
+# Between an owner and who forwards to it, or may claim from it: three fit into
+# the time for which a promise binds. Other peers have less to tell.
+FAST_BEATS = Seconds(0.2)
+SLOW_BEATS = Seconds(1)
+# A heartbeat without an answer for so long: the answer was missed, and the
+# peer counts as gone. Ways within a region take some milliseconds; a packet
+# that was lost is sent again after 0.2 s.
+MISSED_AFTER = Seconds(0.1)
+GONE_AFTER = Seconds(0.4)
 CONNECT_LIMIT = Seconds(0.5)
 SHORTEST_PAUSE = Seconds(0.1)
 LONGEST_PAUSE = Seconds(0.5)
@@ -70,6 +78,14 @@
     ) -> Beat:
         """Return the next heartbeat for a peer."""
 
+    @abstractmethod
+    def is_close(
+        self,
+        peer: ProxyId,
+        owned: Mapping[GroupId, OwnedGroup],
+    ) -> bool:
+        """Tell whether a peer's heartbeats are needed often."""
+
     @abstractmethod
     def take_beat_reply(self, reply: BeatReply, asked_at: Boottime) -> None:
         """Take in the answer to a heartbeat."""
@@ -108,21 +124,26 @@
         self._events = events
         self._channel: FrameChannel | None = None
         self._waiting: dict[int, Future[Frame]] = {}
+        # Heartbeats without an answer, and when each was sent.
         self._beats: dict[int, Boottime] = {}
+        self._awake = Event()
         self._number = 0
-        self._heard_at = Monotonic(0)
         self._echo = Boottime(0)
         self._backoff = Backoff(SHORTEST_PAUSE, LONGEST_PAUSE)
 
     def is_heard(self) -> bool:
         """Tell whether the peer has answered of late."""
+        return self._channel is not None and self._measure_wait() < GONE_AFTER
+
+    def is_answering(self) -> bool:
+        """Tell whether the peer has answered the latest heartbeats."""
         if self._channel is None:
             return False
-        return self.measure_silence() < SILENCE_LIMIT
+        return self._measure_wait() < MISSED_AFTER
 
-    def measure_silence(self) -> Seconds:
-        """Return the time since the peer's last answer."""
-        return Seconds(read_clock() - self._heard_at)
+    def wake(self) -> None:
+        """Send the next heartbeat now."""
+        self._awake.set()
 
     async def run(self) -> None:
         """Stay connected until cancelled."""
@@ -201,7 +222,6 @@
 
     async def _use(self, channel: FrameChannel) -> None:
         self._channel = channel
-        self._heard_at = read_clock()
         self._beats.clear()
         self._events.note_reach(self.peer.name, is_reached=True)
         async with TaskGroup() as tasks:
@@ -211,23 +231,44 @@
             beating.cancel()
 
     async def _beat(self, channel: FrameChannel) -> None:
-        while True:
-            if self.measure_silence() > SILENCE_LIMIT:
-                channel.close()
-                return
+        is_first = True
+        while self._measure_wait() < GONE_AFTER:
             self._number += 1
-            silence = self.measure_silence()
             beat = self._events.make_beat(
                 self.peer.name,
                 self._echo,
-                is_answering=silence < MISSED_AFTER,
+                is_answering=self._measure_wait() < MISSED_AFTER,
             )
+            if not is_first:
+                beat = replace(beat, sender=None)
+            is_first = False
             self._beats[self._number] = read_boottime()
             channel.send(Frame(self._number, beat=beat))
-            await sleep(BEAT_EVERY)
+            await self._wait_beat()
+        channel.close()
+
+    async def _wait_beat(self) -> None:
+        """Wait until the next heartbeat is due, or an answer was missed."""
+        is_fast = self._events.is_close(self.peer.name, self.owned)
+        pace = FAST_BEATS if is_fast else SLOW_BEATS
+        due_at = read_clock() + pace
+        self._awake.clear()
+        while read_clock() < due_at and not self._awake.is_set():
+            # A peer that is gone shows while its answer is awaited.
+            step = min(pace, GONE_AFTER) if self._beats else pace
+            with suppress(TimeoutError):
+                async with timeout_at(min(due_at, read_clock() + step)):
+                    await self._awake.wait()
+            if self._measure_wait() >= GONE_AFTER:
+                return
+
+    def _measure_wait(self) -> Seconds:
+        """Return for how long the oldest heartbeat has had no answer."""
+        if not self._beats:
+            return Seconds(0)
+        return Seconds(read_boottime() - next(iter(self._beats.values())))
 
     def _take(self, frame: Frame) -> None:
-        self._heard_at = read_clock()
         self._backoff.reset()
         if frame.beat_reply is not None:
             asked_at = self._beats.pop(frame.number, None)
@@ -241,7 +282,8 @@
     def _note_beat(self, reply: BeatReply, asked_at: Boottime) -> None:
         self._echo = Boottime(max(self._echo, reply.stamp))
         self.owned = {one.group: one for one in reply.owned}
-        self.relayed = {one.group: one for one in reply.relayed}
+        if reply.relayed is not None:
+            self.relayed = {one.group: one for one in reply.relayed}
         self.is_stopping = reply.is_stopping
         self.reaches_store = reply.reaches_store
         self._events.take_beat_reply(reply, asked_at)
--- a/src/sedgeshunt/forwarding/messages.py
+++ b/src/sedgeshunt/forwarding/messages.py
@@ -10,6 +10,7 @@
     GroupId,
     OwnerToken,
     Revision,
+    Seconds,
     TargetId,
     TransactionId,
 )
@@ -39,10 +40,10 @@
 class Beat:
     """Hold one heartbeat."""
 
-    # How the sender is reached, for a receiver that the store does not serve.
-    sender: InstanceEntry
-    # The sender won't claim a group of the receiver for a while.
-    promises: bool
+    # Who sends it and how it is reached; None after a connection's first.
+    sender: InstanceEntry | None
+    # For so long the sender won't claim a group of the receiver; 0: it may.
+    promised: Seconds
     # The receiver's clock as it stood in its last reply; 0 before the first.
     echo: Boottime
     # The newest configuration that the sender has.
@@ -60,8 +61,9 @@
     owned: tuple[OwnedGroup, ...]
     revision: Revision
     is_stopping: bool
-    # Groups whose owner the sender hears, and can pass calls on to.
-    relayed: tuple[OwnedGroup, ...] = ()
+    # Groups whose owner the sender hears, and can pass calls on to; None
+    # when these have not changed.
+    relayed: tuple[OwnedGroup, ...] | None = ()
     store_revision: Revision = Revision(0)
     # The store answers the sender.
     reaches_store: bool = False
--- a/src/sedgeshunt/forwarding/server.py
+++ b/src/sedgeshunt/forwarding/server.py
@@ -2,15 +2,23 @@
 
 from abc import ABC, abstractmethod
 from asyncio import Task, TaskGroup
+from dataclasses import replace
 
 from result import Result
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.execution.transactions import TransactionBook
 from sedgeshunt.forwarding.channel import FrameChannel
-from sedgeshunt.forwarding.messages import Beat, BeatReply, Frame, ReachQuestion
+from sedgeshunt.forwarding.messages import (
+    Beat,
+    BeatReply,
+    Frame,
+    OwnedGroup,
+    ReachQuestion,
+)
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import GroupId, Monotonic, TargetId, TransactionId
+from sedgeshunt.registry.entries import InstanceEntry
 from sedgeshunt.requests.outcome import Answer, Refusal
 from sedgeshunt.statements.call import StatementCall
 
@@ -57,6 +65,9 @@
         self._desk = desk
         self._book = TransactionBook()
         self._running: dict[int, Task[None]] = {}
+        # Said once on each connection, and left out until it changes.
+        self._sender: InstanceEntry | None = None
+        self._relayed: tuple[OwnedGroup, ...] | None = None
 
     async def run(self) -> None:
         """Serve until the peer leaves."""
@@ -72,7 +83,7 @@
     def _take(self, frame: Frame, tasks: TaskGroup) -> None:
         number = frame.number
         if frame.beat is not None:
-            reply = self._desk.answer_beat(frame.beat)
+            reply = self._answer_beat(frame.beat)
             self._channel.send(Frame(number, beat_reply=reply))
         if frame.call is not None:
             self._running[number] = tasks.create_task(
@@ -87,6 +98,16 @@
                 self._desk.end_transaction(frame.undone, self._book),
             )
 
+    def _answer_beat(self, beat: Beat) -> BeatReply | None:
+        self._sender = beat.sender or self._sender
+        if self._sender is None:
+            return None
+        reply = self._desk.answer_beat(replace(beat, sender=self._sender))
+        if reply.relayed == self._relayed:
+            return replace(reply, relayed=None)
+        self._relayed = reply.relayed
+        return reply
+
     async def _answer_reach(self, number: int, asked: ReachQuestion) -> None:
         is_reached = await self._desk.reaches(asked.group, asked.target)
         self._channel.send(Frame(number, is_reached=is_reached))
--- a/src/sedgeshunt/membership/heartbeats.py
+++ b/src/sedgeshunt/membership/heartbeats.py
@@ -1,6 +1,6 @@
 """Say in heartbeats what peers need to know, and take in what they say."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from sedgeshunt.clocks import read_boottime
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
@@ -9,10 +9,16 @@
 from sedgeshunt.forwarding.messages import Beat, BeatReply, OwnedGroup
 from sedgeshunt.groups.points import Point
 from sedgeshunt.groups.waiters import ChangeSignal
-from sedgeshunt.identifiers import Boottime, GroupId, ProxyId
+from sedgeshunt.identifiers import Boottime, GroupId, ProxyId, Seconds
 from sedgeshunt.membership.neighbours import Neighbours
 from sedgeshunt.ownership.lease import InstanceLease
-from sedgeshunt.ownership.promises import PromisesHeld, PromisesMade
+from sedgeshunt.ownership.promises import (
+    OUTAGE_PROMISE_TIME,
+    PROMISE_TIME,
+    PromisesHeld,
+    PromisesMade,
+)
+from sedgeshunt.ownership.records import GroupRecords
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.registry.entries import InstanceEntry
 from sedgeshunt.registry.store_view import StoreView
@@ -29,6 +35,7 @@
         lease: InstanceLease,
         made: PromisesMade,
         held: PromisesHeld,
+        records: GroupRecords,
         decisions: DecisionLog,
     ) -> None:
         """Exchange nothing before bind()."""
@@ -42,6 +49,7 @@
         self._lease = lease
         self._made = made
         self._held = held
+        self._records = records
         self._decisions = decisions
 
     def bind(self, neighbours: Neighbours, groups: GroupTable) -> None:
@@ -57,11 +65,9 @@
         is_answering: bool,
     ) -> Beat:
         """Return the next heartbeat for a peer."""
-        # A peer that is silent may be gone, and each promise to it delays the
-        # next owner.
         return Beat(
             self._own,
-            is_answering and self._made.make(peer),
+            self._promise(peer, is_answering=is_answering),
             echo,
             self._configuration.revision,
             self._view.revision,
@@ -69,10 +75,10 @@
 
     def answer(self, beat: Beat) -> BeatReply:
         """Answer a peer's heartbeat."""
-        self._meet(beat.sender)
-        sender = beat.sender.name
-        if beat.promises:
-            self._held.note(sender, beat.echo)
+        if beat.sender is not None:
+            self._meet(beat.sender)
+            if beat.promised:
+                self._held.note(beat.sender.name, beat.echo, beat.promised)
         self._view.note_newer(beat.store_revision)
         return BeatReply(
             read_boottime(),
@@ -85,6 +91,20 @@
             self._configuration.copy_newer(beat.revision),
         )
 
+    def is_close(
+        self,
+        peer: ProxyId,
+        owned: Mapping[GroupId, OwnedGroup],
+    ) -> bool:
+        """Tell whether a peer's heartbeats are needed often."""
+        # While the store is silent, peers alone tell who is there.
+        if owned or not self._lease.is_fresh():
+            return True
+        return any(
+            owner is not None and owner.owner == peer
+            for owner in map(self._records.find_owner, self._groups.names())
+        )
+
     def take_beat_reply(self, reply: BeatReply, asked_at: Boottime) -> None:
         """Take in the answer to a heartbeat."""
         for owned in reply.owned:
@@ -106,6 +126,16 @@
         )
         self._decisions.record(Decision(kind, reasons={'peer': peer}))
         self.owners_changed.notify()
+        self._groups.wake()
+
+    def _promise(self, peer: ProxyId, *, is_answering: bool) -> Seconds:
+        # A peer that is silent may be gone, and each promise to it delays the
+        # next owner.
+        if not is_answering:
+            return Seconds(0)
+        reaches = self._lease.reaches_store()
+        span = PROMISE_TIME if reaches else OUTAGE_PROMISE_TIME
+        return self._made.make(peer, span)
 
     def _meet(self, entry: InstanceEntry) -> None:
         # Without the store, an instance that starts is known only by those
--- a/src/sedgeshunt/membership/isolation.py
+++ b/src/sedgeshunt/membership/isolation.py
@@ -4,36 +4,43 @@
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.forwarding.link import MISSED_AFTER
 from sedgeshunt.identifiers import Monotonic, Seconds, ZoneId
 from sedgeshunt.membership.neighbours import Neighbours
 from sedgeshunt.ownership.lease import InstanceLease
+from sedgeshunt.registry.configuration import LiveConfiguration
+from sedgeshunt.statements.dispatch import SiteFinder
 
 LOOK_EVERY = Seconds(0.1)
-# All peers outside are silent for as long as it takes to miss an answer.
-SILENCE = Seconds(0.35)
 
 
 class Isolation:
-    """Notice that neither the store nor another zone is reached."""
+    """Notice that neither the store nor any group's owner is reached."""
 
-    # A zone that is cut off can't reach the primaries outside, and its own
-    # are replaced there. Its callers still reach it, and would be refused one
-    # statement after the other, while instances of other zones could serve
-    # them. An instance that says that it is not ready sends them there.
+    # A part of the network without the store can't have owners for long, as
+    # their groups are claimed on the other side. Its callers still reach it,
+    # and would be refused one statement after the other, while instances of
+    # the other side could serve them. An instance that says that it is not
+    # ready sends them there. In an outage of the store alone owners go on.
 
     def __init__(
         self,
         zone: ZoneId,
         lease: InstanceLease,
         neighbours: Neighbours,
+        owners: SiteFinder,
+        configuration: LiveConfiguration,
         decisions: DecisionLog,
     ) -> None:
         """Assume to be connected."""
         self._zone = zone
         self._lease = lease
         self._neighbours = neighbours
+        self._owners = owners
+        self._configuration = configuration
         self._decisions = decisions
         self._cut_since: Monotonic | None = None
+        self._asked_at: Monotonic | None = None
         self.is_noted = False
 
     def measure(self) -> Seconds:
@@ -58,17 +65,25 @@
             await sleep(LOOK_EVERY)
 
     def _is_cut_off(self) -> bool:
-        if self._lease.reaches_store():
+        if self._lease.is_fresh():
+            self._asked_at = None
             return False
-        others = {
-            entry.name
-            for entry in self._neighbours.list_instances()
-            if entry.zone != self._zone
-        }
-        if not others:
+        if self._asked_at is None:
+            # Peers that tell little are asked rarely; now it matters.
+            self._asked_at = read_clock()
+            self._neighbours.wake_all()
+        if read_clock() - self._asked_at < MISSED_AFTER:
             return False
-        return not any(
-            link.peer.name in others for link in self._neighbours.list_heard()
+        return not (self._hears_store() or self._hears_owner())
+
+    def _hears_store(self) -> bool:
+        answering = self._neighbours.list_answering()
+        return any(link.reaches_store for link in answering)
+
+    def _hears_owner(self) -> bool:
+        return any(
+            self._owners.find_owner(group.name) is not None
+            for group in self._configuration.list_groups()
         )
 
     def _note(self) -> None:
--- a/src/sedgeshunt/membership/neighbours.py
+++ b/src/sedgeshunt/membership/neighbours.py
@@ -72,6 +72,19 @@
             if known.link.is_heard():
                 yield known.link
 
+    def list_answering(self) -> list[PeerLink]:
+        """List the links whose peers have answered the latest heartbeats."""
+        return [
+            known.link
+            for known in self._known.values()
+            if known.link.is_answering()
+        ]
+
+    def wake_all(self) -> None:
+        """Send a heartbeat to every peer now."""
+        for known in self._known.values():
+            known.link.wake()
+
     def is_owner_heard(self, group: GroupId, owner: ProxyId) -> bool:
         """Tell whether a peer says that it still owns a group."""
         link = self.find_link(owner)
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -13,6 +13,7 @@
 from sedgeshunt.exceptions import SedgeshuntError
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent, open_log
+from sedgeshunt.statement_lines import StatementLines
 from sedgeshunt.node_service import NodeService
 from sedgeshunt.node_settings import NodeSettings, read_node_settings
 from sedgeshunt.platform.callers import CallerServer
@@ -91,6 +92,7 @@
             promotions,
             StreamConnector(),
             self._log,
+            StatementLines(self._log),
         )
 
     async def _listen(
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -37,11 +37,12 @@
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.registry.directory import PlatformDocuments
 from sedgeshunt.registry.entries import InstanceEntry
-from sedgeshunt.registry.keys import OWN_PREFIX
+from sedgeshunt.registry.keys import OWN_PREFIX, OWNERS_PREFIX
 from sedgeshunt.registry.store_view import StoreView
 from sedgeshunt.statements.dispatch import Dispatcher
 from sedgeshunt.statements.owners import OwnerDirectory
 from sedgeshunt.statements.peer_desk import HeardOpinions, LocalDesk
+from sedgeshunt.statements.records import StatementRecorder
 from sedgeshunt.statements.session import StatementSession
 
 # How long a stopping proxy waits for others to claim its groups.
@@ -60,11 +61,13 @@
         promotions: PromotionService,
         peers: FrameConnector,
         decisions: DecisionLog,
+        recorder: StatementRecorder,
         started_at: Boottime = PROCESS_STARTED_AT,
     ) -> None:
         """Bring the parts together; nothing runs before run()."""
         self.entry = _make_entry(settings)
         self._sessions = 0
+        self._recorder = recorder
         prefixes = (documents.configuration_key, documents.targets_prefix)
         self._view = StoreView(
             store,
@@ -93,6 +96,7 @@
             self._lease,
             made,
             held,
+            self._records,
             decisions,
         )
         self._neighbours = Neighbours(
@@ -129,12 +133,6 @@
                 decisions,
             ),
         )
-        self.isolation = Isolation(
-            self.entry.zone,
-            self._lease,
-            self._neighbours,
-            decisions,
-        )
         self._heartbeats.bind(self._neighbours, self._groups)
         owners = OwnerDirectory(
             self._groups,
@@ -143,6 +141,14 @@
             self._lease,
             self._heartbeats.owners_changed,
         )
+        self.isolation = Isolation(
+            self.entry.zone,
+            self._lease,
+            self._neighbours,
+            owners,
+            self._configuration,
+            decisions,
+        )
         self._dispatcher = Dispatcher(owners)
         self._desk = LocalDesk(
             self._groups,
@@ -187,6 +193,7 @@
             f'{self.entry.name}-{self.entry.incarnation}-{self._sessions}',
             self._configuration,
             self._dispatcher,
+            self._recorder,
         )
 
     def find_access(self, group: GroupId) -> GroupAccess | None:
@@ -250,6 +257,8 @@
     def _note_change(self, key: str) -> None:
         self._groups.changed.set()
         self._heartbeats.owners_changed.notify()
+        if key.startswith(OWNERS_PREFIX):
+            self._neighbours.wake_all()
 
 
 def _make_entry(settings: NodeSettings) -> InstanceEntry:
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -22,7 +22,7 @@
 )
 from sedgeshunt.ownership.lease import InstanceLease
 from sedgeshunt.ownership.promises import (
-    PROMISE_TIME,
+    OUTAGE_PROMISE_TIME,
     PromisesHeld,
     PromisesMade,
 )
@@ -31,8 +31,9 @@
 from sedgeshunt.ownership.reign import LONGEST_EXTENSION, Reign
 from sedgeshunt.registry.entries import GroupRecord, InstanceEntry
 
-# How often a claim is thought about when nothing happens.
+# How often a claim is thought about while one may be near, and otherwise.
 LOOK_EVERY = Seconds(0.05)
+IDLE_LOOK = Seconds(0.25)
 # Each instance that is better placed gets this long to claim first.
 RANK_DELAY = Seconds(0.06)
 # An heir that was named gets as long as this many others.
@@ -122,7 +123,8 @@
             token = await self._try_claim()
             if token is not None:
                 return self._open_reign(token)
-            await self._wait_change()
+            is_near = self._absent_since is not None or self.is_pressing
+            await self._wait_change(LOOK_EVERY if is_near else IDLE_LOOK)
 
     async def hold(self, reign: Reign) -> None:
         """Return once the reign has ended."""
@@ -132,7 +134,7 @@
                 if reign.heir is not None and await self._give_up(reign):
                     break
                 await self._claim_again(reign)
-                await self._wait_change()
+                await self._wait_change(IDLE_LOOK)
             keeping.cancel()
         reign.end()
         self._tell(DecisionKind.GROUP_LOST, reign.token)
@@ -149,10 +151,10 @@
         self._tell(DecisionKind.GROUP_RELEASED, reign.token)
         return True
 
-    async def _wait_change(self) -> None:
+    async def _wait_change(self, limit: Seconds) -> None:
         self.changed.clear()
         with suppress(TimeoutError):
-            async with timeout(LOOK_EVERY):
+            async with timeout(limit):
                 await self.changed.wait()
 
     def _still_owns(self, reign: Reign) -> bool:
@@ -216,7 +218,7 @@
             record is not None
             and context.records.owner not in record.candidates
         ):
-            return absent_for > LONGEST_EXTENSION + PROMISE_TIME
+            return absent_for > LONGEST_EXTENSION + OUTAGE_PROMISE_TIME
         if self._free_since is None:
             self._free_since = now
         return now - self._free_since >= self._find_rank(last) * RANK_DELAY
@@ -281,6 +283,7 @@
             token,
             context.lease,
             context.held,
+            self.changed.set,
         )
         reign.candidates = frozenset(self._list_candidates())
         self._absent_since = None
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -17,12 +17,15 @@
 # Time without a renewal after which another instance may take over: the
 # store's shortest lease. Two renewals may fail in it.
 LEASE_TIME = Seconds(1)
-RENEW_EVERY = Seconds(0.25)
+RENEW_EVERY = Seconds(0.3)
 # A renewal that failed is tried again after so long.
 RETRY_AFTER = Seconds(0.1)
 # Without a renewal for so long the store counts as out of reach: two of them
 # are due in this time.
-REACH_LIMIT = Seconds(0.6)
+REACH_LIMIT = Seconds(0.8)
+# A renewal later than this is late: it is due after RENEW_EVERY and takes some
+# milliseconds.
+LATE_AFTER = Seconds(0.4)
 # The store's clock may run this much ahead over the time of a lease.
 DRIFT_MARGIN = Seconds(0.05)
 
@@ -53,6 +56,10 @@
         """Return until when `lease` is surely held; 0 if it ended."""
         return self._held_until if lease == self.id else Boottime(0)
 
+    def is_fresh(self) -> bool:
+        """Tell whether the latest renewal came when it was due."""
+        return read_boottime() - self._renewed_at < LATE_AFTER
+
     async def run(self) -> None:
         """Hold a lease until cancelled."""
         while True:
--- a/src/sedgeshunt/ownership/promises.py
+++ b/src/sedgeshunt/ownership/promises.py
@@ -9,14 +9,18 @@
 # by the heartbeat before, 0.2 s earlier, and renewed 0.2 s later; the rest lets
 # one heartbeat be lost.
 PROMISE_TIME = Seconds(0.7)
+# While the store does not answer a candidate, it can't claim anyway. A longer
+# promise then carries an owner over the loss of that candidate, as by a cut of
+# its zone, to the end of a usual outage of five seconds.
+OUTAGE_PROMISE_TIME = Seconds(4)
 
 
 class PromisesMade:
     """Remember to which owners this instance promised not to claim."""
 
-    # A promise says: "for PROMISE_TIME from now I will not claim a group that
-    # you own". A process that starts has forgotten the promises of the one
-    # before it, so it is bound to everybody for as long.
+    # A promise says: "for so long from now I will not claim a group that you
+    # own". A process that starts has forgotten the promises of the one before
+    # it, so it is bound to everybody for as long as any promise holds.
 
     def __init__(self, started_at: Boottime = PROCESS_STARTED_AT) -> None:
         """Be bound by what the process before may have promised."""
@@ -24,12 +28,14 @@
         self._bound_until: dict[ProxyId, Boottime] = {}
         self._withheld: set[ProxyId] = set()
 
-    def make(self, owner: ProxyId) -> bool:
-        """Promise `owner`, unless this instance is about to claim."""
+    def make(self, owner: ProxyId, span: Seconds) -> Seconds:
+        """Promise `owner` for `span`, 0 if this instance is about to claim."""
         if owner in self._withheld:
-            return False
-        self._bound_until[owner] = Boottime(read_boottime() + PROMISE_TIME)
-        return True
+            return Seconds(0)
+        until = Boottime(read_boottime() + span)
+        known = self._bound_until.get(owner, Boottime(0))
+        self._bound_until[owner] = max(known, until)
+        return span
 
     def withhold(self, owner: ProxyId) -> None:
         """Promise `owner` nothing more."""
@@ -41,7 +47,7 @@
 
     def measure_bond(self, owner: ProxyId) -> Seconds:
         """Return how long this instance is still bound to `owner`."""
-        since_start = self._started_at + PROMISE_TIME
+        since_start = self._started_at + OUTAGE_PROMISE_TIME
         until = max(since_start, self._bound_until.get(owner, Boottime(0)))
         return Seconds(max(0, until - read_boottime()))
 
@@ -51,20 +57,24 @@
 
     def __init__(self) -> None:
         """Hold none."""
-        self._made_after: dict[ProxyId, Boottime] = {}
-
-    def note(self, candidate: ProxyId, made_after: Boottime) -> None:
-        """Take in a promise that was surely made after a reading."""
+        self._end: dict[ProxyId, Boottime] = {}
+
+    def note(
+        self,
+        candidate: ProxyId,
+        made_after: Boottime,
+        span: Seconds,
+    ) -> None:
+        """Take in a promise for `span` that was made after a reading."""
         # The candidate repeats the last reading that it got from here: its
         # own clock can't be compared, and a late message is dated rightly.
-        known = self._made_after.get(candidate, Boottime(0))
-        self._made_after[candidate] = Boottime(max(known, made_after))
+        known = self._end.get(candidate, Boottime(0))
+        end = made_after + span if made_after else 0
+        self._end[candidate] = Boottime(max(known, end))
 
     def read_end(self, candidates: Iterable[ProxyId]) -> Boottime:
         """Return until when none of `candidates` will claim."""
-        made = (
-            self._made_after.get(candidate, Boottime(0))
-            for candidate in candidates
+        ends = (
+            self._end.get(candidate, Boottime(0)) for candidate in candidates
         )
-        oldest = min(made, default=Boottime(0))
-        return Boottime(oldest + PROMISE_TIME) if oldest else Boottime(0)
+        return min(ends, default=Boottime(0))
--- a/src/sedgeshunt/ownership/reign.py
+++ b/src/sedgeshunt/ownership/reign.py
@@ -34,8 +34,9 @@
         token: OwnerToken,
         lease: InstanceLease,
         promises: PromisesHeld,
+        on_leaving: Callable[[], object],
     ) -> None:
-        """Start with the lease's proof."""
+        """Start with the lease's proof; call `on_leaving` to give it up."""
         self.group = group
         self.owner = owner
         self.token = token
@@ -45,12 +46,12 @@
         self._lease = lease
         self._lease_id = lease.id or 0
         self._promises = promises
+        self._on_leaving = on_leaving
         # Those who may claim, by the store's record and by changes of it that
         # are under way.
         self.candidates: frozenset[ProxyId] = frozenset()
         self._lease_end = Boottime(0)
         self._held_until = Boottime(0)
-        self._watchers: list[Callable[[], None]] = []
 
     def is_held(self) -> bool:
         """Tell whether nobody else can own the group at this moment."""
@@ -67,6 +68,7 @@
     def leave_to(self, heir: ProxyId) -> None:
         """Have the group given up to another instance."""
         self.heir = heir
+        self._on_leaving()
 
     def end(self) -> None:
         """End it for good."""
--- a/src/sedgeshunt/statements/owners.py
+++ b/src/sedgeshunt/statements/owners.py
@@ -85,8 +85,10 @@
         return max(heard, key=lambda known: known[0])[1] if heard else None
 
     def _find_stored(self, group: GroupId) -> PeerLink | None:
+        # What the store said before it fell silent is no news: the owner says
+        # itself whether it still is.
         owner = self._records.find_owner(group)
-        if owner is None:
+        if owner is None or not self._lease.reaches_store():
             return None
         link = self._neighbours.find_link(owner.owner)
         if link is None or link.peer.incarnation != owner.incarnation:
--- a/src/sedgeshunt/statements/session.py
+++ b/src/sedgeshunt/statements/session.py
@@ -28,7 +28,8 @@
     Unknown,
 )
 from sedgeshunt.statements.call import Access, CallKind, StatementCall
-from sedgeshunt.statements.dispatch import Dispatcher
+from sedgeshunt.statements.dispatch import Dispatched, Dispatcher
+from sedgeshunt.statements.records import StatementEnd, StatementRecorder
 from sedgeshunt.statements.sites import CallSite
 from sedgeshunt.statements.statement import (
     PreparedStatement,
@@ -38,6 +39,8 @@
 
 MILLISECONDS = 1000
 LOST_RETRY = Seconds(0.05)
+# Where a call ran that found no place.
+NOWHERE = 'nowhere'
 UNKNOWN_STATEMENT = 'no-statement'
 MALFORMED = 'malformed'
 NO_DATABASE = 'no-database'
@@ -74,12 +77,14 @@
         name: str,
         configuration: LiveConfiguration,
         dispatcher: Dispatcher,
+        recorder: StatementRecorder,
     ) -> None:
         """Open with no values, no statements and no transaction."""
         self.database = database
         self._name = name
         self._configuration = configuration
         self._dispatcher = dispatcher
+        self._recorder = recorder
         self._values: dict[str, str] = {}
         self._prepared: dict[str, PreparedStatement] = {}
         self._commits: dict[GroupId, Point] = {}
@@ -183,9 +188,11 @@
         return self._configuration.find_route(self.database)
 
     async def _run_single(self, call: StatementCall, route: Route) -> _Outcome:
+        began = read_clock()
         deadline = _find_deadline(route)
         ran = await self._dispatcher.run(call, self._book, deadline)
         outcome = ran.outcome
+        self._record(call, ran, began)
         if call.kind is CallKind.WRITE and isinstance(outcome, Ok):
             self._note_commit(call.group, outcome.ok_value)
         return outcome
@@ -208,17 +215,43 @@
         transaction: CallerTransaction,
         call: StatementCall,
     ) -> _Outcome:
+        began = read_clock()
         deadline = _find_deadline(transaction.route)
-        if transaction.site is not None:
-            return await transaction.site.run_call(call, self._book, deadline)
-        ran = await self._dispatcher.run(
-            replace(call, begins=True),
-            self._book,
-            deadline,
-        )
-        transaction.site = ran.site
+        if transaction.site is None:
+            call = replace(call, begins=True)
+            ran = await self._dispatcher.run(call, self._book, deadline)
+            transaction.site = ran.site
+        else:
+            ran = Dispatched(
+                await transaction.site.run_call(call, self._book, deadline),
+                transaction.site,
+            )
+        self._record(call, ran, began)
         return ran.outcome
 
+    def _record(
+        self,
+        call: StatementCall,
+        ran: Dispatched,
+        began: Monotonic,
+    ) -> None:
+        answer = ran.outcome.ok()
+        self._recorder.record(
+            StatementEnd(
+                call.statement,
+                self.database,
+                call.group,
+                call.kind.value,
+                ran.outcome.err(),
+                Seconds(read_clock() - began),
+                call.aim_left,
+                self._configuration.declared.version,
+                NOWHERE if ran.site is None else ran.site.name,
+                None if answer is None else answer.served_by,
+                call.transaction,
+            ),
+        )
+
     def _make_call(
         self,
         statement: Statement,
--- a/src/sedgeshunt/statements/sites.py
+++ b/src/sedgeshunt/statements/sites.py
@@ -17,6 +17,9 @@
 class CallSite(TransactionKeeper):
     """Run calls in one place."""
 
+    # The proxy that runs them, for reports.
+    name: str
+
     @abstractmethod
     async def run_call(
         self,
@@ -32,6 +35,7 @@
 
     def __init__(self, access: GroupAccess) -> None:
         """Run them by `access`."""
+        self.name = 'here'
         self._access = access
 
     async def run_call(
@@ -57,6 +61,7 @@
 
     def __init__(self, link: PeerLink, *, is_relay: bool = False) -> None:
         """Run them over `link`."""
+        self.name = f'via {link.peer.name}' if is_relay else link.peer.name
         self._link = link
         self._is_relay = is_relay
 
--- a/tests/features/node_bench.py
+++ b/tests/features/node_bench.py
@@ -37,6 +37,7 @@
 from sedgeshunt.platform.statements import read_statement
 from sedgeshunt.ports import Address, Put
 from sedgeshunt.requests.outcome import Answer, Refusal
+from sedgeshunt.statements.records import NoRecorder
 from sedgeshunt.statements.session import StatementSession
 from tests.features.promise_time import VirtualTime
 from tests.standins.documents import (
@@ -128,6 +129,7 @@
             bench.group,
             self.frames,
             self.decisions,
+            NoRecorder(),
             read_boottime(),
         )
         self.frames.listen(self.address, self.service.serve_peer)
--- a/tests/features/statement_sessions.feature
+++ b/tests/features/statement_sessions.feature
@@ -120,3 +120,20 @@
     When all cuts heal
     And 1 s goes by
     Then "west-1" is ready
+
+  Scenario: A part of the network without store and owner sends callers away
+    The network splits. In the part without the store the owner stops, and two
+    zones hear each other but no owner. Their callers are served in the other
+    part, so both say that they are not ready.
+    Given proxies "north-1, east-1, west-1"
+    When "north-1" and "west-1" are cut off from "east-1", "db-east" and the store
+    And 1.5 s go by
+    Then "west-1" is not ready
+    And "north-1" is not ready
+    And "east-1" is ready
+
+  Scenario: An outage of the store alone sends nobody away
+    Given proxies "north-1, east-1, west-1"
+    When the store is down for 3 s
+    Then "west-1" is ready
+    And "east-1" is ready
