Keep a refused instance's lease by a peer, and count unlisted replicas

Cause 1: while the store refused an owner, its key lapsed or, once a promotion had to be noted, the group had nobody who could do it. Ruled out: too few candidates, slow claims. Change: a peer that the store answers renews the lease; an owner that needs the store and is refused gives the group up by word; its released key may be claimed over.

Change: the group's record holds the addresses that may hold acknowledged writes; those unlisted count as not heard.

--- a/src/sedgeshunt/adapters/forwarding.thrift
+++ b/src/sedgeshunt/adapters/forwarding.thrift
@@ -95,6 +95,8 @@
   6: optional list<Owned> relayed
   7: i64 store_revision
   8: bool reaches_store
+  // Groups that the sender owned by a claim, and does not own any more.
+  9: optional map<string, i64> released
 }
 
 struct Frame {
@@ -109,5 +111,8 @@
   7: optional string undone
   // Does the receiver reach this target, and does it lead?
   8: optional Reach reach
-  9: optional bool is_reached
+  // Have the receiver renew this lease in the store.
+  9: optional i64 kept_lease
+  // The answer to both.
+  10: optional bool is_reached
 }
--- a/src/sedgeshunt/adapters/forwarding_codec.py
+++ b/src/sedgeshunt/adapters/forwarding_codec.py
@@ -120,6 +120,7 @@
             if frame.reach is None
             else frames.Reach(frame.reach.group, frame.reach.target)
         ),
+        kept_lease=frame.kept_lease,
         is_reached=frame.is_reached,
     )
 
@@ -142,6 +143,7 @@
                 TargetId(raw.reach.target),
             )
         ),
+        raw.kept_lease,
         raw.is_reached,
     )
 
@@ -336,6 +338,7 @@
         relayed=None if reply.relayed is None else _make_owned(reply.relayed),
         store_revision=reply.store_revision,
         reaches_store=reply.reaches_store,
+        released=dict(reply.released) or None,
         revision=reply.revision,
         is_stopping=reply.is_stopping,
         document=reply.document,
@@ -351,6 +354,10 @@
         None if raw.relayed is None else _read_owned(raw.relayed),
         Revision(raw.store_revision),
         bool(raw.reaches_store),
+        tuple(
+            (GroupId(group), claim)
+            for group, claim in (raw.released or {}).items()
+        ),
         raw.document,
     )
 
--- /dev/null
+++ b/src/sedgeshunt/execution/copies.py
@@ -0,0 +1,95 @@
+"""Know where copies of acknowledged writes may be, listed or not."""
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.connections.target_session import TargetSessionConnector
+from sedgeshunt.execution.statuses import read_statuses
+from sedgeshunt.execution.target_executor import TargetExecutor
+from sedgeshunt.groups.successors import covers
+from sedgeshunt.identifiers import CopyPlace, Monotonic, Seconds
+from sedgeshunt.ownership.records import GroupRecords
+from sedgeshunt.ownership.reign import Reign
+from sedgeshunt.registry.directory import GroupMembers, list_places
+
+# A target that is replaced is listed again within seconds, one that is cut
+# off within some tens; one that is gone for good must not stop replacements.
+FORGET_AFTER = Seconds(30)
+# The store or the replicas may be out of reach for some time.
+RETRY_AFTER = Seconds(2)
+
+
+class CopyNotes:
+    """Note the places of copies in the group's record while one owns it.
+
+    Safeguard: a replica that can't reach the store loses its entry there and
+    goes on acknowledging writes for the primary. Without the note, the rest
+    would look complete, and a replica that lacks these writes would be
+    promoted. A place is forgotten only while another replica holds all that
+    the primary has.
+    """
+
+    def __init__(
+        self,
+        reign: Reign,
+        records: GroupRecords,
+        connector: TargetSessionConnector,
+    ) -> None:
+        """Note on behalf of `reign`."""
+        self._reign = reign
+        self._records = records
+        self._connector = connector
+        self._absent_since: dict[CopyPlace, Monotonic] = {}
+        self._paused_until = Monotonic(0)
+
+    async def keep(
+        self,
+        members: GroupMembers,
+        executor: TargetExecutor,
+    ) -> None:
+        """Note places that are new, and forget those that are gone."""
+        if not members.group.synchronous_replicas:
+            return
+        if read_clock() < self._paused_until:
+            return
+        noted = self._records.find_copies(self._reign.group)
+        listed = list_places(members)
+        gone = self._find_gone(noted - listed)
+        if listed - noted:
+            await self._note(noted | listed)
+        elif gone and await self._is_covered(members, executor):
+            await self._note(noted - gone)
+
+    async def _note(self, places: frozenset[CopyPlace]) -> None:
+        if not await self._records.note_copies(self._reign, places):
+            self._pause()
+
+    def _find_gone(self, absent: frozenset[CopyPlace]) -> frozenset[CopyPlace]:
+        now = read_clock()
+        self._absent_since = {
+            place: self._absent_since.get(place, now) for place in absent
+        }
+        return frozenset(
+            place
+            for place, since in self._absent_since.items()
+            if now - since > FORGET_AFTER
+        )
+
+    async def _is_covered(
+        self,
+        members: GroupMembers,
+        executor: TargetExecutor,
+    ) -> bool:
+        """Tell whether a listed replica holds all that is acknowledged."""
+        tip = executor.tip
+        others = [
+            known
+            for known in members.targets
+            if known.target.name != executor.target.name
+        ]
+        statuses = await read_statuses(self._connector, others)
+        if any(covers(status, tip) for status in statuses.values()):
+            return True
+        self._pause()
+        return False
+
+    def _pause(self) -> None:
+        self._paused_until = Monotonic(read_clock() + RETRY_AFTER)
--- a/src/sedgeshunt/execution/keeper_parts.py
+++ b/src/sedgeshunt/execution/keeper_parts.py
@@ -23,6 +23,10 @@
     ) -> ProxyId | None:
         """Return a peer that reaches a target that leads; None for none."""
 
+    @abstractmethod
+    def find_heir(self, group: GroupId) -> ProxyId | None:
+        """Return the best candidate that reaches the store, None for none."""
+
 
 @dataclass(frozen=True, slots=True)
 class KeeperParts:
--- a/src/sedgeshunt/execution/primary_keeper.py
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -6,6 +6,7 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.connections.target_session import LogRole, LogStatus
 from sedgeshunt.decisions import DecisionKind
+from sedgeshunt.execution.copies import CopyNotes
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.primary_finder import Leader, PrimaryFinder
 from sedgeshunt.execution.primary_probe import PrimaryProbe
@@ -61,6 +62,7 @@
         self._parts = parts
         self._probe_before = probe
         self._finder = PrimaryFinder(reign, parts)
+        self._copies = CopyNotes(reign, parts.records, parts.connector)
         # The end of what callers were told by the primary before.
         self._acknowledged: Point | None = None
 
@@ -132,7 +134,9 @@
         members = self._finder.list_members()
         if members is None:
             await sleep(CHECK_EVERY)
-        elif _must_go(members, executor.target.name):
+            return
+        await self._copies.keep(members, executor)
+        if _must_go(members, executor.target.name):
             await self._replace_planned(members, executor)
         elif await self._shows_trouble(executor):
             await self._probe(members, executor)
@@ -216,11 +220,11 @@
         await _wait_quiet(executor)
         statuses = await self._ask_others(members, executor.target.name)
         # Without a successor or the store it would be suspended for nothing.
-        if not (statuses and self._parts.records.reaches_store()):
-            await sleep(RETRY_PAUSE)
-            return
-        await self._suspend(executor)
-        await self._promote(members, statuses, executor.tip)
+        if statuses and self._parts.records.reaches_store():
+            await self._suspend(executor)
+            await self._promote(members, statuses, executor.tip)
+        else:
+            await self._yield_to_heir()
 
     async def _suspend(self, executor: TargetExecutor) -> None:
         """Start nothing more at the primary, and let what is open end."""
@@ -243,6 +247,9 @@
     ) -> None:
         # Once told, it stays acknowledged, however many attempts it takes.
         self._acknowledged = acknowledged or self._acknowledged
+        if not self._parts.records.reaches_store():
+            await self._yield_to_heir()
+            return
         successor = await self._parts.replacement.promote(
             self._reign,
             members,
@@ -250,10 +257,20 @@
             self._acknowledged,
         )
         if successor is None:
-            await sleep(RETRY_PAUSE)
+            await self._yield_to_heir()
         else:
             await self._serve(Leader(successor.known, successor.status))
 
+    async def _yield_to_heir(self) -> None:
+        """Give the group to a peer if the store answers that one only."""
+        await sleep(RETRY_PAUSE)
+        if self._parts.records.reaches_store():
+            return
+        heir = self._parts.peers.find_heir(self._reign.group)
+        if heir is not None:
+            self._reign.leave_to(heir)
+            await sleep(HANDOVER_TIME)
+
     async def _ask_others(
         self,
         members: GroupMembers,
--- a/src/sedgeshunt/execution/primary_probe.py
+++ b/src/sedgeshunt/execution/primary_probe.py
@@ -14,7 +14,7 @@
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.registry.directory import KnownTarget
 
-LOOK_EVERY = Seconds(0.05)
+LOOK_EVERY = Seconds(0.2)
 # Longest time between a look and the claim that makes use of it.
 FRESH_FOR = Seconds(0.5)
 
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -2,7 +2,7 @@
 
 from asyncio import sleep
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.connections.target_session import (
@@ -26,7 +26,11 @@
 from sedgeshunt.identifiers import Seconds, TargetId
 from sedgeshunt.ownership.records import GroupRecords
 from sedgeshunt.ownership.reign import Reign
-from sedgeshunt.registry.directory import GroupMembers, KnownTarget
+from sedgeshunt.registry.directory import (
+    GroupMembers,
+    KnownTarget,
+    list_places,
+)
 
 # The order's answer takes some milliseconds; the platform may be slow.
 ORDER_LIMIT = Seconds(0.5)
@@ -82,8 +86,7 @@
         chosen = Successor(known, statuses[target])
         covers_all = await self._catch_up(chosen, acknowledged)
         is_safe = is_safe_choice(
-            len(members.targets) - 1,
-            len(statuses),
+            self._count_unheard(members, statuses),
             members.group.synchronous_replicas,
             covers_all=covers_all and acknowledged is not None,
         )
@@ -115,6 +118,24 @@
             await sleep(POLL_EVERY)
         return True
 
+    def _count_unheard(
+        self,
+        members: GroupMembers,
+        statuses: Mapping[TargetId, LogStatus],
+    ) -> int:
+        heard = replace(
+            members,
+            targets=[
+                known
+                for known in members.targets
+                if known.target.name in statuses
+            ],
+        )
+        noted = self._records.find_copies(members.group.name)
+        places = noted | list_places(members)
+        # One of them is the primary that is lost.
+        return len(places - list_places(heard)) - 1
+
     async def _catch_up(
         self,
         chosen: Successor,
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -200,11 +200,21 @@
         limit: Seconds,
     ) -> bool:
         """Ask whether the peer reaches a target that leads its group."""
+        return await self._ask(
+            Frame(0, reach=ReachQuestion(group, target)),
+            limit,
+        )
+
+    async def keep_lease(self, lease: int, limit: Seconds) -> bool:
+        """Have the peer renew a lease in the store."""
+        return await self._ask(Frame(0, kept_lease=lease), limit)
+
+    async def _ask(self, question: Frame, limit: Seconds) -> bool:
         channel = self._channel
         if channel is None:
             return False
         number, reply = self._expect()
-        channel.send(Frame(number, reach=ReachQuestion(group, target)))
+        channel.send(replace(question, number=number))
         try:
             async with timeout_at(read_clock() + limit):
                 frame = await reply
--- a/src/sedgeshunt/forwarding/messages.py
+++ b/src/sedgeshunt/forwarding/messages.py
@@ -67,6 +67,8 @@
     store_revision: Revision = Revision(0)
     # The store answers the sender.
     reaches_store: bool = False
+    # Groups that the sender owned by a claim, and does not own any more.
+    released: tuple[tuple[GroupId, int], ...] = ()
     # The configuration, when the asker's is older.
     document: bytes | None = None
 
@@ -85,4 +87,7 @@
     # The caller has given this transaction up.
     undone: TransactionId | None = None
     reach: ReachQuestion | None = None
+    # Have the receiver renew this lease in the store.
+    kept_lease: int | None = None
+    # The answer to both.
     is_reached: bool | None = None
--- a/src/sedgeshunt/forwarding/server.py
+++ b/src/sedgeshunt/forwarding/server.py
@@ -51,6 +51,10 @@
     async def reaches(self, group: GroupId, target: TargetId) -> bool:
         """Tell whether a target that leads its group is reached from here."""
 
+    @abstractmethod
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a peer's lease in the store; tell whether it goes on."""
+
     @abstractmethod
     def answer_beat(self, beat: Beat) -> BeatReply:
         """Answer a heartbeat."""
@@ -93,6 +97,8 @@
             self._running[number].cancel()
         if frame.reach is not None:
             tasks.create_task(self._answer_reach(number, frame.reach))
+        if frame.kept_lease is not None:
+            tasks.create_task(self._answer_keep(number, frame.kept_lease))
         if frame.undone is not None:
             tasks.create_task(
                 self._desk.end_transaction(frame.undone, self._book),
@@ -112,6 +118,10 @@
         is_reached = await self._desk.reaches(asked.group, asked.target)
         self._channel.send(Frame(number, is_reached=is_reached))
 
+    async def _answer_keep(self, number: int, lease: int) -> None:
+        is_kept = await self._desk.keep_lease(lease)
+        self._channel.send(Frame(number, is_reached=is_kept))
+
     async def _run(self, number: int, call: StatementCall) -> None:
         try:
             deadline = Monotonic(read_clock() + call.time_left)
--- a/src/sedgeshunt/groups/successors.py
+++ b/src/sedgeshunt/groups/successors.py
@@ -40,19 +40,19 @@
 
 
 def is_safe_choice(
-    replicas: int,
-    heard: int,
+    unheard: int,
     synchronous: int,
     *,
     covers_all: bool,
 ) -> bool:
     """Tell whether the furthest log heard must hold all acknowledged writes.
 
-    `covers_all` says that it holds all that this owner acknowledged itself.
+    `unheard` counts the replicas that did not tell their logs; `covers_all`
+    says that the log holds all that this owner acknowledged itself.
     """
-    # Each acknowledged write is on `synchronous` of the replicas. Among so
-    # many that fewer than this are missing, one has it, and the furthest log
+    # Each acknowledged write is on `synchronous` of the replicas. If fewer
+    # than this are missing, one that was heard has it, and the furthest log
     # has all of them.
     if not synchronous:
         return True
-    return covers_all or replicas - heard < synchronous
+    return covers_all or unheard < synchronous
--- a/src/sedgeshunt/identifiers.py
+++ b/src/sedgeshunt/identifiers.py
@@ -29,3 +29,5 @@
 OwnerToken = NewType('OwnerToken', int)
 # A reading of the clock that also counts while the instance is suspended.
 Boottime = NewType('Boottime', float)
+# Address at which one target after the other keeps a log.
+CopyPlace = NewType('CopyPlace', str)
--- a/src/sedgeshunt/membership/heartbeats.py
+++ b/src/sedgeshunt/membership/heartbeats.py
@@ -19,6 +19,7 @@
     PromisesMade,
 )
 from sedgeshunt.ownership.records import GroupRecords
+from sedgeshunt.ownership.releases import Releases
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.registry.entries import InstanceEntry
 from sedgeshunt.registry.store_view import StoreView
@@ -35,6 +36,7 @@
         lease: InstanceLease,
         made: PromisesMade,
         held: PromisesHeld,
+        releases: Releases,
         records: GroupRecords,
         decisions: DecisionLog,
     ) -> None:
@@ -50,6 +52,7 @@
         self._made = made
         self._held = held
         self._records = records
+        self._releases = releases
         self._decisions = decisions
 
     def bind(self, neighbours: Neighbours, groups: GroupTable) -> None:
@@ -88,6 +91,7 @@
             tuple(self._list_relayed()),
             self._view.revision,
             self._lease.reaches_store(),
+            tuple(self._releases.list_own()),
             self._configuration.copy_newer(beat.revision),
         )
 
@@ -110,6 +114,8 @@
         for owned in reply.owned:
             if owned.tip is not None:
                 self._groups.take_tip(owned.group, asked_at, owned.tip)
+        for group, claim in reply.released:
+            self._releases.note_heard(group, claim)
         self._view.note_newer(reply.store_revision)
         if reply.document is not None:
             self._configuration.take_copy(reply.document, reply.revision)
@@ -133,8 +139,9 @@
         # next owner.
         if not is_answering:
             return Seconds(0)
-        reaches = self._lease.reaches_store()
-        span = PROMISE_TIME if reaches else OUTAGE_PROMISE_TIME
+        # Without the store, and when it stops, it can't claim anyway.
+        may_claim = self._lease.reaches_store() and not self.is_stopping
+        span = PROMISE_TIME if may_claim else OUTAGE_PROMISE_TIME
         return self._made.make(peer, span)
 
     def _meet(self, entry: InstanceEntry) -> None:
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -9,7 +9,7 @@
 from sedgeshunt.decisions import DecisionLog
 from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
 from sedgeshunt.execution.group_access import GroupAccess
-from sedgeshunt.execution.group_table import GroupTable
+from sedgeshunt.execution.group_table import GroupTable, find_primary_zone
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.replacement import PrimaryReplacement
 from sedgeshunt.forwarding.channel import FrameChannel, FrameConnector
@@ -20,9 +20,9 @@
     GroupId,
     Incarnation,
     Monotonic,
-    ProxyId,
     Seconds,
     TrafficClass,
+    ZoneId,
 )
 from sedgeshunt.membership.heartbeats import Heartbeats
 from sedgeshunt.membership.isolation import Isolation
@@ -31,8 +31,8 @@
 from sedgeshunt.ownership.claims import ClaimContext
 from sedgeshunt.ownership.lease import InstanceLease
 from sedgeshunt.ownership.promises import PromisesHeld, PromisesMade
-from sedgeshunt.ownership.ranking import rank_owners
 from sedgeshunt.ownership.records import GroupRecords
+from sedgeshunt.ownership.releases import Releases
 from sedgeshunt.ports import KeyValueService
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.registry.directory import PlatformDocuments
@@ -89,6 +89,7 @@
             self.entry.incarnation,
         )
         made, held = PromisesMade(started_at), PromisesHeld()
+        releases = Releases()
         self._heartbeats = Heartbeats(
             self.entry,
             self._view,
@@ -96,6 +97,7 @@
             self._lease,
             made,
             held,
+            releases,
             self._records,
             decisions,
         )
@@ -110,9 +112,15 @@
             self._lease,
             made,
             held,
+            releases,
             self._neighbours,
             decisions,
         )
+        self._opinions = HeardOpinions(
+            self._neighbours,
+            self._records,
+            self._find_zone,
+        )
         self._groups = GroupTable(
             self.entry.zone,
             self._configuration,
@@ -129,7 +137,7 @@
                     decisions,
                 ),
                 self._records,
-                HeardOpinions(self._neighbours),
+                self._opinions,
                 decisions,
             ),
         )
@@ -156,7 +164,9 @@
             self._heartbeats,
             self._configuration,
             connector,
+            store,
         )
+        self._lease.bind(self._opinions)
         self._view.listen(self._note_change)
 
     async def run(self) -> None:
@@ -213,7 +223,7 @@
         self._heartbeats.is_stopping = True
         self._claims.is_stopping = True
         for access in self._groups:
-            heir = self._choose_heir(access.group)
+            heir = self._opinions.find_heir(access.group)
             if access.owner is not None and heir is not None:
                 access.owner.reign.leave_to(heir)
                 access.claim.changed.set()
@@ -229,20 +239,8 @@
     def _owns_any(self) -> bool:
         return any(access.owner is not None for access in self._groups)
 
-    def _choose_heir(self, group: GroupId) -> ProxyId | None:
-        record = self._records.find_record(group)
-        candidates = () if record is None else record.candidates
-        able = [
-            entry
-            for entry in self._neighbours.list_instances()
-            if entry.name in candidates and self._can_inherit(entry.name)
-        ]
-        ranked = rank_owners(group, able, self._groups.find_zone(group))
-        return ranked[0].name if ranked else None
-
-    def _can_inherit(self, name: ProxyId) -> bool:
-        link = self._neighbours.find_link(name)
-        return link is not None and not link.is_stopping
+    def _find_zone(self, group: GroupId) -> ZoneId | None:
+        return find_primary_zone(self._configuration, group)
 
     def _is_checker(self) -> bool:
         if not self._lease.reaches_store():
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -28,6 +28,7 @@
 )
 from sedgeshunt.ownership.ranking import choose_candidates, rank_owners
 from sedgeshunt.ownership.records import GroupRecords
+from sedgeshunt.ownership.releases import Releases
 from sedgeshunt.ownership.reign import LONGEST_EXTENSION, Reign
 from sedgeshunt.registry.entries import GroupRecord, InstanceEntry
 
@@ -70,6 +71,7 @@
         lease: InstanceLease,
         made: PromisesMade,
         held: PromisesHeld,
+        releases: Releases,
         peers: KnownPeers,
         decisions: DecisionLog,
     ) -> None:
@@ -78,6 +80,7 @@
         self.lease = lease
         self.made = made
         self.held = held
+        self.releases = releases
         self.list_instances = peers.list_instances
         self.find_instance = peers.find_instance
         self.is_owner_heard = peers.is_owner_heard
@@ -136,21 +139,32 @@
                 await self._claim_again(reign)
                 await self._wait_change(IDLE_LOOK)
             keeping.cancel()
+        # Others need not wait for promises, nor for a key that a lease keeps.
         reign.end()
+        self._context.releases.note_own(self.group, reign.claim)
         self._tell(DecisionKind.GROUP_LOST, reign.token)
 
     async def _give_up(self, reign: Reign) -> bool:
         heir = reign.heir
         if heir is None:
             return False
-        try:
-            await self._context.records.release(self.group, heir)
-        except (PlatformUnavailable, AnswerLost):
-            reign.heir = None
-            return False
+        # Its word must be true when it is heard: the reign ends first.
+        reign.end()
+        if self._context.records.reaches_store():
+            with suppress(PlatformUnavailable, AnswerLost):
+                await self._context.records.release(self.group, heir)
         self._tell(DecisionKind.GROUP_RELEASED, reign.token)
         return True
 
+    def _is_released(self) -> bool:
+        """Tell whether the latest owner has said that its reign is over."""
+        claim = self._find_claim()
+        return self._context.releases.is_released(self.group, claim)
+
+    def _find_claim(self) -> int:
+        record = self._context.records.find_record(self.group)
+        return 0 if record is None else record.claims
+
     async def _wait_change(self, limit: Seconds) -> None:
         self.changed.clear()
         with suppress(TimeoutError):
@@ -176,20 +190,21 @@
         with suppress(PlatformUnavailable, AnswerLost, LeaseLapsed):
             token = await records.claim(self.group, reign.candidates)
             if token is not None and reign.is_held():
-                reign.renew(token)
+                reign.renew(token, self._find_claim())
 
     async def _try_claim(self) -> OwnerToken | None:
         context = self._context
         records = context.records
         owner = records.find_owner(self.group)
-        if owner is not None and owner.owner != records.owner:
+        is_other = owner is not None and owner.owner != records.owner
+        if is_other and not self._is_released():
             self._absent_since = None
             self._free_since = None
             self._allow()
             return None
         if context.is_stopping or context.lease.id is None:
             return None
-        if owner is not None:
+        if owner is not None and not is_other:
             # An earlier process of this instance held it, so nobody else can.
             return await self._claim(self._list_candidates())
         if self._absent_since is None:
@@ -227,6 +242,8 @@
         """Return the latest owner if it may still go on by promises."""
         if record is None or record.owner == self._context.records.owner:
             return ProxyId('')
+        if self._is_released():
+            return ProxyId('')
         # A new process of that instance is there: the owner has ended.
         entry = self._context.find_instance(record.owner)
         if entry is not None and entry.incarnation != record.incarnation:
@@ -286,6 +303,7 @@
             self.changed.set,
         )
         reign.candidates = frozenset(self._list_candidates())
+        reign.claim = self._find_claim()
         self._absent_since = None
         self._free_since = None
         self._allow()
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -1,6 +1,7 @@
 """Hold this instance's lease in the platform's store."""
 
-from asyncio import sleep
+from abc import ABC, abstractmethod
+from asyncio import create_task, sleep, wait
 
 from sedgeshunt.clocks import read_boottime
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
@@ -23,6 +24,9 @@
 # Without a renewal for so long the store counts as out of reach: two of them
 # are due in this time.
 REACH_LIMIT = Seconds(0.8)
+# The store answers in some milliseconds. A relayed renewal that starts now,
+# after a pause and a call, still comes within the lease.
+RELAY_AFTER = Seconds(0.2)
 # A renewal later than this is late: it is due after RENEW_EVERY and takes some
 # milliseconds.
 LATE_AFTER = Seconds(0.4)
@@ -30,6 +34,14 @@
 DRIFT_MARGIN = Seconds(0.05)
 
 
+class LeaseRelay(ABC):
+    """Have a peer that the store answers renew a lease."""
+
+    @abstractmethod
+    async def keep_lease(self, lease: int) -> bool:
+        """Tell whether a peer has renewed `lease`."""
+
+
 class InstanceLease:
     """Renew the one lease to which all of an instance's keys are bound."""
 
@@ -47,11 +59,16 @@
         self._held_until = Boottime(0)
         self._renewed_at = Boottime(0)
         self.is_released = False
+        self._relay: LeaseRelay | None = None
 
     def reaches_store(self) -> bool:
         """Tell whether the store has answered of late."""
         return read_boottime() - self._renewed_at < REACH_LIMIT
 
+    def bind(self, relay: LeaseRelay) -> None:
+        """Use `relay` where the store does not answer."""
+        self._relay = relay
+
     def read_end(self, lease: int) -> Boottime:
         """Return until when `lease` is surely held; 0 if it ended."""
         return self._held_until if lease == self.id else Boottime(0)
@@ -66,6 +83,7 @@
             try:
                 await self._renew()
             except (PlatformUnavailable, AnswerLost, LeaseLapsed):
+                await self._renew_by_relay()
                 await sleep(RETRY_AFTER)
             else:
                 await sleep(RENEW_EVERY)
@@ -86,12 +104,35 @@
         if self.id is None:
             self.id = await self._store.grant_lease(LEASE_TIME)
             await self._register(self.id)
-        elif not await self._store.keep_lease(self.id):
+        elif not await self._keep(self.id):
             self._note_lapse()
             return
+        self._note_renewal(asked_at)
+        self._renewed_at = read_boottime()
+
+    async def _keep(self, lease: int) -> bool:
+        """Renew in the store, and by a peer too when this takes long."""
+        # A call that hangs until its limit would outlast the lease.
+        call = create_task(self._store.keep_lease(lease))
+        try:
+            done, _ = await wait((call,), timeout=RELAY_AFTER)
+            if not done:
+                await self._renew_by_relay()
+            return await call
+        finally:
+            call.cancel()
+
+    async def _renew_by_relay(self) -> None:
+        """Have a peer renew the lease: the store may refuse this one only."""
+        if self.id is None or self._relay is None:
+            return
+        asked_at = read_boottime()
+        if await self._relay.keep_lease(self.id):
+            self._note_renewal(asked_at)
+
+    def _note_renewal(self, asked_at: Boottime) -> None:
         end = asked_at + LEASE_TIME - DRIFT_MARGIN
         self._held_until = Boottime(max(self._held_until, end))
-        self._renewed_at = read_boottime()
 
     async def _register(self, lease: int) -> None:
         key = make_instance_key(self._entry.name)
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -11,6 +11,7 @@
     PlatformUnavailable,
 )
 from sedgeshunt.identifiers import (
+    CopyPlace,
     GroupId,
     Incarnation,
     OwnerToken,
@@ -97,6 +98,11 @@
         record = self.find_record(group)
         return None if record is None else record.intent
 
+    def find_copies(self, group: GroupId) -> frozenset[CopyPlace]:
+        """Return where acknowledged writes may be, as far as noted."""
+        record = self.find_record(group)
+        return frozenset() if record is None else frozenset(record.copies)
+
     def is_own(self, entry: OwnerEntry | None) -> bool:
         """Tell whether this very process is an owner."""
         return entry == OwnerEntry(self.owner, self.incarnation)
@@ -117,13 +123,7 @@
         seen = self._read(group)
         owner = encode_entry(OwnerEntry(self.owner, self.incarnation))
         record = encode_entry(
-            replace(
-                seen.record or GroupRecord(group),
-                candidates=tuple(sorted(candidates)),
-                owner=self.owner,
-                incarnation=self.incarnation,
-                heir=ProxyId(''),
-            ),
+            self._make_record(seen.record or GroupRecord(group), candidates),
         )
         committed = await self._store.commit(
             seen.compares,
@@ -135,6 +135,20 @@
         self._note(seen.record_key, record, committed.revision)
         return OwnerToken(committed.revision)
 
+    def _make_record(
+        self,
+        known: GroupRecord,
+        candidates: Collection[ProxyId],
+    ) -> GroupRecord:
+        return replace(
+            known,
+            claims=known.claims + 1,
+            candidates=tuple(sorted(candidates)),
+            owner=self.owner,
+            incarnation=self.incarnation,
+            heir=ProxyId(''),
+        )
+
     async def note_intent(self, reign: Reign, target: TargetId) -> bool:
         """Write that a promotion is about to be ordered."""
         intent = ReplacementIntent(target, reign.token)
@@ -158,6 +172,14 @@
                 return True
         return await self._change(reign, leader=leader, intent=None)
 
+    async def note_copies(
+        self,
+        reign: Reign,
+        places: Collection[CopyPlace],
+    ) -> bool:
+        """Write where acknowledged writes may be."""
+        return await self._change(reign, copies=tuple(sorted(places)))
+
     async def change_candidates(
         self,
         reign: Reign,
--- a/src/sedgeshunt/ownership/reign.py
+++ b/src/sedgeshunt/ownership/reign.py
@@ -16,7 +16,7 @@
 # How long an owner may go on by promises alone, counted from the end of its
 # lease. Longer than the store's outages; an instance that is no candidate
 # waits for longer than this before it claims.
-LONGEST_EXTENSION = Seconds(10)
+LONGEST_EXTENSION = Seconds(30)
 
 
 class Reign:
@@ -40,6 +40,8 @@
         self.group = group
         self.owner = owner
         self.token = token
+        # The number of the claim that it goes by, by the group's record.
+        self.claim = 0
         self.is_over = False
         # Set once the group is to be given up to another instance.
         self.heir: ProxyId | None = None
@@ -74,9 +76,10 @@
         """End it for good."""
         self.is_over = True
 
-    def renew(self, token: OwnerToken) -> None:
+    def renew(self, token: OwnerToken, claim: int) -> None:
         """Go on under a new claim that was made while this one held."""
         self.token = token
+        self.claim = claim
         self._lease_id = self._lease.id or 0
 
     def _extend(self, now: Boottime) -> None:
--- a/src/sedgeshunt/registry/directory.py
+++ b/src/sedgeshunt/registry/directory.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass, field
 
 from sedgeshunt.configuration.objects import Group, Route, Target
-from sedgeshunt.identifiers import GroupId, TargetId, TrafficClass
+from sedgeshunt.identifiers import (
+    CopyPlace,
+    GroupId,
+    TargetId,
+    TrafficClass,
+)
 from sedgeshunt.ports import KeyValue
 
 
@@ -64,3 +69,12 @@
             if known.target.name == target:
                 return known
         return None
+
+
+def list_places(members: GroupMembers) -> frozenset[CopyPlace]:
+    """Return where the targets of a group keep their logs."""
+    # A target that is replaced hands its log to the next one at its address.
+    return frozenset(
+        CopyPlace(f'{known.target.host}:{known.target.port}')
+        for known in members.targets
+    )
--- a/src/sedgeshunt/registry/entries.py
+++ b/src/sedgeshunt/registry/entries.py
@@ -6,6 +6,7 @@
 from msgspec.json import decode, encode
 
 from sedgeshunt.identifiers import (
+    CopyPlace,
     GroupId,
     Incarnation,
     OwnerToken,
@@ -66,11 +67,16 @@
     # The latest owner; who claims has to be free of promises to it.
     owner: ProxyId = ProxyId('')
     incarnation: Incarnation = Incarnation('')
+    # Counts the claims; the owner's reign is known by it.
+    claims: int = 0
     # The one instance that should claim next; others give it some time.
     heir: ProxyId = ProxyId('')
     leader: LeaderNote | None = None
     # Set before a promotion is ordered, cleared once its end is known.
     intent: ReplacementIntent | None = None
+    # Addresses of targets that may hold acknowledged writes. Kept only where
+    # replicas acknowledge writes; those that are not listed count too.
+    copies: tuple[CopyPlace, ...] = ()
 
 
 def encode_entry(entry: Struct) -> bytes:
--- a/src/sedgeshunt/statements/peer_desk.py
+++ b/src/sedgeshunt/statements/peer_desk.py
@@ -1,6 +1,8 @@
 """Do for peers what they can't do themselves."""
 
-from asyncio import TaskGroup
+from asyncio import gather
+from collections.abc import Callable, Iterator
+from itertools import compress
 
 from result import Err, Result
 
@@ -8,11 +10,13 @@
     LogRole,
     TargetSessionConnector,
 )
+from sedgeshunt.exceptions import PlatformUnavailable
 from sedgeshunt.execution.group_access import GroupAccess
 from sedgeshunt.execution.group_table import GroupTable
 from sedgeshunt.execution.keeper_parts import PeerOpinions
 from sedgeshunt.execution.statuses import STATUS_LIMIT, read_status
 from sedgeshunt.execution.transactions import TransactionBook
+from sedgeshunt.forwarding.link import PeerLink
 from sedgeshunt.forwarding.messages import Beat, BeatReply
 from sedgeshunt.forwarding.server import PeerDesk
 from sedgeshunt.groups.points import Point
@@ -23,9 +27,14 @@
     Seconds,
     TargetId,
     TransactionId,
+    ZoneId,
 )
 from sedgeshunt.membership.heartbeats import Heartbeats
 from sedgeshunt.membership.neighbours import Neighbours
+from sedgeshunt.ownership.lease import LeaseRelay
+from sedgeshunt.ownership.ranking import rank_owners
+from sedgeshunt.ownership.records import GroupRecords
+from sedgeshunt.ports import KeyValueService
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.requests.outcome import Answer, Cause, NotRun, Refusal
 from sedgeshunt.statements.call import Access, StatementCall
@@ -33,6 +42,8 @@
 from sedgeshunt.statements.sites import LocalSite
 
 NOT_SERVED_RETRY = Seconds(0.2)
+# A peer renews a lease in one call, which the store answers in 4 ms.
+KEEP_LIMIT = Seconds(0.2)
 
 
 class LocalDesk(PeerDesk):
@@ -45,6 +56,7 @@
         heartbeats: Heartbeats,
         configuration: LiveConfiguration,
         connector: TargetSessionConnector,
+        store: KeyValueService,
     ) -> None:
         """Work with what this proxy has."""
         self._groups = groups
@@ -52,6 +64,7 @@
         self._heartbeats = heartbeats
         self._configuration = configuration
         self._connector = connector
+        self._store = store
 
     async def run_call(
         self,
@@ -94,6 +107,13 @@
         status = await read_status(self._connector, known)
         return status is not None and status.role is LogRole.PRIMARY
 
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a peer's lease in the store; tell whether it goes on."""
+        try:
+            return await self._store.keep_lease(lease)
+        except PlatformUnavailable:
+            return False
+
     def read_tip(self, group: GroupId) -> Point | None:
         """Return the log end of a group that is owned here."""
         return self._groups.read_tip(group)
@@ -132,12 +152,19 @@
     return call.access is Access.PRIMARY and access.owner is None
 
 
-class HeardOpinions(PeerOpinions):
+class HeardOpinions(PeerOpinions, LeaseRelay):
     """Ask the peers that are heard."""
 
-    def __init__(self, neighbours: Neighbours) -> None:
-        """Ask among `neighbours`."""
+    def __init__(
+        self,
+        neighbours: Neighbours,
+        records: GroupRecords,
+        find_zone: Callable[[GroupId], ZoneId | None],
+    ) -> None:
+        """Ask among `neighbours`; `find_zone` tells a primary's zone."""
         self._neighbours = neighbours
+        self._records = records
+        self._find_zone = find_zone
 
     async def find_reaching(
         self,
@@ -145,13 +172,36 @@
         target: TargetId,
     ) -> ProxyId | None:
         """Return a peer that reaches a target that leads; None for none."""
-        async with TaskGroup() as tasks:
-            asked = {
-                link.peer.name: tasks.create_task(
-                    link.ask_reach(group, target, STATUS_LIMIT),
-                )
-                for link in self._neighbours.list_heard()
-                if link.reaches_store and not link.is_stopping
-            }
-        reaching = (name for name, answer in asked.items() if answer.result())
-        return min(reaching, default=None)
+        links = dict(self._list_able())
+        reached = await gather(
+            *(
+                link.ask_reach(group, target, STATUS_LIMIT)
+                for link in links.values()
+            ),
+        )
+        return min(compress(links, reached), default=None)
+
+    def find_heir(self, group: GroupId) -> ProxyId | None:
+        """Return the best candidate that reaches the store, None for none."""
+        record = self._records.find_record(group)
+        if record is None:
+            return None
+        able = dict(self._list_able())
+        ranked = rank_owners(
+            group,
+            [able[name].peer for name in record.candidates if name in able],
+            self._find_zone(group),
+        )
+        return ranked[0].name if ranked else None
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Tell whether a peer has renewed `lease`."""
+        for _, link in self._list_able():
+            if await link.keep_lease(lease, KEEP_LIMIT):
+                return True
+        return False
+
+    def _list_able(self) -> Iterator[tuple[ProxyId, PeerLink]]:
+        for link in self._neighbours.list_answering():
+            if link.reaches_store and not link.is_stopping:
+                yield link.peer.name, link
--- a/tests/features/replacement.feature
+++ b/tests/features/replacement.feature
@@ -51,6 +51,20 @@
     And no write was done for 0.1 to 1 s at most
     And every acknowledged write is on the primary
 
+  Scenario: The owner can't reach the store when its primary crashes
+    A promotion has to be noted in the store, which answers the owner no more. It
+    gives the group up by word to a peer that the store answers, which promotes.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the store is cut off from "east-1"
+    And 3 s go by
+    And the primary crashes
+    And 3 s go by
+    Then "db-east" does not lead
+    And another proxy than "east-1" owns the group
+    And no write was done for 0.3 to 1.3 s at most
+    And no two proxies owned the group at once
+
   Scenario: An owner dies after its order, before it takes effect
     The primary is silent for a moment, so its owner orders another one; then the
     owner dies and the primary goes on. The order takes effect late. The next
@@ -83,3 +97,38 @@
     When "db-west" goes on
     And 2 s go by
     Then "db-west" leads
+
+  Scenario: The replica that alone has a write is not listed any more
+    A replica that can't reach the store loses its entry, while the primary goes
+    on acknowledging by it. With both gone, the replica that is left looks like
+    all there are; promoting it would lose what was acknowledged.
+    Given groups with 1 synchronous replica
+    And proxies "north-1, east-1, west-1"
+    And "db-north" receives nothing
+    When a caller of "settle" at "west-1" runs "WRITE turn 1"
+    Then it is done
+    Given a caller of "settle" at "west-1" writes every 20 ms
+    When "db-west" freezes
+    And "db-west" is not listed any more
+    And the primary crashes
+    And 5 s go by
+    Then no promotion was ordered
+    When "db-west" is listed again
+    And "db-west" goes on
+    And 2 s go by
+    Then "db-west" leads
+
+  Scenario: A replica that is gone for good is forgotten
+    A group has one replica less for good. While the primary leads and another
+    replica has all of its log, the one that is gone holds nothing alone, and no
+    later replacement may wait for it.
+    Given groups with 1 synchronous replica
+    And proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 500 ms
+    When "db-west" freezes
+    And "db-west" is not listed any more
+    And 40 s go by
+    And "east-1" is killed
+    And the primary crashes
+    And 4 s go by
+    Then "db-north" leads
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -14,6 +14,7 @@
     PromisesMade,
 )
 from sedgeshunt.ownership.reign import Reign
+from sedgeshunt.registry.keys import make_owner_key
 from sedgeshunt.requests.outcome import NotRun, Unknown
 from tests.features.node_bench import GROUP, ROUTES
 from tests.features.node_callers import open_bench
@@ -199,6 +200,11 @@
     assert owner is None, f'{owner} owns it'
 
 
+@then("the owner's key is in the store")
+def check_key(context: Any) -> None:
+    assert context.nodes.read(make_owner_key(GROUP)) is not None
+
+
 @then('the group was claimed {times:d} time')
 def check_claims(context: Any, times: int) -> None:
     claims = context.nodes.count_decisions(DecisionKind.GROUP_CLAIMED)
--- a/tests/features/steps/replacement_steps.py
+++ b/tests/features/steps/replacement_steps.py
@@ -47,6 +47,17 @@
     context.nodes.time.act(context.nodes.group.targets[name].thawed.set)
 
 
+@when('"{name}" is not listed any more')
+def drop_entry(context: Any, name: str) -> None:
+    context.nodes.group.targets[name].is_listed = False
+    context.nodes.wait(0.2)
+
+
+@when('"{name}" is listed again')
+def restore_entry(context: Any, name: str) -> None:
+    context.nodes.group.targets[name].is_listed = True
+
+
 @when('the primary says that it leaves')
 def drain_primary(context: Any) -> None:
     context.nodes.group.find_primary().is_leaving = True
--- a/tests/specs/ownership_spec.py
+++ b/tests/specs/ownership_spec.py
@@ -28,6 +28,7 @@
     RESTART_BOND = 'a process that starts is bound as if it had promised'
     CONTINUITY = 'promises carry on only what still holds'
     KEEP_LONGER = 'a shorter promise does not shorten a longer one'
+    END_FIRST = 'a reign ends before its end is told'
     KEY_ABSENT = 'the store gives the key away only when it is absent'
 
 
@@ -80,6 +81,8 @@
     key_left: int
     is_down: bool = False
     promise: Promise | None = None
+    # The owner's word that its reign has ended is under way.
+    is_told: bool = False
     # The candidate has claimed the group once.
     was_claimed: bool = False
 
@@ -129,6 +132,7 @@
             steps += self._list_freezes(state, index)
             steps += self._list_lease_steps(state, index)
             steps += self._list_claims(state, index)
+            steps += self._list_releases(state, index)
             # The first proxy owns the group and the second one may claim it;
             # promises go one way only, and the first never claims again.
             if index == OWNER:
@@ -252,6 +256,17 @@
         after = put(state, OWNER, proxy)
         yield 'a promise is heard', after._replace(promise=None)
 
+    def _list_releases(self, state: State, index: int) -> Iterator[Step]:
+        proxy = state.proxies[index]
+        ends = self._removed is not Safeguard.END_FIRST
+        if index == OWNER and proxy.owns and not state.is_told:
+            ended = _give_up(proxy) if ends else proxy
+            told = put(state, OWNER, ended)._replace(is_told=True)
+            yield f'{index} ends its reign and says so', told
+        if index == CANDIDATE and state.is_told and proxy.bond:
+            free = put(state, CANDIDATE, proxy._replace(bond=0))
+            yield f'{index} hears of the end', free
+
     def _list_claims(self, state: State, index: int) -> Iterator[Step]:
         proxy = state.proxies[index]
         if proxy.owns and not proxy.is_held:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -1,10 +1,11 @@
 """Stand in for the key-value service and the list of instances."""
 
+from asyncio import timeout
 from collections.abc import AsyncIterator, Callable, Sequence
 from typing import TypeVar
 
 from sedgeshunt.clocks import read_clock
-from sedgeshunt.exceptions import PlatformUnavailable
+from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
 from sedgeshunt.identifiers import Revision, Seconds
 from sedgeshunt.ports import (
     CommitResult,
@@ -29,6 +30,8 @@
 )
 
 Value = TypeVar('Value')
+# As the client of the users' platform does, in seconds.
+CALL_LIMIT = 0.8
 
 
 class MemoryKeyValue(KeyValueService):
@@ -85,6 +88,19 @@
         return await self._service.answer(self._client, name, action)
 
 
+class ImpatientKeyValue(MemoryKeyValue):
+    """Call the stand-in, and give each call up after a while."""
+
+    async def _call(self, name: str, action: Callable[[], Value]) -> Value:
+        try:
+            async with timeout(CALL_LIMIT):
+                return await super()._call(name, action)
+        except TimeoutError as failure:
+            if name == 'commit':
+                raise AnswerLost(name) from failure
+            raise PlatformUnavailable('no answer in time') from failure
+
+
 class InstanceListStandIn:
     """Tell the instances as they were some time ago."""
 
--- a/tests/standins/statement_group.py
+++ b/tests/standins/statement_group.py
@@ -65,6 +65,8 @@
     work: float = WORK
     is_down: bool = False
     is_leaving: bool = False
+    # Its entry is in the store.
+    is_listed: bool = True
     # Statements that are run and never answered.
     answers_to_lose: int = 0
     connections: int = 0
