--- a/src/sedgeshunt/adapters/conversation.py
+++ b/src/sedgeshunt/adapters/conversation.py
@@ -7,8 +7,8 @@
 
 from sedgeshunt.adapters.local_answers import NO_WARNINGS, answer_selection
 from sedgeshunt.adapters.refusals import IN_TRANSACTION, NO_GROUP, is_unserved
-from sedgeshunt.adapters.session_state import SessionState
 from sedgeshunt.adapters.request_maker import RequestMaker
+from sedgeshunt.adapters.session_state import SessionState
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.identifiers import GroupId, Monotonic, TraceId
 from sedgeshunt.requests.attribute_values import Attributes
--- a/src/sedgeshunt/adapters/http_connection.py
+++ b/src/sedgeshunt/adapters/http_connection.py
@@ -138,10 +138,18 @@
             ending = await self._next_event()
         return event
 
-    def send_answer(self, status: int) -> None:
-        """Answer the request that was read last, without a body."""
-        headers = [('Content-Length', '0')]
-        self._send(Response(status_code=status, headers=headers), b'')
+    def send_answer(
+        self,
+        status: int,
+        body: bytes = b'',
+        kind: str = 'text/plain',
+    ) -> None:
+        """Answer the request that was read last."""
+        headers = [
+            ('Content-Type', kind),
+            ('Content-Length', str(len(body))),
+        ]
+        self._send(Response(status_code=status, headers=headers), body)
 
     def close(self) -> None:
         """Drop the connection at once; closing twice does no harm."""
--- /dev/null
+++ b/src/sedgeshunt/adapters/pages.py
@@ -0,0 +1,67 @@
+"""Serve small pages over HTTP."""
+
+from asyncio import Server, StreamReader, StreamWriter, start_server
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from dataclasses import dataclass
+
+from sedgeshunt.adapters.http_connection import HttpBroken, HttpConnection
+from sedgeshunt.ports import Address
+
+OK = 200
+NOT_FOUND = 404
+NOT_READY = 503
+PLAIN_TEXT = 'text/plain; charset=utf-8'
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Hold one answer."""
+
+    status: int
+    body: bytes = b''
+
+
+MakePage = Callable[[], Page]
+
+
+class PageServer:
+    """Answer each path with the page that is made for it at that moment."""
+
+    def __init__(
+        self,
+        address: Address,
+        pages: Mapping[bytes, MakePage],
+    ) -> None:
+        """Serve nothing before start()."""
+        self.address = address
+        self._pages = pages
+        self._server: Server | None = None
+
+    async def start(self) -> None:
+        """Listen; raise OSError."""
+        self._server = await start_server(
+            self._serve,
+            self.address.host,
+            self.address.port,
+        )
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        connection = HttpConnection(reader, writer, is_server=True)
+        try:
+            with suppress(HttpBroken):
+                await self._answer(connection)
+        finally:
+            connection.close()
+
+    async def _answer(self, connection: HttpConnection) -> None:
+        while (request := await connection.serve_next()) is not None:
+            path = request.target.partition(b'?')[0]
+            make = self._pages.get(path)
+            page = Page(NOT_FOUND) if make is None else make()
+            connection.send_answer(page.status, page.body, PLAIN_TEXT)
--- a/src/sedgeshunt/adapters/peer_server.py
+++ b/src/sedgeshunt/adapters/peer_server.py
@@ -27,7 +27,7 @@
 )
 from sedgeshunt.identifiers import GroupId, ProxyId, Revision, Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent
-from sedgeshunt.ports import PeerService, Address
+from sedgeshunt.ports import Address, PeerService
 
 # A peer that is silent for so long has gone without a word.
 IDLE_TIMEOUT = Seconds(600)
--- a/src/sedgeshunt/adapters/targets.py
+++ b/src/sedgeshunt/adapters/targets.py
@@ -9,8 +9,8 @@
 )
 from sedgeshunt.adapters.target_link import SeveralResults, TargetLink
 from sedgeshunt.exceptions import (
-    TargetGone,
     TargetBusy,
+    TargetGone,
     TargetLost,
     TargetRejected,
     TargetUnreachable,
--- a/src/sedgeshunt/execution/group_access.py
+++ b/src/sedgeshunt/execution/group_access.py
@@ -12,6 +12,7 @@
 from sedgeshunt.execution.primary_state import PrimaryState
 from sedgeshunt.execution.replica_reader import ReplicaReader
 from sedgeshunt.execution.runner import run_in_transaction
+from sedgeshunt.execution.target_executor import TargetExecutor
 from sedgeshunt.execution.transactions import TransactionBook
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import GroupId, Monotonic, Seconds
@@ -56,6 +57,12 @@
         """Return the primary's log end while this proxy owns the group."""
         return None if self.owner is None else self.owner.read_tip()
 
+    def list_executors(self) -> list[TargetExecutor]:
+        """Return what runs at each of the group's targets."""
+        executors = self.reader.list_executors()
+        primary = None if self.owner is None else self.owner.executor
+        return executors if primary is None else [*executors, primary]
+
     async def run_call(
         self,
         call: StatementCall,
--- a/src/sedgeshunt/execution/group_owner.py
+++ b/src/sedgeshunt/execution/group_owner.py
@@ -59,6 +59,11 @@
         """Find the primary, serve it, replace it, until cancelled."""
         await self._keeper.run()
 
+    @property
+    def executor(self) -> TargetExecutor | None:
+        """Return what runs at the primary; None while none is served."""
+        return self._state.executor
+
     def read_tip(self) -> Point | None:
         """Return the primary's log end; None when it is not served."""
         executor = self._state.executor
--- a/src/sedgeshunt/execution/replica_reader.py
+++ b/src/sedgeshunt/execution/replica_reader.py
@@ -124,6 +124,10 @@
         outcome = await self._hedger.run(call, attempts, deadline)
         return outcome or Err(self._refuse('no replica can serve'))
 
+    def list_executors(self) -> list[TargetExecutor]:
+        """Return what runs at each replica."""
+        return [replica.executor for replica in self._replicas.values()]
+
     async def close(self) -> None:
         """Close all connections."""
         for replica in self._replicas.values():
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -10,7 +10,6 @@
     sleep,
     timeout_at,
 )
-
 from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import replace
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -3,25 +3,38 @@
 import sys
 from asyncio import Event, Runner, TaskGroup, get_running_loop, sleep
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 from signal import SIGHUP, SIGINT, SIGTERM
 
+from msgspec.structs import replace
 from uvloop import new_event_loop
 
 from sedgeshunt.adapters.forwarding import ForwardingServer, StreamConnector
+from sedgeshunt.adapters.pages import PageServer
+from sedgeshunt.adapters.text_metrics import TextMetrics
 from sedgeshunt.clocks import read_clock
-from sedgeshunt.exceptions import SedgeshuntError
+from sedgeshunt.exceptions import SedgeshuntError, SettingsInvalid
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent, open_log
-from sedgeshunt.statement_lines import StatementLines
 from sedgeshunt.node_service import NodeService
-from sedgeshunt.node_settings import NodeSettings, read_node_settings
+from sedgeshunt.node_settings import (
+    GRACE_FIELD,
+    NodeSettings,
+    list_changed,
+    read_node_settings,
+)
 from sedgeshunt.platform.callers import CallerServer
 from sedgeshunt.platform.documents import StoreDocuments
 from sedgeshunt.platform.promotions import PlatformPromotions
-from sedgeshunt.platform.readiness import ReadinessServer
+from sedgeshunt.platform.readiness import (
+    list_metrics_pages,
+    list_readiness_pages,
+)
 from sedgeshunt.platform.store import MetadataStore
 from sedgeshunt.platform.targets import WireTargetConnector
+from sedgeshunt.statement_lines import StatementLines
+from sedgeshunt.statements.counts import DecisionCounts, StatementCounts
 
 SETTINGS_OPTION = '--settings'
 # The balancer asks each second, and leaves an instance out after two misses.
@@ -38,22 +51,34 @@
 class NodeProcess:
     """Own one proxy and its listeners to a graceful stop."""
 
-    def __init__(self, settings: NodeSettings, log: EventLog) -> None:
-        """Start nothing yet."""
+    def __init__(
+        self,
+        path: Path,
+        settings: NodeSettings,
+        log: EventLog,
+    ) -> None:
+        """Start nothing yet; `path` is where the settings were read."""
+        self._path = path
         self._settings = settings
         self._log = log
         self._stopping = Event()
+        self._metrics = TextMetrics()
 
     async def run(self) -> None:
         """Serve until a signal, then let what is under way finish."""
         loop = get_running_loop()
         for signal in (SIGTERM, SIGINT):
             loop.add_signal_handler(signal, self._stopping.set)
-        loop.add_signal_handler(SIGHUP, self._note_reload)
+        loop.add_signal_handler(SIGHUP, self._reload)
         async with AsyncExitStack() as owned:
             node = self._open_node(owned)
             callers = await self._listen(node, owned)
-            self._log.note(ProcessEvent.STARTED)
+            self._log.note(
+                ProcessEvent.STARTED,
+                callers=self._settings.callers.address,
+                incarnation=node.entry.incarnation,
+                settings=str(self._path),
+            )
             await self._serve(node, callers)
         self._log.note(ProcessEvent.STOPPED)
 
@@ -91,8 +116,8 @@
             WireTargetConnector(),
             promotions,
             StreamConnector(),
-            self._log,
-            StatementLines(self._log),
+            DecisionCounts(self._metrics, self._log),
+            StatementCounts(self._metrics, StatementLines(self._log)),
         )
 
     async def _listen(
@@ -101,24 +126,30 @@
         owned: AsyncExitStack,
     ) -> CallerServer:
         settings = self._settings
-        peers = ForwardingServer(
-            settings.peers.place,
-            node.serve_peer,
-        )
-        readiness = ReadinessServer(
-            settings.readiness.place,
-            node.is_ready,
-        )
-        callers = CallerServer(
-            settings.callers.place,
-            node.open_session,
-        )
-        for server in (peers, readiness):
+        callers = CallerServer(settings.callers.place, node.open_session)
+        servers: list[ForwardingServer | PageServer] = [
+            ForwardingServer(settings.peers.place, node.serve_peer),
+            PageServer(
+                settings.readiness.place,
+                list_readiness_pages(node.is_ready),
+            ),
+        ]
+        if settings.metrics is not None:
+            measure = partial(self._measure, node, callers)
+            servers.append(
+                PageServer(settings.metrics.place, list_metrics_pages(measure)),
+            )
+        for server in servers:
             await server.start()
             owned.push_async_callback(server.stop)
         await callers.start()
         return callers
 
+    def _measure(self, node: NodeService, callers: CallerServer) -> bytes:
+        node.measure(self._metrics)
+        self._metrics.gauge('callers.connected', callers.count_open())
+        return self._metrics.write_page()
+
     async def _stop(self, node: NodeService, callers: CallerServer) -> None:
         """Stop so that nobody who comes or is there notices."""
         grace = self._settings.grace
@@ -132,17 +163,38 @@
         await callers.abort(Seconds(grace * LAST_SHARE))
         await node.leave()
 
-    def _note_reload(self) -> None:
-        self._log.note(ProcessEvent.RELOADED)
+    def _reload(self) -> None:
+        """Take in what can change while the proxy runs."""
+        try:
+            newer = read_node_settings(self._path)
+        except SettingsInvalid as failure:
+            # The proxy goes on by the settings that it has.
+            self._log.note(
+                ProcessEvent.RELOADED,
+                LogLevel.WARNING,
+                problems=failure.problems,
+            )
+            return
+        changed = list_changed(self._settings, newer)
+        self._settings = replace(
+            self._settings,
+            grace_seconds=newer.grace_seconds,
+        )
+        self._log.note(
+            ProcessEvent.RELOADED,
+            changed=changed,
+            needs_restart=[name for name in changed if name != GRACE_FIELD],
+        )
 
 
 def run_node(arguments: list[str]) -> None:
     """Run a proxy until a signal; exit with the error's own code."""
     try:
-        settings = read_node_settings(_find_settings(arguments))
+        path = _find_settings(arguments)
+        settings = read_node_settings(path)
         log = open_log(settings.proxy, settings.zone_id, LogLevel.INFO)
         with Runner(loop_factory=new_event_loop) as runner:
-            runner.run(NodeProcess(settings, log).run())
+            runner.run(NodeProcess(path, settings, log).run())
     except SedgeshuntError as error:
         sys.stderr.write(f'{error.format_message()}\n')
         sys.exit(error.exit_code)
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -27,6 +27,7 @@
 from sedgeshunt.membership.heartbeats import Heartbeats
 from sedgeshunt.membership.isolation import Isolation
 from sedgeshunt.membership.neighbours import Neighbours
+from sedgeshunt.metrics import Metrics
 from sedgeshunt.node_settings import NodeSettings
 from sedgeshunt.ownership.claims import ClaimContext
 from sedgeshunt.ownership.lease import InstanceLease
@@ -214,6 +215,32 @@
         """Return this instance's lease in the store."""
         return self._lease
 
+    def measure(self, metrics: Metrics) -> None:
+        """Set the levels of this moment."""
+        executors = [
+            executor
+            for access in self._groups
+            for executor in access.list_executors()
+        ]
+        owned = sum(access.owner is not None for access in self._groups)
+        levels: dict[str, float] = {
+            'groups.owned': owned,
+            'peers.answering': len(self._neighbours.list_answering()),
+            'store.reached': self._lease.reaches_store(),
+            'zone.isolated': self.isolation.is_isolated(),
+            'statements.running': sum(
+                executor.admission.running for executor in executors
+            ),
+            'statements.queued': sum(
+                executor.admission.queued for executor in executors
+            ),
+            'connections.open': sum(
+                executor.pool.open_count for executor in executors
+            ),
+        }
+        for name, level in levels.items():
+            metrics.gauge(name, level)
+
     async def serve_peer(self, channel: FrameChannel) -> None:
         """Serve one peer's connection."""
         await PeerConversation(channel, self._desk).run()
--- a/src/sedgeshunt/node_settings.py
+++ b/src/sedgeshunt/node_settings.py
@@ -25,6 +25,8 @@
         description='an IP number and a port such as "10.0.0.5:4000"',
     ),
 ]
+# The one setting that is taken in while the proxy runs.
+GRACE_FIELD = 'grace_seconds'
 Amount = Annotated[float, Meta(gt=0, description='a number above 0')]
 Span = Annotated[float, Meta(ge=0, description='a number from 0')]
 
@@ -76,6 +78,8 @@
     promotions: Listener
     capacity: CapacitySettings = CapacitySettings()
     bounds: BoundsSettings = BoundsSettings()
+    # Where metrics are read; they are not served without it.
+    metrics: Listener | None = None
     grace_seconds: Span = 6
 
     @property
@@ -110,5 +114,14 @@
     return convert(document, NodeSettings)
 
 
+def list_changed(older: NodeSettings, newer: NodeSettings) -> list[str]:
+    """Return the names of the settings that differ, in order."""
+    return sorted(
+        name
+        for name in older.__struct_fields__
+        if getattr(older, name) != getattr(newer, name)
+    )
+
+
 def _refuse_custom(wanted: type, given: object) -> object:
     raise TypeError(f'Expected `{wanted.__name__}`')
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -28,8 +28,8 @@
 )
 from sedgeshunt.ownership.ranking import choose_candidates, rank_owners
 from sedgeshunt.ownership.records import GroupRecords
-from sedgeshunt.ownership.releases import Releases
 from sedgeshunt.ownership.reign import LONGEST_EXTENSION, Reign
+from sedgeshunt.ownership.releases import Releases
 from sedgeshunt.registry.entries import GroupRecord, InstanceEntry
 
 # How often a claim is thought about while one may be near, and otherwise.
--- a/src/sedgeshunt/platform/callers.py
+++ b/src/sedgeshunt/platform/callers.py
@@ -15,6 +15,7 @@
 
 from result import Ok, Result
 
+from sedgeshunt.adapters.sockets import watch_silence
 from sedgeshunt.connections.target_session import SessionPhase
 from sedgeshunt.identifiers import Seconds, StatementId, TrafficClass
 from sedgeshunt.platform.lines import (
@@ -27,7 +28,6 @@
     split_line,
 )
 from sedgeshunt.platform.refusals import name_refusal
-from sedgeshunt.adapters.sockets import watch_silence
 from sedgeshunt.platform.statements import read_statement
 from sedgeshunt.ports import Address
 from sedgeshunt.requests.outcome import Answer, Refusal
--- a/src/sedgeshunt/platform/targets.py
+++ b/src/sedgeshunt/platform/targets.py
@@ -3,6 +3,7 @@
 from asyncio import StreamReader, StreamWriter, open_connection, timeout
 from contextlib import suppress
 
+from sedgeshunt.adapters.sockets import watch_silence
 from sedgeshunt.configuration.objects import Target
 from sedgeshunt.connections.target_session import (
     LogRole,
@@ -31,7 +32,6 @@
     read_line,
     split_line,
 )
-from sedgeshunt.adapters.sockets import watch_silence
 from sedgeshunt.platform.statements import (
     OWN_ID,
     make_after,
--- a/src/sedgeshunt/process.py
+++ b/src/sedgeshunt/process.py
@@ -9,6 +9,7 @@
 from sedgeshunt.adapters.peer_server import ThriftPeerServer
 from sedgeshunt.adapters.peers import ThriftPeerConnector
 from sedgeshunt.adapters.platform import EtcdGateway
+from sedgeshunt.adapters.statsd_metrics import StatsdMetrics
 from sedgeshunt.adapters.targets import MysqlConnector
 from sedgeshunt.exceptions import (
     ExitCode,
@@ -21,7 +22,6 @@
     CountingMetrics,
     Metrics,
     NoMetrics,
-    StatsdMetrics,
 )
 from sedgeshunt.ports import Address
 from sedgeshunt.proxy import ProxyInstance
--- a/src/sedgeshunt/statement_lines.py
+++ b/src/sedgeshunt/statement_lines.py
@@ -3,7 +3,8 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.identifiers import Monotonic, Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent
-from sedgeshunt.requests.outcome import NotRun, Refusal, Rejected, Unknown
+from sedgeshunt.requests.outcome import NotRun, Refusal, Rejected
+from sedgeshunt.statements.counts import name_outcome
 from sedgeshunt.statements.records import StatementEnd, StatementRecorder
 
 MILLISECONDS = 1000
@@ -66,12 +67,9 @@
 
 
 def _name_outcome(end: StatementEnd) -> str | None:
-    refusal = end.refusal
-    if refusal is None:
-        return 'late' if end.spent > end.objective else None
-    if isinstance(refusal, NotRun):
-        return 'not-run'
-    return 'unknown' if isinstance(refusal, Unknown) else 'rejected'
+    if end.refusal is not None:
+        return name_outcome(end.refusal)
+    return 'late' if end.spent > end.objective else None
 
 
 def _describe(refusal: Refusal | None) -> dict[str, object]:
--- /dev/null
+++ b/src/sedgeshunt/statements/counts.py
@@ -0,0 +1,54 @@
+"""Count how statements end and what is decided."""
+
+from sedgeshunt.decisions import Decision, DecisionLog
+from sedgeshunt.metrics import Metrics
+from sedgeshunt.requests.outcome import NotRun, Refusal, Rejected, Unknown
+from sedgeshunt.statements.records import StatementEnd, StatementRecorder
+
+
+class StatementCounts(StatementRecorder):
+    """Count each statement, then have it taken down."""
+
+    def __init__(self, metrics: Metrics, onward: StatementRecorder) -> None:
+        """Count in `metrics`, pass on to `onward`."""
+        self._metrics = metrics
+        self._onward = onward
+
+    def record(self, end: StatementEnd) -> None:
+        """Count one statement by its outcome and its cause."""
+        metrics = self._metrics
+        metrics.count(f'requests.{name_outcome(end.refusal)}')
+        if end.refusal is None:
+            metrics.time(f'requests.{end.kind}', end.spent)
+            if end.spent > end.objective:
+                metrics.count('requests.late')
+        else:
+            metrics.count(f'refusals.{_find_cause(end.refusal)}')
+        self._onward.record(end)
+
+
+class DecisionCounts(DecisionLog):
+    """Count each decision, then have it taken down."""
+
+    def __init__(self, metrics: Metrics, onward: DecisionLog) -> None:
+        """Count in `metrics`, pass on to `onward`."""
+        self._metrics = metrics
+        self._onward = onward
+
+    def record(self, decision: Decision) -> None:
+        """Count one decision by its kind."""
+        self._metrics.count(f'decisions.{decision.kind.value}')
+        self._onward.record(decision)
+
+
+def name_outcome(refusal: Refusal | None) -> str:
+    """Return an outcome's name in metrics and logs."""
+    if refusal is None:
+        return 'done'
+    if isinstance(refusal, NotRun):
+        return 'not-run'
+    return 'unknown' if isinstance(refusal, Unknown) else 'rejected'
+
+
+def _find_cause(refusal: Refusal) -> str:
+    return 'statement' if isinstance(refusal, Rejected) else refusal.cause.value
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -47,7 +47,6 @@
     SessionKey,
     Settings,
 )
-
 from tests.standins.databases import Limits
 from tests.standins.engine import DatabaseGroup
 from tests.standins.links import MemoryConnector
--- a/tests/features/promise_bench.py
+++ b/tests/features/promise_bench.py
@@ -13,8 +13,8 @@
 from sedgeshunt.identifiers import GroupId
 from sedgeshunt.requests.outcome import Answer, NotRun, Refusal, Unknown
 from tests.deployment import Caller, Deployment, Profile, ProxyGone
-from tests.features.promise_time import VirtualTime
 from tests.faults import FaultPlan
+from tests.features.promise_time import VirtualTime
 from tests.ledger import Ledger, Promise, WriteNote
 from tests.standins.databases import Database
 from tests.standins.engine import DatabaseGroup
--- a/tests/features/steps/driver_services_steps.py
+++ b/tests/features/steps/driver_services_steps.py
@@ -13,6 +13,7 @@
 from sedgeshunt.adapters.peer_server import ThriftPeerServer
 from sedgeshunt.adapters.peers import ThriftPeerConnector
 from sedgeshunt.adapters.platform import EtcdGateway
+from sedgeshunt.adapters.statsd_metrics import StatsdMetrics
 from sedgeshunt.exceptions import (
     AnswerLost,
     PeerUnreachable,
@@ -27,14 +28,14 @@
     Term,
     ZoneId,
 )
-from sedgeshunt.metrics import CountingMetrics, StatsdMetrics
+from sedgeshunt.metrics import CountingMetrics
 from sedgeshunt.ports import (
     Address,
     Compare,
     ConfigurationCopy,
     Delete,
-    PrimaryReport,
     PeerService,
+    PrimaryReport,
     ProxyReport,
     Put,
     WatchCompacted,
--- a/tests/features/steps/driver_targets_steps.py
+++ b/tests/features/steps/driver_targets_steps.py
@@ -6,11 +6,11 @@
 
 from behave import given, then, when
 
-from sedgeshunt.exceptions import TargetGone
 from sedgeshunt.adapters.targets import MysqlConnector
 from sedgeshunt.exceptions import (
     FenceRefused,
     TargetBusy,
+    TargetGone,
     TargetReadOnly,
     TargetRejected,
     TargetUnreachable,
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -7,7 +7,6 @@
 from random import Random
 from random import seed as seed_global
 
-
 from result import Result
 
 from sedgeshunt.clocks import read_clock
