--- a/src/sedgeshunt/adapters/forwarding.py
+++ b/src/sedgeshunt/adapters/forwarding.py
@@ -26,21 +26,33 @@
 MAX_UNSENT = 2 * LONGEST_FRAME
 
 PeerHandler = Callable[[FrameChannel], Awaitable[None]]
+# Is told what was wrong with a peer's bytes.
+NoteBroken = Callable[[ProtocolBroken], None]
 
 
 class StreamChannel(FrameChannel):
     """Carry frames on one TCP connection."""
 
-    def __init__(self, reader: StreamReader, writer: StreamWriter) -> None:
+    def __init__(
+        self,
+        reader: StreamReader,
+        writer: StreamWriter,
+        note_broken: NoteBroken,
+    ) -> None:
         """Own an open connection."""
         self._reader = reader
         self._writer = writer
+        self._note_broken = note_broken
 
     async def receive(self) -> Frame | None:
         """Return the next frame, None once the connection has ended."""
         try:
             return await read_frame(self._reader)
-        except (OSError, ProtocolBroken):
+        except OSError:
+            # The connection's end is noted by whoever misses its answers.
+            return None
+        except ProtocolBroken as failure:
+            self._note_broken(failure)
             return None
 
     def send(self, frame: Frame) -> None:
@@ -59,6 +71,10 @@
 class StreamConnector(FrameConnector):
     """Open TCP connections to other proxies."""
 
+    def __init__(self, note_broken: NoteBroken) -> None:
+        """Tell `note_broken` of bytes that are no frames."""
+        self._note_broken = note_broken
+
     async def connect(self, address: Address, limit: Seconds) -> FrameChannel:
         """Open a connection; raise PeerUnreachable."""
         try:
@@ -71,16 +87,22 @@
             peer = f'{address.host}:{address.port}'
             reason = str(failure) or f'no answer in {limit} s'
             raise PeerUnreachable(peer, reason) from failure
-        return StreamChannel(reader, writer)
+        return StreamChannel(reader, writer, self._note_broken)
 
 
 class ForwardingServer:
     """Let other proxies in."""
 
-    def __init__(self, address: Address, handle: PeerHandler) -> None:
+    def __init__(
+        self,
+        address: Address,
+        handle: PeerHandler,
+        note_broken: NoteBroken,
+    ) -> None:
         """Hand each connection to `handle`."""
         self.address = address
         self._handle = handle
+        self._note_broken = note_broken
         self._server: Server | None = None
 
     async def start(self) -> None:
@@ -97,7 +119,7 @@
             self._server.close()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
-        channel = StreamChannel(reader, writer)
+        channel = StreamChannel(reader, writer, self._note_broken)
         try:
             await self._handle(channel)
         finally:
--- a/src/sedgeshunt/adapters/forwarding_codec.py
+++ b/src/sedgeshunt/adapters/forwarding_codec.py
@@ -95,9 +95,13 @@
 def decode_frame(body: bytes) -> Frame:
     """Read a frame; raise ProtocolBroken."""
     try:
-        return _read_frame(deserialize(frames.Frame(), body, _PROTOCOL))
+        frame = _read_frame(deserialize(frames.Frame(), body, _PROTOCOL))
     except Exception as failure:  # noqa: BLE001
         raise ProtocolBroken(f'a frame is malformed: {failure}') from failure
+    # Many bytes that are no frame decode to one without any field.
+    if frame.number is None:
+        raise ProtocolBroken('a frame has no number')
+    return frame
 
 
 def _make_frame(frame: Frame) -> Any:
--- a/src/sedgeshunt/adapters/json_client.py
+++ b/src/sedgeshunt/adapters/json_client.py
@@ -124,6 +124,12 @@
         finally:
             connection.close()
 
+    def move(self, address: Address) -> None:
+        """Call another address from the next call on."""
+        self._addresses = [address]
+        while self._idle:
+            self._idle.pop().close()
+
     async def close(self) -> None:
         """Close all connections."""
         self._is_closed = True
--- a/src/sedgeshunt/execution/group_access.py
+++ b/src/sedgeshunt/execution/group_access.py
@@ -1,6 +1,6 @@
 """Hold all that one proxy does for one group."""
 
-from asyncio import TaskGroup
+from asyncio import TaskGroup, sleep
 from contextlib import AsyncExitStack
 
 from result import Err, Result
@@ -21,6 +21,9 @@
 from sedgeshunt.requests.outcome import Answer, Cause, NotRun, Refusal
 from sedgeshunt.statements.call import Access, StatementCall
 
+# The operator's limit is some seconds.
+IDLE_LOOK = Seconds(0.5)
+MILLISECONDS = 1000
 NOT_OWNER_RETRY = Seconds(0.1)
 
 
@@ -50,6 +53,7 @@
             owned.push_async_callback(self.reader.close)
             tasks = await owned.enter_async_context(TaskGroup())
             tasks.create_task(self.probe.run(lambda: self.claim.is_pressing))
+            tasks.create_task(self._end_idle())
             while True:
                 await self._serve(await self.claim.wait_reign())
 
@@ -104,6 +108,18 @@
             reign.end()
             self.owner = None
 
+    async def _end_idle(self) -> None:
+        """Undo transactions whose callers have stopped in the middle."""
+        # Each keeps a connection and, at some databases, locks.
+        while True:
+            await sleep(IDLE_LOOK)
+            members = self._parts.configuration.find_members(self.group)
+            if members is None or not members.group.transaction_idle_ms:
+                continue
+            limit = members.group.transaction_idle_ms / MILLISECONDS
+            for executor in self.list_executors():
+                await executor.end_idle(Seconds(limit))
+
     async def _continue(
         self,
         call: StatementCall,
--- a/src/sedgeshunt/execution/group_owner.py
+++ b/src/sedgeshunt/execution/group_owner.py
@@ -59,6 +59,10 @@
         """Find the primary, serve it, replace it, until cancelled."""
         await self._keeper.run()
 
+    def leave(self, limit: Seconds) -> None:
+        """Give the group to a peer when nothing is open, or after `limit`."""
+        self._keeper.leave(limit)
+
     @property
     def executor(self) -> TargetExecutor | None:
         """Return what runs at the primary; None while none is served."""
--- a/src/sedgeshunt/execution/primary_keeper.py
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -15,7 +15,7 @@
 from sedgeshunt.execution.target_executor import TargetExecutor
 from sedgeshunt.groups.points import Point
 from sedgeshunt.groups.successors import find_leader
-from sedgeshunt.identifiers import Monotonic, Seconds, TargetId
+from sedgeshunt.identifiers import Monotonic, ProxyId, Seconds, TargetId
 from sedgeshunt.ownership.reign import Reign
 from sedgeshunt.registry.directory import GroupMembers
 
@@ -65,13 +65,22 @@
         self._copies = CopyNotes(reign, parts.records, parts.connector)
         # The end of what callers were told by the primary before.
         self._acknowledged: Point | None = None
+        # Set once this instance stops: when what is open must have ended.
+        self._leave_by: Monotonic | None = None
+
+    def leave(self, limit: Seconds) -> None:
+        """Give the group to a peer when nothing is open, or after `limit`."""
+        self._leave_by = Monotonic(read_clock() + limit)
 
     async def run(self) -> None:
         """Keep the primary until cancelled."""
         try:
             while True:
                 executor = self._state.executor
-                if executor is None:
+                heir = self._find_heir()
+                if heir is not None:
+                    await self._leave_to(heir)
+                elif executor is None:
                     await self._find()
                 else:
                     await self._watch(executor)
@@ -217,7 +226,7 @@
         executor: TargetExecutor,
     ) -> None:
         """Replace a primary that leaves, with nothing lost and little wait."""
-        await _wait_quiet(executor)
+        await _wait_quiet(executor, Monotonic(read_clock() + QUIET_WAIT))
         statuses = await self._ask_others(members, executor.target.name)
         # Without a successor or the store it would be suspended for nothing.
         if statuses and self._parts.records.reaches_store():
@@ -268,8 +277,30 @@
             return
         heir = self._parts.peers.find_heir(self._reign.group)
         if heir is not None:
-            self._reign.leave_to(heir)
-            await sleep(HANDOVER_TIME)
+            await self._hand_over(heir)
+
+    def _find_heir(self) -> ProxyId | None:
+        """Return who takes the group over from a stopping instance."""
+        if self._leave_by is None:
+            return None
+        return self._parts.peers.find_heir(self._reign.group)
+
+    async def _leave_to(self, heir: ProxyId) -> None:
+        executor = self._state.executor
+        if executor is not None and self._leave_by is not None:
+            await _wait_quiet(executor, self._leave_by)
+        # The one chosen before the wait may have gone since.
+        await self._hand_over(self._find_heir() or heir)
+
+    async def _hand_over(self, heir: ProxyId) -> None:
+        """Let statements under way be answered, then give the group up."""
+        # Of a write that is answered after the end of the reign nobody can
+        # say that it was kept.
+        executor = self._state.executor
+        if executor is not None:
+            await self._suspend(executor)
+        self._reign.leave_to(heir)
+        await sleep(HANDOVER_TIME)
 
     async def _ask_others(
         self,
@@ -304,8 +335,7 @@
     return Seconds(min(CHECK_EVERY, max(SHORTEST_CHECK, left)))
 
 
-async def _wait_quiet(executor: TargetExecutor) -> None:
-    give_up = read_clock() + QUIET_WAIT
+async def _wait_quiet(executor: TargetExecutor, give_up: Monotonic) -> None:
     while executor.transactions and read_clock() < give_up:
         if executor.failed.is_set():
             return
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -254,6 +254,13 @@
         """Tell whether anything is under way at the target."""
         return bool(self.transactions) or self.pool.lent_count > 0
 
+    async def end_idle(self, limit: Seconds) -> None:
+        """Undo the transactions without a statement for `limit`."""
+        before = read_clock() - limit
+        for transaction in tuple(self.transactions):
+            if not transaction.is_busy and transaction.used_at < before:
+                await transaction.abort()
+
     async def abandon(self) -> None:
         """Start nothing more and undo what waits for its caller."""
         await self.pool.close()
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -1,28 +1,28 @@
 """Run one proxy for statement sessions as a process."""
 
 import sys
-from asyncio import Event, Runner, TaskGroup, get_running_loop, sleep
-from contextlib import AsyncExitStack
+from asyncio import Event, Runner, TaskGroup, get_running_loop, sleep, timeout
+from contextlib import AsyncExitStack, suppress
 from functools import partial
 from pathlib import Path
 from signal import SIGHUP, SIGINT, SIGTERM
 
-from msgspec.structs import replace
 from uvloop import new_event_loop
 
+from sedgeshunt.adapters.channel import ProtocolBroken
 from sedgeshunt.adapters.forwarding import ForwardingServer, StreamConnector
 from sedgeshunt.adapters.pages import PageServer
 from sedgeshunt.adapters.text_metrics import TextMetrics
-from sedgeshunt.clocks import read_clock
 from sedgeshunt.exceptions import SedgeshuntError, SettingsInvalid
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent, open_log
 from sedgeshunt.node_service import NodeService
 from sedgeshunt.node_settings import (
-    GRACE_FIELD,
+    LIVE_FIELDS,
     NodeSettings,
     list_changed,
     read_node_settings,
+    take_live,
 )
 from sedgeshunt.platform.callers import CallerServer
 from sedgeshunt.platform.documents import StoreDocuments
@@ -42,6 +42,8 @@
 # How often callers that came nevertheless are sent away from a zone that is
 # cut off.
 SEND_EVERY = Seconds(0.3)
+# The platform may change the settings' file without a signal.
+LOOK_EVERY = Seconds(2)
 # Share of the grace in which open transactions may end, and share that is
 # left then for statements under way.
 DRAIN_SHARE = 0.5
@@ -62,14 +64,17 @@
         self._settings = settings
         self._log = log
         self._stopping = Event()
+        self._signalled = Event()
         self._metrics = TextMetrics()
+        self._store = MetadataStore(settings.store.place)
+        self._promotions = PlatformPromotions(settings.promotions.place)
 
     async def run(self) -> None:
         """Serve until a signal, then let what is under way finish."""
         loop = get_running_loop()
         for signal in (SIGTERM, SIGINT):
             loop.add_signal_handler(signal, self._stopping.set)
-        loop.add_signal_handler(SIGHUP, self._reload)
+        loop.add_signal_handler(SIGHUP, self._signalled.set)
         async with AsyncExitStack() as owned:
             node = self._open_node(owned)
             callers = await self._listen(node, owned)
@@ -85,11 +90,15 @@
     async def _serve(self, node: NodeService, callers: CallerServer) -> None:
         async with TaskGroup() as tasks:
             running = tasks.create_task(node.run())
-            sending = tasks.create_task(self._watch_isolation(node, callers))
+            beside = [
+                tasks.create_task(self._watch_isolation(node, callers)),
+                tasks.create_task(self._watch_file()),
+            ]
             await self._stopping.wait()
             self._log.note(ProcessEvent.STOPPING)
             await self._stop(node, callers)
-            sending.cancel()
+            for task in beside:
+                task.cancel()
             running.cancel()
 
     async def _watch_isolation(
@@ -105,17 +114,15 @@
 
     def _open_node(self, owned: AsyncExitStack) -> NodeService:
         settings = self._settings
-        store = MetadataStore(settings.store.place)
-        owned.push_async_callback(store.close)
-        promotions = PlatformPromotions(settings.promotions.place)
-        owned.push_async_callback(promotions.close)
+        owned.push_async_callback(self._store.close)
+        owned.push_async_callback(self._promotions.close)
         return NodeService(
             settings,
-            store,
+            self._store,
             StoreDocuments(),
             WireTargetConnector(),
-            promotions,
-            StreamConnector(),
+            self._promotions,
+            StreamConnector(self._note_broken),
             DecisionCounts(self._metrics, self._log),
             StatementCounts(self._metrics, StatementLines(self._log)),
         )
@@ -126,9 +133,17 @@
         owned: AsyncExitStack,
     ) -> CallerServer:
         settings = self._settings
-        callers = CallerServer(settings.callers.place, node.open_session)
+        callers = CallerServer(
+            settings.callers.place,
+            settings.capacity.most_callers,
+            node.open_session,
+        )
         servers: list[ForwardingServer | PageServer] = [
-            ForwardingServer(settings.peers.place, node.serve_peer),
+            ForwardingServer(
+                settings.peers.place,
+                node.serve_peer,
+                self._note_broken,
+            ),
             PageServer(
                 settings.readiness.place,
                 list_readiness_pages(node.is_ready),
@@ -145,6 +160,13 @@
         await callers.start()
         return callers
 
+    def _note_broken(self, failure: ProtocolBroken) -> None:
+        self._log.note(
+            ProcessEvent.PEER_FAILED,
+            LogLevel.WARNING,
+            failure=str(failure),
+        )
+
     def _measure(self, node: NodeService, callers: CallerServer) -> bytes:
         node.measure(self._metrics)
         self._metrics.gauge('callers.connected', callers.count_open())
@@ -153,16 +175,29 @@
     async def _stop(self, node: NodeService, callers: CallerServer) -> None:
         """Stop so that nobody who comes or is there notices."""
         grace = self._settings.grace
-        began = read_clock()
-        await node.hand_over()
-        # The balancer sends callers here until it has asked twice in vain.
-        await sleep(max(0, began + ROTATION_TIME - read_clock()))
-        callers.close()
-        patience = began + grace * DRAIN_SHARE - read_clock()
-        await callers.send_away(Seconds(max(0, patience)))
-        await callers.abort(Seconds(grace * LAST_SHARE))
+        drain = Seconds(grace * DRAIN_SHARE)
+        async with TaskGroup() as tasks:
+            tasks.create_task(node.hand_over(drain))
+            # The balancer sends callers here until it has asked twice in vain.
+            await sleep(min(ROTATION_TIME, drain))
+            callers.close()
+            await callers.send_away(Seconds(max(0, drain - ROTATION_TIME)))
+            await callers.abort(Seconds(grace * LAST_SHARE))
         await node.leave()
 
+    async def _watch_file(self) -> None:
+        """Take the settings in again whenever their file has changed."""
+        seen = _read_change(self._path)
+        while True:
+            with suppress(TimeoutError):
+                async with timeout(LOOK_EVERY):
+                    await self._signalled.wait()
+            changed_at = _read_change(self._path)
+            if self._signalled.is_set() or changed_at != seen:
+                self._signalled.clear()
+                seen = changed_at
+                self._reload()
+
     def _reload(self) -> None:
         """Take in what can change while the proxy runs."""
         try:
@@ -176,17 +211,26 @@
             )
             return
         changed = list_changed(self._settings, newer)
-        self._settings = replace(
-            self._settings,
-            grace_seconds=newer.grace_seconds,
-        )
+        self._settings = take_live(self._settings, newer)
+        if 'store' in changed:
+            self._store.move(newer.store.place)
+        if 'promotions' in changed:
+            self._promotions.move(newer.promotions.place)
         self._log.note(
             ProcessEvent.RELOADED,
             changed=changed,
-            needs_restart=[name for name in changed if name != GRACE_FIELD],
+            needs_restart=[name for name in changed if name not in LIVE_FIELDS],
         )
 
 
+def _read_change(path: Path) -> float:
+    """Return when a file was last changed, 0 when there is none."""
+    try:
+        return path.stat().st_mtime
+    except OSError:
+        return 0
+
+
 def run_node(arguments: list[str]) -> None:
     """Run a proxy until a signal; exit with the error's own code."""
     try:
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -245,16 +245,17 @@
         """Serve one peer's connection."""
         await PeerConversation(channel, self._desk).run()
 
-    async def hand_over(self) -> None:
-        """Give up all that is owned here, each group to the best peer."""
+    async def hand_over(self, limit: Seconds) -> None:
+        """Give up all that is owned here, each group to the best peer.
+
+        A group's open transactions may end within `limit`.
+        """
         self._heartbeats.is_stopping = True
         self._claims.is_stopping = True
         for access in self._groups:
-            heir = self._opinions.find_heir(access.group)
-            if access.owner is not None and heir is not None:
-                access.owner.reign.leave_to(heir)
-                access.claim.changed.set()
-        give_up = Monotonic(read_clock() + HANDOVER_LIMIT)
+            if access.owner is not None:
+                access.owner.leave(limit)
+        give_up = Monotonic(read_clock() + limit + HANDOVER_LIMIT)
         while self._owns_any() and read_clock() < give_up:
             await self._heartbeats.owners_changed.wait(give_up)
 
--- a/src/sedgeshunt/node_settings.py
+++ b/src/sedgeshunt/node_settings.py
@@ -5,6 +5,7 @@
 from typing import Annotated
 
 from msgspec import Meta, Struct, convert
+from msgspec.structs import replace
 
 from sedgeshunt.exceptions import SettingsInvalid
 from sedgeshunt.identifiers import ProxyId, Seconds, ZoneId
@@ -25,8 +26,13 @@
         description='an IP number and a port such as "10.0.0.5:4000"',
     ),
 ]
-# The one setting that is taken in while the proxy runs.
-GRACE_FIELD = 'grace_seconds'
+# Descriptors that are no sockets; source: the platform's page on machines.
+FILE_DESCRIPTORS = 200
+# Share of the sockets for callers. Peers take two each, targets at most the
+# connections that operators allow them.
+CALLER_SHARE = 0.7
+# Settings that are taken in while the proxy runs.
+LIVE_FIELDS = ('grace_seconds', 'store', 'promotions')
 Amount = Annotated[float, Meta(gt=0, description='a number above 0')]
 Span = Annotated[float, Meta(ge=0, description='a number from 0')]
 
@@ -58,6 +64,12 @@
     link_mbps: Amount = 1000
     descriptors: Amount = 1024
 
+    @property
+    def most_callers(self) -> int:
+        """Return how many callers may be connected at once."""
+        sockets = self.descriptors - FILE_DESCRIPTORS
+        return max(1, int(sockets * CALLER_SHARE))
+
 
 class BoundsSettings(Struct, frozen=True):
     """Say how soon the proxy has to act."""
@@ -114,6 +126,12 @@
     return convert(document, NodeSettings)
 
 
+def take_live(older: NodeSettings, newer: NodeSettings) -> NodeSettings:
+    """Return the older settings with what can change while running."""
+    live = {name: getattr(newer, name) for name in LIVE_FIELDS}
+    return replace(older, **live)
+
+
 def list_changed(older: NodeSettings, newer: NodeSettings) -> list[str]:
     """Return the names of the settings that differ, in order."""
     return sorted(
--- a/src/sedgeshunt/platform/callers.py
+++ b/src/sedgeshunt/platform/callers.py
@@ -8,6 +8,7 @@
     current_task,
     sleep,
     start_server,
+    timeout,
     wait,
 )
 from collections.abc import Awaitable, Callable
@@ -36,7 +37,12 @@
 NO_SIGNATURE = '-'
 # Time for a caller to read the last words, in seconds; a way takes 3 ms.
 LINGER = Seconds(0.2)
+# Callers over the limit that are told so at once, a descriptor each; more are
+# cut off. A caller's first message takes a way of 3 ms.
+MOST_TURNED_AWAY = 40
+TURN_AWAY_LIMIT = Seconds(0.5)
 STOPPING = 'this proxy is shutting down; connect again to reach another'
+FULL = 'this proxy serves all callers that it can; connect to another'
 NO_POINT = '-'
 _PHASES = {
     SessionPhase.IDLE: 'I',
@@ -51,12 +57,19 @@
 class CallerServer:
     """Serve the connections of all callers."""
 
-    def __init__(self, address: Address, open_session: OpenSession) -> None:
-        """Open each caller's session by `open_session`."""
+    def __init__(
+        self,
+        address: Address,
+        most: int,
+        open_session: OpenSession,
+    ) -> None:
+        """Open the sessions of at most `most` callers at once."""
         self.address = address
+        self._most = most
         self._open_session = open_session
         self._server: Server | None = None
         self._conversations: dict[Task[None], CallerConversation] = {}
+        self._turned_away = 0
 
     async def start(self) -> None:
         """Listen; raise OSError."""
@@ -100,6 +113,10 @@
             task.cancel()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        if len(self._conversations) >= self._most:
+            # With no descriptor left, no target could be reached either.
+            await self._turn_away(reader, writer)
+            return
         conversation = CallerConversation(reader, writer, self._open_session)
         task = current_task()
         if task is not None:
@@ -111,6 +128,24 @@
             if task is not None:
                 self._conversations.pop(task, None)
 
+    async def _turn_away(
+        self,
+        reader: StreamReader,
+        writer: StreamWriter,
+    ) -> None:
+        if self._turned_away >= MOST_TURNED_AWAY:
+            writer.transport.abort()
+            return
+        self._turned_away += 1
+        # A close with its first message unread would reset the connection, and
+        # the reset overtake the answer.
+        with suppress(OSError, TimeoutError, MessageTooLong, MessageMalformed):
+            async with timeout(TURN_AWAY_LIMIT):
+                await read_line(reader)
+        self._turned_away -= 1
+        writer.write(make_line('ERROR', 'TOOMANY', FULL))
+        writer.close()
+
 
 class _SentAway(Exception):
     """End the wait for a caller's next message."""
--- a/src/sedgeshunt/platform/documents.py
+++ b/src/sedgeshunt/platform/documents.py
@@ -116,6 +116,9 @@
         """Read one database's entry; raise DocumentUnreadable."""
         read = _decode(pair.value, _Server, pair.key)
         host, _, port = read.address.rpartition(':')
+        if not (host and port.isdecimal()):
+            reason = f'"{read.address}" is no address'
+            raise DocumentUnreadable(pair.key, reason)
         labels = {VERSION_LABEL: read.version, ROLE_LABEL: read.db_role}
         if read.state != READY_STATE:
             labels[STATE_LABEL] = LEAVING
--- a/src/sedgeshunt/platform/promotions.py
+++ b/src/sedgeshunt/platform/promotions.py
@@ -28,6 +28,10 @@
         # that no order arrives after its sender has given it up.
         self._client = JsonClient([address])
 
+    def move(self, address: Address) -> None:
+        """Order at another address from the next order on."""
+        self._client.move(address)
+
     async def order(
         self,
         order: PromotionOrder,
--- a/src/sedgeshunt/platform/store.py
+++ b/src/sedgeshunt/platform/store.py
@@ -58,6 +58,10 @@
         """Connect at the first call."""
         self._client = JsonClient([address], keeps_connections=True)
 
+    def move(self, address: Address) -> None:
+        """Call another address from the next call on."""
+        self._client.move(address)
+
     async def list_prefix(self, prefix: str) -> Listing:
         """Read all pairs under `prefix`; raise PlatformUnavailable."""
         pairs: list[KeyValue] = []
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -144,6 +144,29 @@
     And no write was done for 0 to 0.25 s at most
     And no two proxies owned the group at once
 
+  Scenario: What is open when the owner stops may end
+    A transaction is open at the primary. The stopping owner waits until it is
+    committed, then gives the group up; the transaction's caller notices nothing.
+    Given proxies "north-1, east-1, west-1"
+    When a caller of "settle" at "west-1" begins and runs "WRITE turn 1"
+    And "east-1" begins to hand over
+    And 1 s goes by
+    And the same caller runs "COMMIT"
+    Then it is done
+    When 0.5 s goes by
+    Then another proxy than "east-1" owns the group
+    And no two proxies owned the group at once
+
+  Scenario: No write's end is in doubt when the owner stops
+    Writes are under way at the primary in every moment. The stopping owner
+    starts no more of them and has the answers of all before its reign ends.
+    Given proxies "north-1, east-1, west-1"
+    And 8 callers of "settle" at "west-1" write without a pause
+    When "east-1" hands over
+    And 1 s goes by
+    Then another proxy than "east-1" owns the group
+    And nobody is told that the end of a write is in doubt
+
   Scenario: A silent watch does not keep an old configuration in force
     The store's watches hear nothing, although nothing is reported as broken. One
     proxy asks how far the store is; what the watch does not bring is listed.
--- /dev/null
+++ b/tests/features/platform_bench.py
@@ -0,0 +1,349 @@
+"""Run proxies as processes against stand-ins on loopback."""
+
+import subprocess  # the test starts proxies as the platform does
+import sys
+from asyncio import StreamReader, StreamWriter, open_connection, sleep
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from http import HTTPStatus
+from json import dumps
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import monotonic
+from time import sleep as wait_for
+from typing import Any
+from urllib.error import HTTPError, URLError
+from urllib.request import urlopen
+
+from aiohttp.web import AppRunner, TCPSite
+from msgspec.json import decode
+
+from benchmarks.documents import find_port
+from sedgeshunt.connections.target_session import LogRole
+from sedgeshunt.identifiers import GroupId, TargetId
+from sedgeshunt.ports import Put
+from sedgeshunt.registry.keys import make_owner_key
+from tests.features.driver_bench import LoopThread
+from tests.standins.metadata_front import MetadataFront
+from tests.standins.network import Network, Place
+from tests.standins.platform import KeyValueStandIn
+from tests.standins.statement_front import HOST, StatementFront
+from tests.standins.statement_group import StatementGroup, StatementTarget
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+GROUP = GroupId('songbook')
+ZONES = ('east', 'north', 'west')
+START_LIMIT = 10
+END_LIMIT = 12
+GRACE = 3
+LOOK_EVERY = 0.05
+
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'settle',
+            'host': 'kigali',
+            'service': GROUP,
+            'type': 'primary',
+            'timeout_ms': 800,
+            'target_latency_ms': 150,
+            'priority': 1,
+        },
+        {
+            'name': 'browse',
+            'host': 'catalogue',
+            'service': GROUP,
+            'type': 'read_your_writes',
+            'timeout_ms': 2000,
+            'target_latency_ms': 500,
+            'max_staleness_ms': 1500,
+            'priority': 2,
+        },
+    ],
+    'services': [{'name': GROUP, 'max_connections': 20, 'sync_replicas': 0}],
+    'limits': {'tx_idle_ms': 3000},
+}
+
+
+class Platform:
+    """Stand in for the store, the promotions and the databases."""
+
+    def __init__(self, loop: LoopThread) -> None:
+        """Run in `loop` once started."""
+        self._loop = loop
+        self._owned = AsyncExitStack()
+        self.front: MetadataFront
+        self.group: StatementGroup
+        self.port = 0
+
+    def start(self) -> None:
+        """Start with three databases and the routes declared."""
+        self._loop.run(self._start())
+
+    def close(self) -> None:
+        """End all."""
+        self._loop.run(self._owned.aclose())
+
+    def is_owned(self) -> bool:
+        """Tell whether a proxy owns the group."""
+        store = self.front.service.store
+        return bool(store.list_matching(make_owner_key(GROUP).__eq__).pairs)
+
+    def publish(self, key: str, document: object) -> None:
+        """Write as the operator or a database does."""
+        self._loop.run(self._publish(key, document))
+
+    async def _publish(self, key: str, document: object) -> None:
+        put = Put(key, dumps(document).encode())
+        self.front.service.store.commit((), (put,))
+
+    async def _start(self) -> None:
+        network = Network()
+        self.group = StatementGroup(network)
+        self._owned.callback(self.group.close)
+        for place, zone in enumerate(ZONES):
+            name = TargetId(f'db-{zone}')
+            target = StatementTarget(name, Place(name, zone), 0)
+            if place == 0:
+                target.role = LogRole.PRIMARY
+            self.group.add(target)
+        databases = StatementFront(self.group)
+        await databases.start()
+        self._owned.callback(databases.stop)
+        self.front = MetadataFront(KeyValueStandIn(network), self.group)
+        await self._publish('op/config', CONFIGURATION)
+        for target in self.group.targets.values():
+            await self._publish(f'servers/{target.name}', _describe(target))
+        await self._listen()
+
+    def move(self) -> None:
+        """Serve the same store at another address too."""
+        self._loop.run(self._listen())
+
+    async def _listen(self) -> None:
+        runner = AppRunner(
+            self.front.make_application(),
+            access_log=None,
+            shutdown_timeout=0,
+        )
+        await runner.setup()
+        self._owned.push_async_callback(runner.cleanup)
+        site = TCPSite(runner, HOST, 0)
+        await site.start()
+        self.port = runner.addresses[0][1]
+
+
+class Caller:
+    """Speak the wire protocol with one proxy."""
+
+    def __init__(self, loop: LoopThread, port: int) -> None:
+        """Speak in `loop`."""
+        self._loop = loop
+        self._port = port
+        self._reader: StreamReader
+        self._writer: StreamWriter
+        self._count = 0
+
+    def connect(self, database: str) -> list[str]:
+        """Open a session; return what the proxy says to it."""
+        self.open()
+        self.send(f'START {database} tester\r\n'.encode())
+        return self.read()
+
+    def open(self) -> None:
+        """Open a connection and say nothing."""
+        opened = self._loop.run(open_connection(HOST, self._port))
+        self._reader = opened[0]
+        self._writer = opened[1]
+
+    def ask(self, text: str) -> list[str]:
+        """Run one statement; return all lines of its answer."""
+        self._count += 1
+        self.send(f'QUERY q{self._count} {text}\r\n'.encode())
+        return self.read()
+
+    def send(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self._loop.run(self._send(data))
+
+    def read(self) -> list[str]:
+        """Return the lines up to READY, or to the connection's end."""
+        return self._loop.run(self._read())
+
+    def end(self) -> None:
+        """Say that nothing more comes."""
+        self._loop.run(self._end())
+
+    async def _send(self, data: bytes) -> None:
+        self._writer.write(data)
+
+    async def _end(self) -> None:
+        self._writer.write_eof()
+
+    async def _read(self) -> list[str]:
+        lines: list[str] = []
+        while line := (await self._reader.readline()).decode().rstrip():
+            lines.append(line)
+            if line.startswith('READY'):
+                break
+        return lines
+
+
+class ProxyUnderTest:
+    """Own one proxy's process."""
+
+    def __init__(self, folder: Path, name: str, store_port: int) -> None:
+        """Write its settings; nothing runs yet."""
+        self.name = name
+        self.ports = {
+            use: find_port()
+            for use in ('callers', 'readiness', 'peers', 'metrics')
+        }
+        self.settings = folder / f'{name}.toml'
+        self.output = folder / f'{name}.log'
+        self.write_settings(store_port)
+        self._child: subprocess.Popen[bytes]
+
+    def write_settings(self, store_port: int, more: str = '') -> None:
+        """Write the settings file anew."""
+        zone = self.name.partition('-')[0]
+        lines = [
+            f'name = "{self.name}"',
+            f'zone = "{zone}"',
+            f'grace_seconds = {GRACE}',
+            more,
+        ]
+        ports = {**self.ports, 'store': store_port, 'promotions': store_port}
+        for use, port in ports.items():
+            lines.extend((f'[{use}]', f'address = "{HOST}:{port}"'))
+        lines.extend(('[capacity]', 'descriptors = 300'))
+        self.settings.write_text('\n'.join(lines))
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.output.open('ab') as output:
+            self._child = subprocess.Popen(
+                [
+                    sys.executable,
+                    'deploy/start.py',
+                    '--settings',
+                    str(self.settings),
+                ],
+                cwd=ROOT,
+                stdout=output,
+                stderr=output,
+            )
+
+    def wait_ready(self) -> None:
+        """Wait until the balancer would send callers here."""
+        self.wait_until(
+            lambda: self.fetch('readiness', '/ready')[0] == HTTPStatus.OK,
+        )
+
+    def wait_line(self, event: str) -> dict[str, Any]:
+        """Return the first line of its log that is of a kind."""
+        self.wait_until(lambda: bool(self.list_lines(event)))
+        return self.list_lines(event)[0]
+
+    def list_lines(self, event: str) -> list[dict[str, Any]]:
+        """Return the lines of its log that are of a kind."""
+        lines = self.output.read_text().splitlines()
+        documents = [
+            decode(line, type=dict[str, Any])
+            for line in lines
+            if line.startswith('{')
+        ]
+        return [line for line in documents if line.get('message_type') == event]
+
+    def fetch(self, use: str, path: str) -> tuple[int, str]:
+        """Return the status and body of a page, 0 when there is none."""
+        url = f'http://{HOST}:{self.ports[use]}{path}'
+        try:
+            with urlopen(url, timeout=2) as reply:
+                return reply.status, reply.read().decode()
+        except HTTPError as refusal:
+            return refusal.code, ''
+        except (URLError, OSError):
+            return 0, ''
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        self._child.send_signal(number)
+
+    def wait_end(self) -> int:
+        """Return the exit code once the process has ended."""
+        return self._child.wait(END_LIMIT)
+
+    def is_running(self) -> bool:
+        """Tell whether the process runs."""
+        return self._child.poll() is None
+
+    def close(self) -> None:
+        """End the process at once."""
+        if self.is_running():
+            self._child.kill()
+            self._child.wait()
+
+    def wait_until(self, is_met: Callable[[], bool]) -> None:
+        """Wait until something holds; fail with the log otherwise."""
+        give_up = monotonic() + START_LIMIT
+        while not is_met():
+            told = self.output.read_text() if self.output.exists() else ''
+            assert monotonic() < give_up, told[-2000:]
+            pause()
+
+
+class PlatformBench:
+    """Hold the stand-ins, the proxies and their callers."""
+
+    def __init__(self) -> None:
+        """Start the stand-ins."""
+        self.loop = LoopThread()
+        self.platform = Platform(self.loop)
+        self.platform.start()
+        self._folder = TemporaryDirectory()
+        self.proxies: dict[str, ProxyUnderTest] = {}
+
+    def add(self, name: str) -> ProxyUnderTest:
+        """Prepare a proxy."""
+        folder = Path(self._folder.name)
+        proxy = ProxyUnderTest(folder, name, self.platform.port)
+        self.proxies[name] = proxy
+        return proxy
+
+    def call(self, proxy: str) -> Caller:
+        """Return a caller of a proxy."""
+        return Caller(self.loop, self.proxies[proxy].ports['callers'])
+
+    def close(self) -> None:
+        """End all."""
+        for proxy in self.proxies.values():
+            proxy.close()
+        self.platform.close()
+        self.loop.close()
+        self._folder.cleanup()
+
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.loop.run(sleep(seconds))
+
+
+def pause() -> None:
+    """Wait a moment before something is looked at again."""
+    wait_for(LOOK_EVERY)
+
+
+def _describe(target: StatementTarget) -> dict[str, Any]:
+    is_primary = target.role is LogRole.PRIMARY
+    return {
+        'service': GROUP,
+        'address': f'{HOST}:{target.port}',
+        'zone': target.place.zone,
+        'version': 'v1',
+        'capacity_slots': 3,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'sequence': 1,
+        'db_role': 'primary' if is_primary else 'replica',
+    }
--- a/tests/features/statement_sessions.feature
+++ b/tests/features/statement_sessions.feature
@@ -90,6 +90,18 @@
     And a caller of "settle" at "east-1" runs "WRITE turn 9"
     Then it is done within 100 ms
 
+  Scenario: A transaction that its caller has forgotten is undone
+    A caller stops in the middle of a transaction and stays connected. Its
+    connection to the primary is one of few; after the operator's limit it is
+    needed for others, and the caller's next statement is told so.
+    Given proxies "north-1, east-1, west-1"
+    When a caller of "settle" at "west-1" begins and runs "WRITE forgotten 1"
+    And 4 s go by
+    Then the primary has no transaction open
+    When the same caller runs "WRITE forgotten 2"
+    Then its transaction is said to be undone
+    And the primary has no "forgotten"
+
   Scenario: A transaction that its proxy loses is undone
     Its COMMIT was never sent: nothing of it is kept, and that is said.
     Given proxies "north-1, east-1, west-1"
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -7,7 +7,7 @@
 
 from sedgeshunt.clocks import read_boottime
 from sedgeshunt.decisions import DecisionKind
-from sedgeshunt.identifiers import OwnerToken, ProxyId
+from sedgeshunt.identifiers import OwnerToken, ProxyId, Seconds
 from sedgeshunt.ownership.promises import (
     PROMISE_TIME,
     PromisesHeld,
@@ -21,6 +21,8 @@
 from tests.standins.network import PLATFORM
 
 SUSPENSION = 5
+# How long a stopping owner waits for open transactions, in seconds.
+HANDOVER_WAIT = Seconds(3)
 MILLISECONDS = 1000
 
 
@@ -85,7 +87,33 @@
 
 @when('"{node}" hands over')
 def hand_over(context: Any, node: str) -> None:
-    context.nodes.run(context.nodes.nodes[node].service.hand_over())
+    context.nodes.run(
+        context.nodes.nodes[node].service.hand_over(HANDOVER_WAIT)
+    )
+
+
+@when('"{node}" begins to hand over')
+def begin_hand_over(context: Any, node: str) -> None:
+    service = context.nodes.nodes[node].service
+    context.nodes.time.watch(service.hand_over(HANDOVER_WAIT))
+
+
+@given('{count:d} callers of "{database}" at "{node}" write without a pause')
+def write_all(context: Any, count: int, database: str, node: str) -> None:
+    for _ in range(count):
+        session = context.nodes.open(node, database)
+        context.nodes.time.watch(context.callers.write_on(session, 0))
+    context.nodes.wait(0.5)
+
+
+@then('nobody is told that the end of a write is in doubt')
+def check_no_doubt(context: Any) -> None:
+    in_doubt = [
+        told
+        for told in context.callers.list_writes()
+        if isinstance(told.outcome.err(), Unknown)
+    ]
+    assert not in_doubt, in_doubt
 
 
 @when('each proxy is killed in turn and started again after {seconds:g} s')
--- /dev/null
+++ b/tests/features/steps/platform_process_steps.py
@@ -0,0 +1,272 @@
+"""Check proxies as processes, over sockets."""
+
+from signal import SIGHUP, SIGTERM
+from time import monotonic
+from typing import Any
+
+from behave import given, then, when
+
+from sedgeshunt.platform.lines import LONGEST_MESSAGE
+from tests.features.platform_bench import (
+    Caller,
+    PlatformBench,
+    ProxyUnderTest,
+)
+
+# What comes in, by its name in the feature.
+BYTES = {
+    'no session': b'QUERY q1 READ turn\r\n',
+    'no text': b'\xff\xfe\xfd\r\n',
+    'a word of no session': b'START kigali tester\r\nHELLO there\r\n',
+    'an endless line': b'x' * (LONGEST_MESSAGE + 1),
+    'an unknown database': b'START nowhere tester\r\n',
+    'half a line': b'START kig',
+    'a frame of garbage': b'\x00\x00\x00\x04abcd',
+    'a frame without end': b'\xff\xff\xff\xff',
+    'no HTTP': b'\x00\x01\x02\r\n\r\n',
+}
+# A table row's answer begins with this, and the session is then in a state.
+ANSWER, STATE = 'answer', 'state'
+
+
+def open_platform(context: Any) -> PlatformBench:
+    """Return the scenario's bench, which ends with it."""
+    if not hasattr(context, 'platform'):
+        context.platform = PlatformBench()
+        context.add_cleanup(context.platform.close)
+    bench: PlatformBench = context.platform
+    return bench
+
+
+@given('processes "{names}" that wait')
+def start_processes(context: Any, names: str) -> None:
+    bench = open_platform(context)
+    for name in names.split(', '):
+        bench.add(name).start()
+    for proxy in bench.proxies.values():
+        proxy.wait_line('proxy-started')
+
+
+@given('processes "{names}"')
+def start_ready(context: Any, names: str) -> None:
+    start_processes(context, names)
+    for proxy in context.platform.proxies.values():
+        proxy.wait_ready()
+    wait_owner(context)
+
+
+@when('a proxy owns the group')
+def wait_owner(context: Any) -> None:
+    bench: PlatformBench = context.platform
+    any_proxy = next(iter(bench.proxies.values()))
+    any_proxy.wait_until(bench.platform.is_owned)
+
+
+@given('another caller of "{database}" at "{proxy}" over the wire')
+def connect_other(context: Any, database: str, proxy: str) -> None:
+    context.other = context.platform.call(proxy)
+    _connect(context.other, database)
+
+
+@given('a caller of "{database}" at "{proxy}" has begun over the wire')
+def begin(context: Any, database: str, proxy: str) -> None:
+    context.caller = context.platform.call(proxy)
+    _connect(context.caller, database)
+    assert context.caller.ask('BEGIN')[-1].startswith('READY T')
+    assert context.caller.ask('WRITE turn 1')[-1].startswith('READY T')
+
+
+@when('a caller of "{database}" at "{proxy}" runs "{text}" over the wire')
+def run(context: Any, database: str, proxy: str, text: str) -> None:
+    context.caller = context.platform.call(proxy)
+    _connect(context.caller, database)
+    context.lines = context.caller.ask(text)
+
+
+@when('the transaction commits over the wire')
+def commit(context: Any) -> None:
+    context.lines = context.caller.ask('COMMIT')
+
+
+@when('a caller of "{database}" at "{proxy}" runs these over the wire')
+def run_table(context: Any, database: str, proxy: str) -> None:
+    caller = context.platform.call(proxy)
+    _connect(caller, database)
+    for row in context.table:
+        lines = caller.ask(row['text'])
+        assert lines[0].startswith(row[ANSWER]), (row['text'], lines)
+        assert lines[-1].startswith(f'READY {row[STATE]}'), (row['text'], lines)
+
+
+@then('the wire answers "{line}"')
+def check_line(context: Any, line: str) -> None:
+    assert context.lines[0].startswith(line), context.lines
+
+
+@when('"{name}" comes in at "{use}" of "{proxy}"')
+def send_bytes(context: Any, name: str, use: str, proxy: str) -> None:
+    port = context.platform.proxies[proxy].ports[use]
+    context.caller = Caller(context.platform.loop, port)
+    context.caller.open()
+    context.caller.send(BYTES[name])
+    if name == 'half a line':
+        context.caller.end()
+
+
+@then('it is told "{code}"')
+def check_told(context: Any, code: str) -> None:
+    context.lines = context.caller.read()
+    if context.lines and context.lines[0].startswith('READY'):
+        context.lines = context.caller.read()
+    assert context.lines[0].startswith(code), context.lines
+
+
+@then('it is told ""')
+def check_told_nothing(context: Any) -> None:
+    context.lines = []
+
+
+@then('the connection is closed')
+def check_closed(context: Any) -> None:
+    assert context.caller.read() in ([], ['HTTP/1.1 400'])
+
+
+@then('the other caller is served within {limit:d} ms')
+def check_other(context: Any, limit: int) -> None:
+    _check_served(context.other, limit)
+
+
+@then('a caller of "{database}" at "{proxy}" is served within {limit:d} ms')
+def check_new(context: Any, database: str, proxy: str, limit: int) -> None:
+    caller = context.platform.call(proxy)
+    _connect(caller, database)
+    _check_served(caller, limit)
+
+
+@when('a caller of "{database}" at "{proxy}" sends {count:d} reads')
+def send_many(context: Any, database: str, proxy: str, count: int) -> None:
+    caller = context.platform.call(proxy)
+    _connect(caller, database)
+    caller.send(b'QUERY q1 READ turn\r\n' * count)
+    context.platform.wait(1)
+
+
+@when('{count:d} callers open sessions at "{proxy}"')
+def open_many(context: Any, count: int, proxy: str) -> None:
+    callers = [context.platform.call(proxy) for _ in range(count)]
+    context.told = [caller.connect('kigali')[0] for caller in callers]
+
+
+@then('{count:d} of them are let in')
+def check_let_in(context: Any, count: int) -> None:
+    let_in = [line for line in context.told if line.startswith('READY')]
+    assert len(let_in) == count, len(let_in)
+
+
+@then('the others are told "{code}"')
+def check_others(context: Any, code: str) -> None:
+    others = [line for line in context.told if not line.startswith('READY')]
+    assert others
+    assert all(line.startswith(code) for line in others), others
+
+
+@when('"{proxy}" gets SIGTERM')
+def stop(context: Any, proxy: str) -> None:
+    context.platform.proxies[proxy].signal(SIGTERM)
+
+
+@then('the page "{path}" of "{proxy}" says {status:d}')
+def check_page(context: Any, path: str, proxy: str, status: int) -> None:
+    known = context.platform.proxies[proxy]
+    known.wait_until(lambda: known.fetch('readiness', path)[0] == status)
+
+
+@then('the other caller is told "{code}"')
+def check_other_told(context: Any, code: str) -> None:
+    lines = context.other.read()
+    assert lines[0].startswith(code), lines
+
+
+@then('process "{proxy}" has ended with {code:d}')
+def check_end(context: Any, proxy: str, code: int) -> None:
+    assert context.platform.proxies[proxy].wait_end() == code
+
+
+@then('the log of "{proxy}" has "{event}"')
+def check_log(context: Any, proxy: str, event: str) -> None:
+    context.platform.proxies[proxy].wait_line(event)
+
+
+@when('the settings of "{proxy}" lose their store and it gets SIGHUP')
+def break_settings(context: Any, proxy: str) -> None:
+    context.proxy = context.platform.proxies[proxy]
+    text = context.proxy.settings.read_text()
+    context.proxy.settings.write_text(text.replace('[store]', '[shop]'))
+    context.proxy.signal(SIGHUP)
+
+
+@when('the store of "{proxy}" moves to a second address without a signal')
+def move_store(context: Any, proxy: str) -> None:
+    context.proxy = context.platform.proxies[proxy]
+    platform = context.platform.platform
+    platform.move()
+    context.calls_before = platform.front.calls
+    context.proxy.write_settings(platform.port)
+
+
+@then('calls arrive at the second address')
+def check_calls(context: Any) -> None:
+    front = context.platform.platform.front
+    context.proxy.wait_until(lambda: front.calls > context.calls_before + 3)
+
+
+@then('its log line "{event}" names "{text}"')
+def check_reload(context: Any, event: str, text: str) -> None:
+    assert text in str(context.proxy.wait_line(event))
+
+
+@then('the metrics of "{proxy}" have "{text}"')
+def check_metrics(context: Any, proxy: str, text: str) -> None:
+    known: ProxyUnderTest = context.platform.proxies[proxy]
+    assert text in known.fetch('metrics', '/metrics')[1]
+
+
+@given('the store answers {status:d}')
+def refuse_calls(context: Any, status: int) -> None:
+    open_platform(context).platform.front.refusal = status
+
+
+@when('the store answers again')
+def answer_calls(context: Any) -> None:
+    context.platform.platform.front.refusal = None
+
+
+@given('settings with mistakes')
+def write_mistakes(context: Any) -> None:
+    context.proxy = open_platform(context).add('east-1')
+    context.proxy.write_settings(1, 'colour = "red"')
+    text = context.proxy.settings.read_text()
+    text = text.replace('grace_seconds = 3', 'grace_seconds = "soon"')
+    context.proxy.settings.write_text(text.replace('[store]', '[shop]'))
+
+
+@then('the process ends with code {code:d} and names')
+def check_mistakes(context: Any, code: int) -> None:
+    context.proxy.start()
+    assert context.proxy.wait_end() == code
+    told = context.proxy.output.read_text()
+    for row in context.table:
+        assert row['problem'] in told, told
+
+
+def _connect(caller: Caller, database: str) -> None:
+    lines = caller.connect(database)
+    assert lines[-1].startswith('READY I'), lines
+
+
+def _check_served(caller: Caller, limit: int) -> None:
+    began = monotonic()
+    lines = caller.ask('READ turn')
+    spent = (monotonic() - began) * 1000
+    assert lines[-1].startswith('READY I'), lines
+    assert spent < limit, spent
--- a/tests/features/steps/statement_steps.py
+++ b/tests/features/steps/statement_steps.py
@@ -10,7 +10,7 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.identifiers import TrafficClass
 from sedgeshunt.requests.outcome import Cause, NotRun
-from tests.features.node_bench import NodeBench
+from tests.features.node_bench import GROUP, NodeBench
 from tests.features.node_callers import Callers
 
 # Connections to a target that are open before a scenario's statements.
@@ -324,3 +324,14 @@
         await gather(*works)
 
     bench.run(run())
+
+
+@then('the primary has no transaction open')
+def check_none_open(context: Any) -> None:
+    access = _find_owner_access(context)
+    assert not access.owner.executor.transactions
+
+
+def _find_owner_access(context: Any) -> Any:
+    node = context.nodes.nodes[context.nodes.find_owner()]
+    return node.service.find_access(GROUP)
--- /dev/null
+++ b/tests/standins/statement_front.py
@@ -0,0 +1,189 @@
+"""Serve stand-in databases over the users' wire protocol."""
+
+from asyncio import Server, StreamReader, StreamWriter, start_server
+from contextlib import suppress
+from functools import partial
+
+from sedgeshunt.connections.target_session import (
+    RefusalKind,
+    SessionPhase,
+    TargetReply,
+)
+from sedgeshunt.exceptions import TargetUnreachable
+from sedgeshunt.groups.points import Point
+from sedgeshunt.identifiers import Position, StatementId, Term
+from sedgeshunt.statements.statement import PreparedStatement
+from tests.standins.network import Place
+from tests.standins.statement_group import (
+    CONNECTION_LIMIT,
+    StatementGroup,
+    StatementTarget,
+)
+from tests.standins.statement_sessions import LosingSession
+
+HOST = '127.0.0.1'
+PROXIES = Place('proxies', 'east')
+_PHASES = {
+    SessionPhase.IDLE: 'I',
+    SessionPhase.OPEN: 'T',
+    SessionPhase.FAILED: 'E',
+}
+_CODES = {
+    RefusalKind.BEHIND: 'LAGGING',
+    RefusalKind.READ_ONLY: 'READONLY',
+    RefusalKind.NO_STATEMENT: 'NOSTMT',
+}
+
+
+class StatementFront:
+    """Listen for each database of a group."""
+
+    def __init__(self, group: StatementGroup) -> None:
+        """Serve the databases of `group`, whose name callers give."""
+        self.group = group
+        self._servers: list[Server] = []
+
+    async def start(self) -> None:
+        """Listen on a free port for each database."""
+        for target in self.group.targets.values():
+            server = await start_server(partial(self._serve, target), HOST, 0)
+            target.port = server.sockets[0].getsockname()[1]
+            self._servers.append(server)
+
+    def stop(self) -> None:
+        """Listen no more."""
+        for server in self._servers:
+            server.close()
+
+    async def _serve(
+        self,
+        target: StatementTarget,
+        reader: StreamReader,
+        writer: StreamWriter,
+    ) -> None:
+        try:
+            with suppress(OSError, TargetUnreachable):
+                await self._converse(target, reader, writer)
+        finally:
+            writer.transport.abort()
+
+    async def _converse(
+        self,
+        target: StatementTarget,
+        reader: StreamReader,
+        writer: StreamWriter,
+    ) -> None:
+        start = (await reader.readline()).decode().split()
+        if len(start) < 4 or start[3] != target.name:
+            writer.write(b'ERROR MISROUTED another one\r\n')
+            return
+        if target.is_down:
+            return
+        if target.connections >= CONNECTION_LIMIT:
+            writer.write(b'ERROR TOOMANY enough\r\n')
+            return
+        session = LosingSession(self.group, target, PROXIES)
+        conversation = _Conversation(session)
+        place = _write_point(target.applied_end)
+        writer.write(f'READY I {place}\r\n'.encode())
+        try:
+            while line := (await reader.readline()).decode().rstrip('\r\n'):
+                _, name, text = line.split(' ', 2)
+                reply = await conversation.run(StatementId(name), text)
+                writer.write(_write_reply(reply))
+                await writer.drain()
+        finally:
+            await session.close()
+
+
+class _Conversation:
+    """Take the texts of one connection apart."""
+
+    def __init__(self, session: LosingSession) -> None:
+        self._session = session
+        self._prepared: dict[str, PreparedStatement] = {}
+
+    async def run(self, statement: StatementId, text: str) -> TargetReply:
+        """Run one text."""
+        after = None
+        word, _, rest = text.partition(' ')
+        if word == 'AFTER':
+            place, _, text = rest.partition(' ')
+            term, _, number = place.partition('.')
+            after = Point(Term(int(term)), Position(int(number)))
+            word, _, rest = text.partition(' ')
+        return await self._run(statement, word, rest, after)
+
+    async def _run(
+        self,
+        statement: StatementId,
+        word: str,
+        rest: str,
+        after: Point | None,
+    ) -> TargetReply:
+        session = self._session
+        if word == 'BEGIN':
+            return await session.begin(
+                is_read_only=rest == 'READ',
+                after=after,
+            )
+        if word == 'EXECUTE':
+            name, _, arguments = rest.partition(' ')
+            prepared = self._prepared[name]
+            return await session.execute(statement, prepared, arguments, after)
+        change = self._CHANGES.get(word)
+        if change is not None:
+            return await change(self, rest)
+        return await session.run(statement, f'{word} {rest}'.strip(), after)
+
+    async def _roll_back(self, _rest: str) -> TargetReply:
+        return await self._session.roll_back()
+
+    async def _set(self, rest: str) -> TargetReply:
+        name, _, text = rest.partition(' ')
+        return await self._session.set_value(name, text)
+
+    async def _reset(self, _rest: str) -> TargetReply:
+        self._prepared.clear()
+        return await self._session.reset()
+
+    async def _prepare(self, rest: str) -> TargetReply:
+        name, kind, shape = rest.split(' ', 2)
+        self._prepared[name] = PreparedStatement(kind == 'WRITE', shape)
+        return await self._session.prepare(self._prepared[name])
+
+    async def _tell_status(self, _rest: str) -> TargetReply:
+        status = await self._session.read_status()
+        row = (
+            ''
+            if status is None
+            else (
+                f'{status.role.value} {status.term} '
+                f'{_write_point(status.received)} '
+                f'{status.held_term} 0 0 0'
+            )
+        )
+        return TargetReply((row,), SessionPhase.IDLE, None, '-', None)
+
+    _CHANGES = {
+        'ROLLBACK': _roll_back,
+        'SET': _set,
+        'RESET': _reset,
+        'PREPARE': _prepare,
+        'STATUS': _tell_status,
+    }
+
+
+def _write_reply(reply: TargetReply) -> bytes:
+    lines = [f'ROW {row}' for row in reply.rows]
+    if reply.refusal is None:
+        lines.append(f'COMPLETE {reply.signature or "-"}')
+    else:
+        lines.append(f'ERROR {_CODES[reply.refusal.kind]} no')
+    point = _write_point(reply.point)
+    lines.append(f'READY {_PHASES[reply.phase]} {point}')
+    return ''.join(f'{line}\r\n' for line in lines).encode()
+
+
+def _write_point(point: Point | None) -> str:
+    return '-' if point is None else f'{point.term}.{point.position}'
--- a/tests/standins/statement_group.py
+++ b/tests/standins/statement_group.py
@@ -166,6 +166,11 @@
         self._start(self._promote(target))
         return PromotionAnswer.ACCEPTED
 
+    def close(self) -> None:
+        """Leave off what is under way."""
+        for task in tuple(self._tasks):
+            task.cancel()
+
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         task = create_task(work)
         self._tasks.add(task)
--- a/tests/standins/statement_sessions.py
+++ b/tests/standins/statement_sessions.py
@@ -189,7 +189,7 @@
         self._note(statement, text)
         rows: tuple[str, ...] = ()
         if word == 'READ':
-            rows = (self._target.read(rest),)
+            rows = (dict(self._writes).get(rest, self._target.read(rest)),)
         elif word == 'WRITE':
             item, _, data = rest.partition(' ')
             self._writes.append((item, data))
