Trust no primary of an older term, and soak proxies as processes

A primary that was silent and replaced says that it leads for up to a second after it is back; when its successor is lost in that second, the owner took it for the leader again and acknowledged writes in term 1 after term 2. Ruled out: the stand-ins' replication, whose logs were whole; two owners. Change: a target leads only in the newest term that any target tells, the owner has served or the store has noted; a target behind that is promoted only once every listed one was heard; an order of an earlier owner to a target that is down makes the noted leader unknown instead of trusted. The scenario "A superseded primary says that it leads when the next one is lost" acknowledged in terms 1, 2, 1 before, and goes on to term 3 now.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test bench soak capacity format lint
+.PHONY: setup demo test bench soak process-soak capacity format lint
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,9 @@
 soak: setup
 	PYTHONHASHSEED=0 $(BIN)/python -m tests.soak --histories $(or $(HISTORIES),1000) --first-seed $(or $(SEED),1)
 
+process-soak: setup
+	$(BIN)/python -m tests.process_soak --seeds $(or $(SEEDS),10) --first-seed $(or $(SEED),1) --seconds $(or $(SECONDS_EACH),12)
+
 capacity: setup
 	$(BIN)/python -m benchmarks.capacity
 
--- a/src/sedgeshunt/execution/primary_finder.py
+++ b/src/sedgeshunt/execution/primary_finder.py
@@ -8,7 +8,7 @@
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.statuses import read_status, read_statuses
 from sedgeshunt.groups.successors import find_leader
-from sedgeshunt.identifiers import Seconds
+from sedgeshunt.identifiers import Seconds, TargetId
 from sedgeshunt.ownership.reign import Reign
 from sedgeshunt.registry.directory import GroupMembers, KnownTarget
 
@@ -63,7 +63,15 @@
         replacement = self._parts.replacement
         if await replacement.finish_pending(self._reign, statuses):
             return None
-        leader = find_leader(statuses)
+        return self._choose(members, statuses)
+
+    def _choose(
+        self,
+        members: GroupMembers,
+        statuses: dict[TargetId, LogStatus],
+    ) -> Leader | None:
+        least = self._parts.records.find_term(self._reign.group)
+        leader = find_leader(statuses, least)
         known = None if leader is None else members.find(leader)
         if leader is None or known is None:
             return None
--- a/src/sedgeshunt/execution/primary_keeper.py
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -16,7 +16,13 @@
 from sedgeshunt.execution.target_executor import TargetExecutor
 from sedgeshunt.groups.points import Point
 from sedgeshunt.groups.successors import find_leader
-from sedgeshunt.identifiers import Monotonic, ProxyId, Seconds, TargetId
+from sedgeshunt.identifiers import (
+    Monotonic,
+    ProxyId,
+    Seconds,
+    TargetId,
+    Term,
+)
 from sedgeshunt.ownership.reign import Reign
 from sedgeshunt.registry.directory import GroupMembers, KnownTarget
 
@@ -80,6 +86,7 @@
         self._copies = CopyNotes(reign, parts.records, parts.connector)
         # The end of what callers were told by the primary before.
         self._acknowledged: Point | None = None
+        self._term = Term(0)
         # Set once this instance stops: when what is open must have ended.
         self._leave_by: Monotonic | None = None
 
@@ -150,6 +157,7 @@
         )
         executor.tip = leader.status.received
         self._acknowledged = None
+        self._term = max(self._term, leader.status.term)
         self._state.serve(executor)
         self._parts.tell(
             DecisionKind.PRIMARY_FOUND,
@@ -265,7 +273,7 @@
     ) -> None:
         """Have another target lead, if one can."""
         self._state.expect(REPLACING_TIME)
-        leading = find_leader(statuses)
+        leading = find_leader(statuses, self._find_least())
         known = None if leading is None else members.find(leading)
         if leading is not None and known is not None:
             await self._serve(Leader(known, statuses[leading]))
@@ -316,12 +324,18 @@
             members,
             statuses,
             self._acknowledged,
+            self._find_least(),
         )
         if successor is None:
             await self._yield_to_heir()
         else:
             await self._serve(Leader(successor.known, successor.status))
 
+    def _find_least(self) -> Term:
+        """Return the newest term in which a target is known to have led."""
+        noted = self._parts.records.find_term(self._reign.group)
+        return max(noted, self._term)
+
     async def _yield_to_heir(self) -> None:
         """Give the group to a peer if the store answers that one only."""
         await sleep(RETRY_PAUSE)
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -23,7 +23,7 @@
     covers,
     is_safe_choice,
 )
-from sedgeshunt.identifiers import Seconds, TargetId
+from sedgeshunt.identifiers import Seconds, TargetId, Term
 from sedgeshunt.ownership.records import GroupRecords
 from sedgeshunt.ownership.reign import Reign
 from sedgeshunt.registry.directory import (
@@ -73,17 +73,22 @@
         members: GroupMembers,
         statuses: Mapping[TargetId, LogStatus],
         acknowledged: Point | None,
+        least: Term,
     ) -> Successor | None:
         """Have the replica with the furthest log lead; None if none does.
 
         `statuses` are those of replicas that answered, `acknowledged` is the
-        end of what this owner told callers, None if it told nothing.
+        end of what this owner told callers, None if it told nothing, `least`
+        the newest term in which a target is known to have led.
         """
         target = choose_successor(reign.group, statuses)
         known = None if target is None else members.find(target)
         if target is None or known is None:
             return None
         chosen = Successor(known, statuses[target])
+        if chosen.status.term < least and _lacks_any(members, statuses):
+            # One that is not heard may have what was written since.
+            return None
         covers_all = await self._catch_up(chosen, acknowledged)
         is_safe = is_safe_choice(
             self._count_unheard(members, statuses),
@@ -113,7 +118,9 @@
             return False
         answer = await self._order(reign, intent.target)
         if answer is PromotionAnswer.TARGET_DOWN:
-            await self._records.clear_intent(reign)
+            # It may have led for a while before it went down, unnoted for want
+            # of the store: the one that led before can't be trusted any more.
+            await self._records.forget_leader(reign)
         else:
             await sleep(POLL_EVERY)
         return True
@@ -208,6 +215,13 @@
         self._decisions.record(Decision(kind, reign.group, target, said))
 
 
+def _lacks_any(
+    members: GroupMembers,
+    statuses: Mapping[TargetId, LogStatus],
+) -> bool:
+    return any(known.target.name not in statuses for known in members.targets)
+
+
 _WITHOUT_EFFECT = frozenset(
     (PromotionAnswer.TARGET_DOWN, PromotionAnswer.NOT_TAKEN),
 )
--- a/src/sedgeshunt/groups/successors.py
+++ b/src/sedgeshunt/groups/successors.py
@@ -5,17 +5,26 @@
 from sedgeshunt.connections.target_session import LogRole, LogStatus
 from sedgeshunt.groups.points import Point
 from sedgeshunt.groups.ranks import weigh
-from sedgeshunt.identifiers import GroupId, TargetId
+from sedgeshunt.identifiers import GroupId, TargetId, Term
 
 
-def find_leader(statuses: Mapping[TargetId, LogStatus]) -> TargetId | None:
-    """Return the target that leads in the highest term, if one does."""
-    leading = [
-        (status.term, target)
-        for target, status in statuses.items()
-        if status.role is LogRole.PRIMARY
-    ]
-    return max(leading)[1] if leading else None
+def find_leader(
+    statuses: Mapping[TargetId, LogStatus],
+    least: Term,
+) -> TargetId | None:
+    """Return the target that leads in the newest term, if one does.
+
+    `least` is the newest term in which a target is known to have led.
+    """
+    # A primary that was cut off or silent still says that it leads for up to a
+    # second after it is back. If the one that replaced it is lost meanwhile,
+    # the old one is all that says so; what was written since is not in its log.
+    newest = max((status.term for status in statuses.values()), default=least)
+    for target, status in statuses.items():
+        if status.role is LogRole.PRIMARY:
+            if status.term >= max(newest, least):
+                return target
+    return None
 
 
 def choose_successor(
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -98,6 +98,12 @@
         record = self.find_record(group)
         return None if record is None else record.intent
 
+    def find_term(self, group: GroupId) -> Term:
+        """Return the newest term in which a target is noted to lead."""
+        record = self.find_record(group)
+        leader = None if record is None else record.leader
+        return Term(0) if leader is None else leader.term
+
     def find_copies(self, group: GroupId) -> frozenset[CopyPlace]:
         """Return where acknowledged writes may be, as far as noted."""
         record = self.find_record(group)
@@ -158,6 +164,10 @@
         """Write that no promotion is under way."""
         return await self._change(reign, intent=None)
 
+    async def forget_leader(self, reign: Reign) -> bool:
+        """Write that nobody knows which target leads."""
+        return await self._change(reign, intent=None, leader=None)
+
     async def note_leader(
         self,
         reign: Reign,
--- a/tests/features/driver_bench.py
+++ b/tests/features/driver_bench.py
@@ -1,6 +1,12 @@
 """Run a caller server with a small gate in a thread of its own."""
 
-from asyncio import run_coroutine_threadsafe, sleep
+from asyncio import (
+    all_tasks,
+    current_task,
+    gather,
+    run_coroutine_threadsafe,
+    sleep,
+)
 from collections.abc import Coroutine, Mapping
 from concurrent.futures import Future
 from contextlib import AsyncExitStack
@@ -125,12 +131,20 @@
         return self.start(work).result(LIMIT)
 
     def close(self) -> None:
-        """Stop the loop."""
+        """Leave off what is under way and stop the loop."""
+        self.run(_cancel_rest())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join(LIMIT)
         self._loop.close()
 
 
+async def _cancel_rest() -> None:
+    rest = all_tasks() - {current_task()}
+    for task in rest:
+        task.cancel()
+    await gather(*rest, return_exceptions=True)
+
+
 class DriverBench:
     """Serve callers by a small gate."""
 
--- a/tests/features/platform_bench.py
+++ b/tests/features/platform_bench.py
@@ -38,7 +38,7 @@
 GRACE = 3
 LOOK_EVERY = 0.05
 
-CONFIGURATION = {
+CONFIGURATION: dict[str, Any] = {
     'version': 7,
     'routes': [
         {
--- /dev/null
+++ b/tests/features/process_soak.feature
@@ -0,0 +1,11 @@
+Feature: Proxies as processes under random faults
+  Real processes and stand-ins over sockets; processes are paused, killed and
+  stopped, databases and the store fail, two series of faults at a time.
+
+  Scenario: A fixed seed breaks no promise
+    Callers write and read items of their own. Nothing acknowledged is missed, a
+    write runs at most once and never where it was said not to, each statement
+    is answered, tokens of orders never go down, and in the end all works again.
+    When the processes run for 8 s under the faults of seed 1
+    Then callers were served, and faults happened to them
+    And no promise was broken
--- a/tests/features/replacement.feature
+++ b/tests/features/replacement.feature
@@ -37,6 +37,20 @@
     And "db-east" has committed the write
     And the caller is told that its end is in doubt
 
+  Scenario: A superseded primary says that it leads when the next one is lost
+    The primary falls silent and is replaced. It comes back, and says that it
+    leads until it learns better; in this moment its successor is lost. What was
+    written since is on the third database, which must lead next.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the primary freezes
+    And 1.2 s go by
+    And the new primary crashes as "db-east" goes on
+    And 3 s go by
+    Then "db-east" does not lead
+    And the terms of acknowledged writes never go down
+    And a write was acknowledged in term 3
+
   Scenario: Reads at a primary that is lost are asked again at the next
     Many callers read when the primary falls silent, more than have a second
     attempt to spare. None of them waits for what is gone: once it is given up,
--- a/tests/features/steps/replacement_steps.py
+++ b/tests/features/steps/replacement_steps.py
@@ -124,6 +124,32 @@
     context.nodes.time.act(context.nodes.group.targets[name].thawed.set)
 
 
+@when('the new primary crashes as "{name}" goes on')
+def crash_next(context: Any, name: str) -> None:
+    group = context.nodes.group
+    group.find_primary().is_down = True
+    context.nodes.time.act(group.targets[name].thawed.set)
+
+
+@then('the terms of acknowledged writes never go down')
+def check_terms(context: Any) -> None:
+    terms = _list_terms(context)
+    assert terms == sorted(terms), terms
+
+
+@then('a write was acknowledged in term {term:d}')
+def check_term(context: Any, term: int) -> None:
+    assert term in _list_terms(context)
+
+
+def _list_terms(context: Any) -> list[int]:
+    return [
+        told.outcome.ok_value.point.term
+        for told in context.callers.list_writes()
+        if told.is_done
+    ]
+
+
 @when('"{name}" is not listed any more')
 def drop_entry(context: Any, name: str) -> None:
     context.nodes.group.targets[name].is_listed = False
--- /dev/null
+++ b/tests/process_soak.py
@@ -0,0 +1,216 @@
+"""Run proxies as processes under random faults and check what callers see."""
+
+from argparse import ArgumentParser
+from asyncio import gather, sleep, wait_for
+from collections import Counter
+from contextlib import suppress
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+from signal import SIGCONT
+from sys import exit as leave
+
+from sedgeshunt.clocks import read_clock
+from tests.features.platform_bench import CONFIGURATION, PlatformBench
+from tests.process_faults import FAULTS, NAMES, Scene
+from tests.wire_session import Session
+
+CALLERS = 8
+# Faults that overlap, and the pause between two of a series, in seconds.
+SERIES = 2
+LONGEST_PAUSE = 1.5
+# A statement that nobody answers in this time counts as waited for in vain:
+# the route's 0.8 s, the longest pause of a process and a margin.
+PATIENCE = 6.0
+# After the last fault writes must work again within this time.
+RECOVERY = 12.0
+STATEMENTS = 12
+PAUSE = 0.02
+CURRENT, OWN_WRITES = 'kigali', 'catalogue'
+PROMISES = frozenset(
+    ('BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'TOOMANY'),
+)
+
+
+@dataclass
+class Notes:
+    """Hold what one caller knows of its own item."""
+
+    item: str
+    acknowledged: str = ''
+    # Values whose writes are in doubt, and may take effect at any time.
+    in_doubt: set[str] = field(default_factory=set)
+
+    def may_be(self, found: str) -> bool:
+        """Tell whether a read may find a value."""
+        return found == self.acknowledged or found in self.in_doubt
+
+
+@dataclass
+class Soak:
+    """Hold one seeded run."""
+
+    seed: int
+    bench: PlatformBench
+    random: Random = field(init=False)
+    scene: Scene = field(init=False)
+    faults: Counter[str] = field(default_factory=Counter)
+    outcomes: Counter[str] = field(default_factory=Counter)
+    violations: list[str] = field(default_factory=list)
+    promised: set[str] = field(default_factory=set)
+    until: float = 0
+    ids: 'count[int]' = field(default_factory=lambda: count(1))
+
+    def __post_init__(self) -> None:
+        """Draw everything from the seed."""
+        self.random = Random(self.seed)
+        self.scene = Scene(self.bench, self.random)
+
+    async def run(self, seconds: float) -> None:
+        """Let callers and faults go on for some time, then check."""
+        self.until = read_clock() + seconds
+        notes = [Notes(f'item{number}') for number in range(CALLERS)]
+        await gather(
+            *(self._break_things() for _ in range(SERIES)),
+            *(self._call(one) for one in notes),
+        )
+        await self._check_recovery(notes)
+        self._check_runs()
+
+    async def _break_things(self) -> None:
+        while read_clock() < self.until:
+            await sleep(self.random.uniform(0.2, LONGEST_PAUSE))
+            fault = self.random.choice(FAULTS)
+            self.faults[fault.__name__] += 1
+            await fault(self.scene)
+
+    async def _call(self, notes: Notes) -> None:
+        while read_clock() < self.until:
+            database = self.random.choice((CURRENT, OWN_WRITES))
+            with suppress(OSError, TimeoutError):
+                await self._use_session(notes, database)
+            await sleep(PAUSE)
+
+    async def _use_session(self, notes: Notes, database: str) -> None:
+        proxy = self.bench.proxies[self.random.choice(NAMES)]
+        session = Session(proxy.ports['callers'])
+        try:
+            await wait_for(session.open(database), PATIENCE)
+            for _ in range(STATEMENTS):
+                await self._write(session, notes)
+                await self._read(session, notes)
+                await sleep(PAUSE)
+        finally:
+            session.close()
+
+    async def _write(self, session: Session, notes: Notes) -> None:
+        name = f'{self.seed}w{next(self.ids)}'
+        notes.in_doubt.add(name)
+        word = await self._ask(session, name, f'WRITE {notes.item} {name}')
+        if word == 'COMPLETE':
+            notes.acknowledged = name
+        if word == 'COMPLETE' or word in PROMISES:
+            notes.in_doubt.discard(name)
+        if word in PROMISES:
+            self.promised.add(name)
+
+    async def _read(self, session: Session, notes: Notes) -> None:
+        name = f'{self.seed}r{next(self.ids)}'
+        word = await self._ask(session, name, f'READ {notes.item}')
+        if word == 'COMPLETE' and not notes.may_be(session.row):
+            self.violations.append(
+                f'{name} found {session.row} of {notes.item} after '
+                f'{notes.acknowledged} was acknowledged',
+            )
+
+    async def _ask(self, session: Session, name: str, text: str) -> str:
+        try:
+            word = await wait_for(session.ask(name, text), PATIENCE)
+        except TimeoutError:
+            self.violations.append(f'{name} was not answered')
+            raise
+        self.outcomes[word] += 1
+        return word
+
+    async def _check_recovery(self, notes: list[Notes]) -> None:
+        give_up = read_clock() + RECOVERY
+        waiting = list(notes)
+        while waiting and read_clock() < give_up:
+            waiting = [one for one in waiting if not await self._is_well(one)]
+            await sleep(PAUSE)
+        self.violations += [f'{one.item}: no recovery' for one in waiting]
+
+    async def _is_well(self, notes: Notes) -> bool:
+        session = Session(self.bench.proxies[NAMES[0]].ports['callers'])
+        try:
+            await wait_for(session.open(CURRENT), PATIENCE)
+            await self._read(session, notes)
+            before = notes.acknowledged
+            await self._write(session, notes)
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            session.close()
+        return notes.acknowledged != before
+
+    def _check_runs(self) -> None:
+        group = self.bench.platform.group
+        runs = Counter(
+            run.statement for run in group.runs if run.text.startswith('WRITE')
+        )
+        for name, times in runs.items():
+            if times > 1:
+                self.violations.append(f'{name} ran {times} times')
+            if name in self.promised:
+                self.violations.append(f'{name} ran, though told not run')
+        tokens = [order.token for _, order in group.orders]
+        if tokens != sorted(tokens):
+            self.violations.append(f'tokens of orders go down: {tokens}')
+
+
+def run_seed(seed: int, seconds: float) -> Soak:
+    """Run one seed on stand-ins and processes of its own."""
+    bench = PlatformBench()
+    try:
+        bench.platform.group.synchronous = 1
+        services = [{**CONFIGURATION['services'][0], 'sync_replicas': 1}]
+        declared = {**CONFIGURATION, 'version': 8, 'services': services}
+        bench.platform.publish('op/config', declared)
+        for name in NAMES:
+            bench.add(name).start()
+        for proxy in bench.proxies.values():
+            proxy.wait_ready()
+        soak = Soak(seed, bench)
+        limit = seconds + RECOVERY * CALLERS
+        bench.loop.start(soak.run(seconds)).result(limit)
+        return soak
+    finally:
+        for proxy in bench.proxies.values():
+            if proxy.is_running():
+                proxy.signal(SIGCONT)
+        bench.close()
+
+
+def main() -> None:
+    """Run the seeds that the command line names."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=5)
+    parser.add_argument('--first-seed', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=15)
+    given = parser.parse_args()
+    failed = 0
+    for seed in range(given.first_seed, given.first_seed + given.seeds):
+        soak = run_seed(seed, given.seconds)
+        failed += bool(soak.violations)
+        print(
+            f'seed {seed}: {soak.outcomes.total()} statements '
+            f'{dict(soak.outcomes)}, faults {dict(soak.faults)}',
+        )
+        for violation in soak.violations[:10]:
+            print(f'  {violation}')
+    print(f'{given.seeds} seeds, {failed} failed')
+    leave(1 if failed else 0)
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/standins/metadata_front.py
+++ b/tests/standins/metadata_front.py
@@ -1,6 +1,6 @@
 """Serve the key-value stand-in as the users' platform does its store."""
 
-from asyncio import Event, timeout
+from asyncio import sleep, timeout
 from base64 import b64decode, b64encode
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -44,6 +44,7 @@
 ANYWHERE = Place('', '')
 ORDER_LIMIT = Seconds(1)
 MILLISECONDS = 1000
+LOOK_EVERY = 0.05
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -79,7 +80,7 @@
     async def _serve(self, handle: Handler, request: Request) -> Response:
         self.calls += 1
         if self.is_silent:
-            await Event().wait()
+            await self._wait_silent()
         if self.refusal is not None:
             return Response(status=self.refusal, text='no')
         try:
@@ -91,6 +92,10 @@
         except (PlatformUnavailable, AnswerLost):
             return Response(status=503)
 
+    async def _wait_silent(self) -> None:
+        while self.is_silent:
+            await sleep(LOOK_EVERY)
+
     async def _list(self, request: Request) -> Response:
         prefix = request.query['prefix']
         after = request.query.get('after', '')
--- /dev/null
+++ b/tests/wire_session.py
@@ -0,0 +1,51 @@
+"""Speak the wire protocol of the users' platform as a caller does."""
+
+from asyncio import StreamReader, StreamWriter, open_connection
+
+from tests.standins.statement_front import HOST
+
+
+class Session:
+    """Speak the wire protocol over one connection."""
+
+    def __init__(self, port: int) -> None:
+        """Connect in open()."""
+        self.row = ''
+        self._port = port
+        self._reader: StreamReader
+        self._writer: StreamWriter | None = None
+
+    async def open(self, database: str) -> None:
+        """Open a session; raise OSError."""
+        opened = await open_connection(HOST, self._port)
+        self._reader = opened[0]
+        self._writer = opened[1]
+        self._send(f'START {database} soak')
+        line = await self._reader.readline()
+        if not line.startswith(b'READY'):
+            raise ConnectionRefusedError(line.decode())
+
+    async def ask(self, name: str, text: str) -> str:
+        """Return COMPLETE or an error's code; raise OSError."""
+        self._send(f'QUERY {name} {text}')
+        word = ''
+        while line := (await self._reader.readline()).decode().rstrip('\r\n'):
+            kind, _, rest = line.partition(' ')
+            if kind == 'ROW':
+                self.row = rest
+            if kind == 'COMPLETE':
+                word = kind
+            if kind == 'ERROR':
+                word = rest.partition(' ')[0]
+            if kind == 'READY':
+                return word
+        raise ConnectionResetError(f'closed after {word}')
+
+    def _send(self, line: str) -> None:
+        if self._writer is not None:
+            self._writer.write(f'{line}\r\n'.encode())
+
+    def close(self) -> None:
+        """Drop the connection; closing twice does no harm."""
+        if self._writer is not None:
+            self._writer.transport.abort()
