Specify the choice of a leader, and carry the newest term through the store

Cause: the mend of the superseded primary rested on what the owner remembers and the store has noted; the store may miss the note of who leads, as an outage is when promotions fail halfway. The new specification "leaders" (three databases that fall silent and come back, owners that change, notes that get lost) found two ways past it: the target of a noted promotion led unnoted and is lost, and two promotions in a row of which the first was never noted. Change: such a target leaves the doubt that it led the next term; a promotion is noted together with the newest term that was served; a noted leader must tell that term itself. Ruled out: forgetting the noted leader (the search breaks it when only the old primary answers). 16,416 states, exhaustive, nothing broken; each of the four safeguards taken out is broken in 9 to 14 steps. Price: when a target is lost right after its promotion, the old primary is used again only once the lost one is back or listed no more.

--- a/src/sedgeshunt/execution/primary_finder.py
+++ b/src/sedgeshunt/execution/primary_finder.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from sedgeshunt.clocks import read_clock
-from sedgeshunt.connections.target_session import LogRole, LogStatus
+from sedgeshunt.connections.target_session import LogStatus
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.statuses import read_status, read_statuses
 from sedgeshunt.groups.successors import find_leader
@@ -88,6 +88,9 @@
         if known is None:
             return None
         status = await read_status(self._parts.connector, known)
-        if status is None or status.role is not LogRole.PRIMARY:
+        if status is None:
+            return None
+        # The term may be noted without the target that led in it.
+        if find_leader({known.target.name: status}, record.leader.term) is None:
             return None
         return Leader(known, status)
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -99,7 +99,7 @@
             return None
         # The next owner must know that an order is under way: it takes effect
         # hundreds of milliseconds after it was sent.
-        if not await self._records.note_intent(reign, target):
+        if not await self._records.note_intent(reign, target, least):
             return None
         return await self._promote(reign, known)
 
@@ -120,7 +120,7 @@
         if answer is PromotionAnswer.TARGET_DOWN:
             # It may have led for a while before it went down, unnoted for want
             # of the store: the one that led before can't be trusted any more.
-            await self._records.forget_leader(reign)
+            await self._records.note_doubt(reign, intent.target)
         else:
             await sleep(POLL_EVERY)
         return True
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -155,18 +155,34 @@
             heir=ProxyId(''),
         )
 
-    async def note_intent(self, reign: Reign, target: TargetId) -> bool:
-        """Write that a promotion is about to be ordered."""
+    async def note_intent(
+        self,
+        reign: Reign,
+        target: TargetId,
+        served: Term,
+    ) -> bool:
+        """Write that a promotion is about to be ordered.
+
+        `served` is the newest term that this owner has served.
+        """
         intent = ReplacementIntent(target, reign.token)
-        return await self._change(reign, intent=intent)
+        record = self.find_record(reign.group)
+        leader = None if record is None else record.leader
+        # The store may have missed who led since: the next owner must not
+        # trust the one that it has noted.
+        if leader is not None and leader.term < served:
+            leader = LeaderNote(leader.target, served)
+        return await self._change(reign, intent=intent, leader=leader)
 
     async def clear_intent(self, reign: Reign) -> bool:
         """Write that no promotion is under way."""
         return await self._change(reign, intent=None)
 
-    async def forget_leader(self, reign: Reign) -> bool:
-        """Write that nobody knows which target leads."""
-        return await self._change(reign, intent=None, leader=None)
+    async def note_doubt(self, reign: Reign, target: TargetId) -> bool:
+        """Write that a target may have led the next term, and is lost."""
+        term = Term(self.find_term(reign.group) + 1)
+        leader = LeaderNote(target, term)
+        return await self._change(reign, leader=leader, intent=None)
 
     async def note_leader(
         self,
--- a/tests/features/specs.feature
+++ b/tests/features/specs.feature
@@ -18,6 +18,7 @@
       | configuration               | 150    |
       | ownership                   | 1700000 |
       | succession                  | 150    |
+      | leaders                     | 16000  |
 
   Scenario: Every accepted change can still come into force everywhere
     Then the specification "configuration" can always reach its goal
@@ -108,3 +109,17 @@
       | an order is noted before it is sent, and seen through   | nothing is acknowledged at a superseded primary | 5     |
       | an order is dropped with the end of its sender          | tokens of orders never go down                  | 6     |
       | an owner looks which target leads after it has claimed  | nothing is acknowledged at a superseded primary | 6     |
+
+  Scenario Outline: A choice of the leader without one of its safeguards
+    Databases fall silent and come back at any moment, and a superseded one says
+    that it leads until it learns better. Owners change, and the store may miss
+    which target leads.
+    When the choice of a leader lacks "<safeguard>"
+    Then the search breaks "no write is acknowledged in an older term" in <steps> steps
+
+    Examples:
+      | safeguard                                                            | steps |
+      | an owner remembers the newest term that it has served                | 9     |
+      | an owner minds the newest term that the store has noted              | 9     |
+      | a promotion is noted together with the newest term that was served   | 14    |
+      | a target that was to lead and is lost may have led the next term     | 10    |
--- a/tests/features/steps/specs_steps.py
+++ b/tests/features/steps/specs_steps.py
@@ -6,6 +6,7 @@
 
 from tests.specs import (
     configuration_spec,
+    leaders_spec,
     operators_spec,
     ownership_spec,
     promotion_state,
@@ -31,6 +32,7 @@
     'configuration': specify_configuration(),
     'ownership': ownership_spec.specify_ownership(),
     'succession': succession_spec.specify_succession(),
+    'leaders': leaders_spec.specify_leaders(),
 }
 
 
@@ -82,6 +84,12 @@
     context.finding = refute(succession_spec.specify_succession(removed))
 
 
+@when('the choice of a leader lacks "{safeguard}"')
+def search_leaders(context: Any, safeguard: str) -> None:
+    removed = leaders_spec.Safeguard(safeguard)
+    context.finding = refute(leaders_spec.specify_leaders(removed))
+
+
 @then('the search visits all of at least {states:d} states')
 def check_exhaustive(context: Any, states: int) -> None:
     assert context.finding.is_exhaustive
