Split signs, waits and preparing from the primary's keeper and executor

Change: what is asked before a replacement (signs.py), the waits for a quiet moment (quiet.py) and what a pooled session is given (preparing.py) stand alone; nothing else. Scenarios of replacement, ownership, sessions and fleets pass as before.

--- /dev/null
+++ b/src/sedgeshunt/execution/preparing.py
@@ -0,0 +1,35 @@
+"""Give a pooled session what a caller's own session would have."""
+
+from sedgeshunt.connections.session_pool import PooledSession
+from sedgeshunt.connections.target_session import SessionPhase, TargetReply
+from sedgeshunt.statements.call import StatementCall
+
+
+def needs_preparing(session: PooledSession, call: StatementCall) -> bool:
+    """Tell whether a session lacks what a call needs."""
+    if session.values != call.values:
+        return True
+    return call.prepared is not None and call.prepared not in session.prepared
+
+
+async def prepare(session: PooledSession, call: StatementCall) -> TargetReply:
+    """Give a session the values and the statement that a call needs."""
+    reply = _NOTHING
+    connection = session.connection
+    if not session.values.keys() <= call.values.keys():
+        reply = await connection.reset()
+        session.values.clear()
+        session.prepared.clear()
+    for name, value in call.values.items() - session.values.items():
+        reply = await connection.set_value(name, value)
+        if reply.refusal is not None:
+            return reply
+        session.values[name] = value
+    if call.prepared is not None and call.prepared not in session.prepared:
+        reply = await connection.prepare(call.prepared)
+        if reply.refusal is None:
+            session.prepared.add(call.prepared)
+    return reply
+
+
+_NOTHING = TargetReply((), SessionPhase.IDLE, None)
--- a/src/sedgeshunt/execution/primary_keeper.py
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -1,18 +1,27 @@
 """Serve a group's primary, watch it and have it replaced when it must be."""
 
-from asyncio import TaskGroup, sleep, timeout
+from asyncio import sleep, timeout
 from contextlib import suppress
-from dataclasses import dataclass
 
 from sedgeshunt.clocks import read_clock
-from sedgeshunt.connections.target_session import LogRole, LogStatus
+from sedgeshunt.connections.target_session import LogStatus
 from sedgeshunt.decisions import DecisionKind
 from sedgeshunt.execution.copies import CopyNotes
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.primary_finder import Leader, PrimaryFinder
 from sedgeshunt.execution.primary_probe import PrimaryProbe
 from sedgeshunt.execution.primary_state import PrimaryState
-from sedgeshunt.execution.statuses import read_status, read_statuses
+from sedgeshunt.execution.quiet import wait_end, wait_quiet
+from sedgeshunt.execution.signs import (
+    CHECK_EVERY,
+    STALL_AFTER,
+    PrimarySigns,
+    ask_all,
+    ask_others,
+    find_pause,
+    has_answered,
+    must_go,
+)
 from sedgeshunt.execution.target_executor import TargetExecutor
 from sedgeshunt.groups.points import Point
 from sedgeshunt.groups.successors import find_leader
@@ -24,14 +33,8 @@
     Term,
 )
 from sedgeshunt.ownership.reign import Reign
-from sedgeshunt.registry.directory import GroupMembers, KnownTarget
+from sedgeshunt.registry.directory import GroupMembers
 
-# How often an idle primary's signs of life are looked at, and the shortest
-# pause between two looks at a busy one.
-CHECK_EVERY = Seconds(0.1)
-SHORTEST_CHECK = Seconds(0.02)
-# A primary with work that answers nothing for so long is probed.
-STALL_AFTER = Seconds(0.2)
 # A connection that broke says little while others go on.
 SETTLE_AFTER = Seconds(0.03)
 RETRY_PAUSE = Seconds(0.05)
@@ -46,25 +49,8 @@
 REPLACING_TIME = Seconds(0.5)
 # A handover is over by then, or the store did not take it.
 HANDOVER_TIME = Seconds(0.5)
-# A planned replacement waits so long for a moment without transactions, and
-# then so long for those that are open.
+# A planned replacement waits so long for a moment without transactions.
 QUIET_WAIT = Seconds(2)
-ENDING_WAIT = Seconds(0.15)
-POLL_EVERY = Seconds(0.005)
-
-
-@dataclass(frozen=True, slots=True)
-class _Signs:
-    """Hold what a primary under suspicion and those around it answered."""
-
-    status: LogStatus | None
-    # A peer that reaches it.
-    heir: ProxyId | None
-    others: dict[TargetId, LogStatus]
-
-    def is_leading(self) -> bool:
-        """Tell whether the primary says that it leads."""
-        return self.status is not None and self.status.role is LogRole.PRIMARY
 
 
 class PrimaryKeeper:
@@ -134,7 +120,7 @@
             await self._leave_to_reaching(
                 await peers.find_reaching(self._reign.group, lost),
             )
-        return await self._ask_others(members, lost)
+        return await ask_others(self._parts, members, lost)
 
     def _find_known_lost(self) -> TargetId | None:
         """Return the noted primary if it is known not to answer."""
@@ -179,14 +165,14 @@
             await sleep(CHECK_EVERY)
             return
         await self._copies.keep(members, executor)
-        if _must_go(members, executor.target.name):
+        if must_go(members, executor.target.name):
             await self._replace_planned(members, executor)
         elif await self._shows_trouble(executor):
             await self._probe(members, executor)
 
     async def _shows_trouble(self, executor: TargetExecutor) -> bool:
         with suppress(TimeoutError):
-            async with timeout(_find_pause(executor)):
+            async with timeout(find_pause(executor)):
                 await executor.failed.wait()
         if executor.failed.is_set():
             executor.failed.clear()
@@ -209,7 +195,7 @@
             await sleep(CHECK_EVERY)
             return
         asked_at = read_clock()
-        signs = await self._ask_all(members, known)
+        signs = await ask_all(self._parts, self._reign.group, members, known)
         if signs.is_leading():
             executor.waiting_since = None
             return
@@ -229,35 +215,17 @@
         self,
         members: GroupMembers,
         executor: TargetExecutor,
-        signs: '_Signs',
+        signs: PrimarySigns,
         asked_at: Monotonic,
     ) -> None:
         await self._leave_to_reaching(signs.heir)
         statuses = signs.others
-        if _has_answered(executor, asked_at):
+        if has_answered(executor, asked_at):
             # The replicas may have received more since they were asked.
             lost = executor.target.name
-            statuses = await self._ask_others(members, lost)
+            statuses = await ask_others(self._parts, members, lost)
         await self._replace(members, statuses, executor.tip)
 
-    async def _ask_all(
-        self,
-        members: GroupMembers,
-        known: KnownTarget,
-    ) -> '_Signs':
-        # All that a replacement needs is asked at once: each question may
-        # take its whole limit, and writes wait meanwhile.
-        name = known.target.name
-        async with TaskGroup() as tasks:
-            status = tasks.create_task(
-                read_status(self._parts.connector, known),
-            )
-            heir = tasks.create_task(
-                self._parts.peers.find_reaching(self._reign.group, name),
-            )
-            others = tasks.create_task(self._ask_others(members, name))
-        return _Signs(status.result(), heir.result(), others.result())
-
     async def _leave_to_reaching(self, heir: ProxyId | None) -> None:
         """Have a peer that reaches the primary own the group."""
         # A promotion loses what no replica has received, and takes longer.
@@ -286,8 +254,8 @@
         executor: TargetExecutor,
     ) -> None:
         """Replace a primary that leaves, with nothing lost and little wait."""
-        await _wait_quiet(executor, Monotonic(read_clock() + QUIET_WAIT))
-        statuses = await self._ask_others(members, executor.target.name)
+        await wait_quiet(executor, Monotonic(read_clock() + QUIET_WAIT))
+        statuses = await ask_others(self._parts, members, executor.target.name)
         # Without a successor or the store it would be suspended for nothing.
         if statuses and self._parts.records.reaches_store():
             await self._suspend(executor)
@@ -299,7 +267,7 @@
         """Start nothing more at the primary, and let what is open end."""
         self._state.expect(REPLACING_TIME)
         self._state.suspend()
-        await _wait_end(executor)
+        await wait_end(executor)
         self._parts.tell(
             DecisionKind.PRIMARY_SUSPENDED,
             self._reign,
@@ -354,7 +322,7 @@
     async def _leave_to(self, heir: ProxyId) -> None:
         executor = self._state.executor
         if executor is not None and self._leave_by is not None:
-            await _wait_quiet(executor, self._leave_by)
+            await wait_quiet(executor, self._leave_by)
         # The one chosen before the wait may have gone since.
         await self._hand_over(self._find_heir() or heir)
 
@@ -367,53 +335,3 @@
             await self._suspend(executor)
         self._reign.leave_to(heir)
         await sleep(HANDOVER_TIME)
-
-    async def _ask_others(
-        self,
-        members: GroupMembers,
-        primary: TargetId | None,
-    ) -> dict[TargetId, LogStatus]:
-        others = [
-            known
-            for known in members.targets
-            if known.target.name != primary and not known.target.is_leaving()
-        ]
-        return await read_statuses(self._parts.connector, others)
-
-
-def _must_go(members: GroupMembers, primary: TargetId) -> bool:
-    """Tell whether another target should lead soon."""
-    known = members.find(primary)
-    if known is not None and not known.target.is_leaving():
-        return False
-    return any(
-        other.target.name != primary and not other.target.is_leaving()
-        for other in members.targets
-    )
-
-
-def _has_answered(executor: TargetExecutor, since: Monotonic) -> bool:
-    answered_at = executor.answered_at
-    return answered_at is not None and answered_at >= since
-
-
-def _find_pause(executor: TargetExecutor) -> Seconds:
-    """Return the time until a stall would show."""
-    since = executor.waiting_since
-    if since is None:
-        return CHECK_EVERY
-    left = since + STALL_AFTER - read_clock()
-    return Seconds(min(CHECK_EVERY, max(SHORTEST_CHECK, left)))
-
-
-async def _wait_quiet(executor: TargetExecutor, give_up: Monotonic) -> None:
-    while executor.transactions and read_clock() < give_up:
-        if executor.failed.is_set():
-            return
-        await sleep(POLL_EVERY)
-
-
-async def _wait_end(executor: TargetExecutor) -> None:
-    give_up = Monotonic(read_clock() + ENDING_WAIT)
-    while executor.is_busy() and read_clock() < give_up:
-        await sleep(POLL_EVERY)
--- /dev/null
+++ b/src/sedgeshunt/execution/signs.py
@@ -0,0 +1,95 @@
+"""Read the signs by which a primary has to be replaced."""
+
+from asyncio import TaskGroup
+from dataclasses import dataclass
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.connections.target_session import LogRole, LogStatus
+from sedgeshunt.execution.keeper_parts import KeeperParts
+from sedgeshunt.execution.statuses import read_status, read_statuses
+from sedgeshunt.execution.target_executor import TargetExecutor
+from sedgeshunt.identifiers import (
+    GroupId,
+    Monotonic,
+    ProxyId,
+    Seconds,
+    TargetId,
+)
+from sedgeshunt.registry.directory import GroupMembers, KnownTarget
+
+# How often an idle primary's signs of life are looked at, and the shortest
+# pause between two looks at a busy one.
+CHECK_EVERY = Seconds(0.1)
+SHORTEST_CHECK = Seconds(0.02)
+# A primary with work that answers nothing for so long is probed.
+STALL_AFTER = Seconds(0.2)
+
+
+@dataclass(frozen=True, slots=True)
+class PrimarySigns:
+    """Hold what a primary under suspicion and those around it answered."""
+
+    status: LogStatus | None
+    # A peer that reaches it.
+    heir: ProxyId | None
+    others: dict[TargetId, LogStatus]
+
+    def is_leading(self) -> bool:
+        """Tell whether the primary says that it leads."""
+        return self.status is not None and self.status.role is LogRole.PRIMARY
+
+
+async def ask_all(
+    parts: KeeperParts,
+    group: GroupId,
+    members: GroupMembers,
+    known: KnownTarget,
+) -> PrimarySigns:
+    """Ask the primary, the peers and the other targets."""
+    # Each question may take its whole limit, and writes wait meanwhile.
+    name = known.target.name
+    async with TaskGroup() as tasks:
+        status = tasks.create_task(read_status(parts.connector, known))
+        heir = tasks.create_task(parts.peers.find_reaching(group, name))
+        others = tasks.create_task(ask_others(parts, members, name))
+    return PrimarySigns(status.result(), heir.result(), others.result())
+
+
+async def ask_others(
+    parts: KeeperParts,
+    members: GroupMembers,
+    primary: TargetId | None,
+) -> dict[TargetId, LogStatus]:
+    """Return the statuses of the targets that could lead next."""
+    others = [
+        known
+        for known in members.targets
+        if known.target.name != primary and not known.target.is_leaving()
+    ]
+    return await read_statuses(parts.connector, others)
+
+
+def must_go(members: GroupMembers, primary: TargetId) -> bool:
+    """Tell whether another target should lead soon."""
+    known = members.find(primary)
+    if known is not None and not known.target.is_leaving():
+        return False
+    return any(
+        other.target.name != primary and not other.target.is_leaving()
+        for other in members.targets
+    )
+
+
+def has_answered(executor: TargetExecutor, since: Monotonic) -> bool:
+    """Tell whether a target has answered anything since a moment."""
+    answered_at = executor.answered_at
+    return answered_at is not None and answered_at >= since
+
+
+def find_pause(executor: TargetExecutor) -> Seconds:
+    """Return the time until a stall would show."""
+    since = executor.waiting_since
+    if since is None:
+        return CHECK_EVERY
+    left = since + STALL_AFTER - read_clock()
+    return Seconds(min(CHECK_EVERY, max(SHORTEST_CHECK, left)))
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -14,12 +14,12 @@
 )
 from sedgeshunt.connections.target_session import (
     RefusalKind,
-    SessionPhase,
     TargetRefusal,
     TargetReply,
     TargetSessionConnector,
 )
 from sedgeshunt.exceptions import TargetGone, TargetLost
+from sedgeshunt.execution.preparing import needs_preparing, prepare
 from sedgeshunt.execution.transactions import OpenTransaction
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import Monotonic, Seconds
@@ -176,10 +176,10 @@
         after: Point | None,
     ) -> Result[Answer, Refusal]:
         session = loan.session
-        if _needs_preparing(session, call):
+        if needs_preparing(session, call):
             prepared = await self.ask(
                 session,
-                lambda: _prepare(session, call),
+                lambda: prepare(session, call),
                 deadline,
                 is_harmless=True,
             )
@@ -370,35 +370,6 @@
         return Err(Unknown(cause, reason, name))
 
 
-def _needs_preparing(session: PooledSession, call: StatementCall) -> bool:
-    if session.values != call.values:
-        return True
-    return call.prepared is not None and call.prepared not in session.prepared
-
-
-async def _prepare(session: PooledSession, call: StatementCall) -> TargetReply:
-    """Give a session the values and the statement that a call needs."""
-    reply = _NOTHING
-    connection = session.connection
-    if not session.values.keys() <= call.values.keys():
-        reply = await connection.reset()
-        session.values.clear()
-        session.prepared.clear()
-    for name, value in call.values.items() - session.values.items():
-        reply = await connection.set_value(name, value)
-        if reply.refusal is not None:
-            return reply
-        session.values[name] = value
-    if call.prepared is not None and call.prepared not in session.prepared:
-        reply = await connection.prepare(call.prepared)
-        if reply.refusal is None:
-            session.prepared.add(call.prepared)
-    return reply
-
-
-_NOTHING = TargetReply((), SessionPhase.IDLE, None)
-
-
 def weigh_priority(priority: int) -> int:
     """Return the share of a busy target that a priority gets."""
     return _WEIGHTS[min(max(priority, 0), len(_WEIGHTS) - 1)]
