Keep no connection to where the store was

Cause (by reading): a call under way while the settings move the store gave its connection back to the pool, and the next call went to the old address. Ruled out: the calls after it, which the pool's emptying covers. Change: a connection is kept only if no move came in between.

--- a/src/sedgeshunt/adapters/json_client.py
+++ b/src/sedgeshunt/adapters/json_client.py
@@ -70,6 +70,7 @@
         self._keeps_connections = keeps_connections
         self._idle: list[HttpConnection] = []
         self._is_closed = False
+        self._moves = 0
 
     async def post(self, path: str, body: Any) -> Any:
         """Send a document and return the answer; raise CallFailed."""
@@ -126,6 +127,7 @@
 
     def move(self, address: Address) -> None:
         """Call another address from the next call on."""
+        self._moves += 1
         self._addresses = [address]
         while self._idle:
             self._idle.pop().close()
@@ -165,6 +167,7 @@
         limit: Seconds,
     ) -> HttpReply:
         connection = await self._take_connection(limit)
+        moves = self._moves
         is_whole = False
         try:
             async with timeout(limit):
@@ -173,7 +176,10 @@
         except (HttpBroken, TimeoutError) as failure:
             raise CallFailed(_describe(failure)) from failure
         finally:
-            self._give_back(connection, is_whole=is_whole)
+            # A call may have been under way while the service moved: its
+            # connection leads to where it was.
+            is_current = moves == self._moves
+            self._give_back(connection, is_kept=is_whole and is_current)
         return reply
 
     async def _take_connection(self, limit: Seconds) -> HttpConnection:
@@ -202,12 +208,12 @@
         self,
         connection: HttpConnection,
         *,
-        is_whole: bool,
+        is_kept: bool,
     ) -> None:
         # A kept connection may have been closed by the other side, and what
         # is sent into it is lost without a trace: for a change, nobody could
         # tell. So connections are kept only where the caller can bear that.
-        keeps = is_whole and self._keeps_connections and not self._is_closed
+        keeps = is_kept and self._keeps_connections and not self._is_closed
         if keeps and connection.is_usable():
             self._idle.append(connection)
         else:
--- a/tests/features/platform_process.feature
+++ b/tests/features/platform_process.feature
@@ -99,6 +99,12 @@
     Then its log line "settings-reloaded" names "store"
     And calls arrive at the second address
 
+  Scenario: A call is under way while the store moves
+    Its connection leads to where the store was; the next call must not take it.
+    Given a call that a service answers after 0.2 s
+    When the service moves meanwhile
+    Then the next call arrives at its new address
+
   Scenario: Metrics tell what happened
     Given processes "east-1"
     When a caller of "kigali" at "east-1" runs "WRITE turn 7" over the wire
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -1,17 +1,32 @@
 """Check proxies as processes, over sockets."""
 
+from asyncio import create_task, sleep
+from contextlib import AsyncExitStack
 from signal import SIGHUP, SIGTERM
 from time import monotonic
 from typing import Any
 
+from aiohttp.web import (
+    Application,
+    AppRunner,
+    Request,
+    Response,
+    TCPSite,
+    get,
+    json_response,
+)
 from behave import given, then, when
 
+from sedgeshunt.adapters.json_client import JsonClient
 from sedgeshunt.platform.lines import LONGEST_MESSAGE
+from sedgeshunt.ports import Address
+from tests.features.driver_bench import LoopThread
 from tests.features.platform_bench import (
     Caller,
     PlatformBench,
     ProxyUnderTest,
 )
+from tests.standins.statement_front import HOST
 
 # What comes in, by its name in the feature.
 BYTES = {
@@ -259,6 +274,56 @@
         assert row['problem'] in told, told
 
 
+@given('a call that a service answers after {seconds:g} s')
+def prepare_call(context: Any, seconds: float) -> None:
+    context.loop = LoopThread()
+    context.add_cleanup(context.loop.close)
+    context.seen = []
+    context.slowness = seconds
+
+
+@when('the service moves meanwhile')
+def move_service(context: Any) -> None:
+    context.loop.run(_call_while_moved(context))
+
+
+@then('the next call arrives at its new address')
+def check_moved(context: Any) -> None:
+    assert context.seen == ['old', 'new'], context.seen
+
+
+async def _call_while_moved(context: Any) -> None:
+    async with AsyncExitStack() as owned:
+        old = await _serve_as(context, 'old', owned)
+        new = await _serve_as(context, 'new', owned)
+        client = JsonClient([old], keeps_connections=True)
+        owned.push_async_callback(client.close)
+        call = create_task(client.exchange('GET', '/'))
+        await sleep(context.slowness / 2)
+        client.move(new)
+        await call
+        await client.exchange('GET', '/')
+
+
+async def _serve_as(
+    context: Any,
+    name: str,
+    owned: AsyncExitStack,
+) -> Address:
+    async def answer(_request: Request) -> Response:
+        context.seen.append(name)
+        await sleep(context.slowness)
+        return json_response({})
+
+    application = Application()
+    application.add_routes([get('/', answer)])
+    runner = AppRunner(application, shutdown_timeout=0)
+    await runner.setup()
+    owned.push_async_callback(runner.cleanup)
+    await TCPSite(runner, HOST, 0).start()
+    return Address(HOST, runner.addresses[0][1])
+
+
 def _connect(caller: Caller, database: str) -> None:
     lines = caller.connect(database)
     assert lines[-1].startswith('READY I'), lines
