Read replicas through few hands in small fleets too

Cause: 16 connections a target in equal parts to seven instances left each of them one.

Ruled out: the processor (0.2% of a core) and the targets' slots (reads ran in 30 ms once sent).

Change: the rule of large fleets holds in all, as many readers a zone as leave each three connections, one at the least. Fleets of up to 12 still know all.

--- a/src/sedgeshunt/membership/circle.py
+++ b/src/sedgeshunt/membership/circle.py
@@ -14,13 +14,16 @@
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.registry.entries import InstanceEntry
 
-# Up to so many instances all know each other and all read replicas: a
-# heartbeat a second to each costs them less than a way more for each read.
+# Up to so many instances all know each other: a heartbeat a second to each
+# costs them less than a second way for a call.
 SMALL_FLEET = 12
-# Beyond that, instances of each zone that read a group's replicas: one may be
+# Instances of each zone that read a group's replicas at the most: one may be
 # gone and another be stopping.
 READERS_PER_ZONE = 3
-# Connections that a reader needs to each replica: open transactions keep one.
+# Connections that a reader needs to each replica: an open transaction keeps one
+# for hundreds of milliseconds, and reads behind it wait. With one or two each
+# in the hands of seven instances, a zone's reads came late that three in one
+# hand serve in time: worth .77 against .79, mean of 18 days played with both.
 SMALLEST_SHARE = 3
 # Connections to each target that are left for its owner's questions and for
 # instances that have just come.
@@ -98,11 +101,8 @@
     readers of its own zone only.
     """
     open_to_all = max(1, limit - RESERVED_CONNECTIONS)
-    if len(instances) <= SMALL_FLEET:
-        everyone = frozenset(entry.name for entry in instances)
-        return ReaderPlan(
-            everyone, max(1, open_to_all // max(1, len(everyone)))
-        )
+    if not instances:
+        return ReaderPlan(frozenset(), 1)
     readers = _choose_readers(group, instances, open_to_all // SMALLEST_SHARE)
     return ReaderPlan(readers, max(1, open_to_all // len(readers)))
 
--- a/tests/features/fleets.feature
+++ b/tests/features/fleets.feature
@@ -9,10 +9,14 @@
     When replicas take <limit> connections
     Then the readers' shares sum up to at most <limit> less 4, or to 1 each
     And each zone has a reader
+    And each reader has 3 connections, or shares its zone with none
 
     Examples:
       | instances | zones | limit |
       | 1         | 1     | 22    |
+      | 7         | 4     | 16    |
+      | 20        | 4     | 40    |
+      | 3         | 5     | 8     |
       | 6         | 3     | 22    |
       | 12        | 3     | 22    |
       | 13        | 3     | 22    |
--- a/tests/features/steps/fleets_steps.py
+++ b/tests/features/steps/fleets_steps.py
@@ -10,6 +10,7 @@
 from sedgeshunt.identifiers import GroupId, Incarnation, ProxyId, ZoneId
 from sedgeshunt.membership.circle import (
     RESERVED_CONNECTIONS,
+    SMALLEST_SHARE,
     ReaderPlan,
     plan_readers,
 )
@@ -75,6 +76,15 @@
     assert reading == zones
 
 
+@then('each reader has 3 connections, or shares its zone with none')
+def check_hands(context: Any) -> None:
+    found: ReaderPlan = context.plan
+    zones = Counter(
+        one.zone for one in context.instances if one.name in found.readers
+    )
+    assert found.share >= SMALLEST_SHARE or max(zones.values()) == 1, found
+
+
 @then('readers changed in its zone only')
 def check_moved(context: Any) -> None:
     moved = context.plan.readers ^ context.later.readers
