Keep a group through a slow store, and hand it over when the store takes it

(2) With 240 ms an answer every lease lapsed: a renewal that took over 0.2 s asked one peer after the other for 0.2 s each, and only then took the store's own answer. Claims were made and lost at once.

Ruled out: promises (they held), the watch (it brought each change).

Change: a stopping owner hands over once a renewal that began after the stop has been answered within 0.1 s, or at the end of its time if the store answers at all; its key may be put back while it stops. The store's answer to a renewal ends the wait for the peers', and the time that it took counts for the next one.

--- a/src/sedgeshunt/execution/primary_keeper.py
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -3,7 +3,7 @@
 from asyncio import sleep, timeout
 from contextlib import suppress
 
-from sedgeshunt.clocks import read_clock
+from sedgeshunt.clocks import read_boottime, read_clock
 from sedgeshunt.connections.target_session import LogStatus
 from sedgeshunt.decisions import DecisionKind
 from sedgeshunt.execution.copies import CopyNotes
@@ -26,6 +26,7 @@
 from sedgeshunt.groups.points import Point
 from sedgeshunt.groups.successors import find_leader
 from sedgeshunt.identifiers import (
+    Boottime,
     Monotonic,
     ProxyId,
     Seconds,
@@ -75,10 +76,12 @@
         self._term = Term(0)
         # Set once this instance stops: when what is open must have ended.
         self._leave_by: Monotonic | None = None
+        self._leaving_since = Boottime(0)
 
     def leave(self, limit: Seconds) -> None:
         """Give the group to a peer when nothing is open, or after `limit`."""
         self._leave_by = Monotonic(read_clock() + limit)
+        self._leaving_since = read_boottime()
 
     async def run(self) -> None:
         """Keep the primary until cancelled."""
@@ -86,7 +89,7 @@
             while True:
                 executor = self._state.executor
                 heir = self._find_heir()
-                if heir is not None:
+                if heir is not None and self._is_store_ready():
                     await self._leave_to(heir)
                 elif executor is None:
                     await self._find()
@@ -319,10 +322,28 @@
             return None
         return self._parts.peers.find_heir(self._reign.group)
 
+    def _is_store_ready(self) -> bool:
+        """Tell whether the store takes a handover now, and soon.
+
+        Safeguard: a group that is given up while the store is down or slow has
+        no owner until it is back, and all its writes are refused; in the grace
+        of a stop an owner serves most of such an outage. An answer to a
+        question of after the stop's beginning proves that it is neither.
+        """
+        records = self._parts.records
+        if records.is_refused_alone():
+            # The peer claims by this owner's own word.
+            return True
+        if self._leave_by is not None and read_clock() >= self._leave_by:
+            return records.reaches_store()
+        return records.has_prompt_store(self._leaving_since)
+
     async def _leave_to(self, heir: ProxyId) -> None:
         executor = self._state.executor
         if executor is not None and self._leave_by is not None:
             await wait_quiet(executor, self._leave_by)
+            if not self._is_store_ready():
+                return
         # The one chosen before the wait may have gone since.
         await self._hand_over(self._find_heir() or heir)
 
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -185,7 +185,7 @@
         records = self._context.records
         if records.find_owner(self.group) is not None:
             return
-        if self._context.lease.id is None or self._context.is_stopping:
+        if self._context.lease.id is None:
             return
         with suppress(PlatformUnavailable, AnswerLost, LeaseLapsed):
             token = await records.claim(self.group, reign.candidates)
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -1,7 +1,7 @@
 """Hold this instance's lease in the platform's store."""
 
 from abc import ABC, abstractmethod
-from asyncio import create_task, sleep, wait
+from asyncio import create_task, sleep
 
 from sedgeshunt.clocks import read_boottime
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
@@ -24,12 +24,18 @@
 # Without a renewal for so long the store counts as out of reach: two of them
 # are due in this time.
 REACH_LIMIT = Seconds(0.8)
+# Silent for so long, the store is out of reach of this instance alone if a peer
+# still counts as reaching it: in an outage the peer's last renewal came at most
+# RENEW_EVERY later, and its word is a heartbeat old.
+ALONE_AFTER = Seconds(1.5)
 # The store answers in some milliseconds. A relayed renewal that starts now,
 # after a pause and a call, still comes within the lease.
 RELAY_AFTER = Seconds(0.2)
 # A renewal later than this is late: it is due after RENEW_EVERY and takes some
 # milliseconds.
 LATE_AFTER = Seconds(0.4)
+# A renewal without an answer for so long is overdue: it takes 4 ms.
+OVERDUE_AFTER = Seconds(0.1)
 # The store's clock may run this much ahead over the time of a lease.
 DRIFT_MARGIN = Seconds(0.05)
 
@@ -58,12 +64,39 @@
         self._decisions = decisions
         self._held_until = Boottime(0)
         self._renewed_at = Boottime(0)
+        # How long the latest renewal took.
+        self._answer_time = Seconds(0)
+        # Since when a renewal has been under way.
+        self._asked_at: Boottime | None = None
         self.is_released = False
         self._relay: LeaseRelay | None = None
 
     def reaches_store(self) -> bool:
         """Tell whether the store has answered of late."""
-        return read_boottime() - self._renewed_at < REACH_LIMIT
+        return self.measure_silence() < REACH_LIMIT
+
+    def measure_silence(self) -> Seconds:
+        """Return for how long the store has not answered a renewal."""
+        return Seconds(read_boottime() - self._renewed_at)
+
+    def is_overdue(self) -> bool:
+        """Tell whether an answer of the store has not come when it was due."""
+        if not self.is_fresh():
+            return True
+        asked_at = self._asked_at
+        return asked_at is not None and (
+            read_boottime() - asked_at > OVERDUE_AFTER
+        )
+
+    def has_prompt_store(self, since: Boottime) -> bool:
+        """Tell whether the store answers quickly, and has since a moment."""
+        asked_at = self._renewed_at - self._answer_time
+        is_new = asked_at >= since and self.is_fresh()
+        return is_new and self._answer_time < OVERDUE_AFTER
+
+    def is_refused_alone(self) -> bool:
+        """Tell whether peers that count as reaching the store truly do."""
+        return self.measure_silence() > ALONE_AFTER
 
     def bind(self, relay: LeaseRelay) -> None:
         """Use `relay` where the store does not answer."""
@@ -79,11 +112,13 @@
 
     def is_fresh(self) -> bool:
         """Tell whether the latest renewal came when it was due."""
-        return read_boottime() - self._renewed_at < LATE_AFTER
+        return self.measure_silence() < LATE_AFTER
 
     async def run(self) -> None:
         """Hold a lease until cancelled."""
         while True:
+            began_at = read_boottime()
+            self._asked_at = began_at
             try:
                 await self._renew()
             except (PlatformUnavailable, AnswerLost, LeaseLapsed):
@@ -92,7 +127,11 @@
                 is_kept = await self._renew_by_relay()
                 await sleep(RENEW_EVERY if is_kept else RETRY_AFTER)
             else:
-                await sleep(RENEW_EVERY)
+                self._asked_at = None
+                # A store that takes long to answer takes none of the time
+                # between two renewals away.
+                spent = read_boottime() - began_at
+                await sleep(max(RETRY_AFTER, RENEW_EVERY - spent))
 
     async def release(self) -> None:
         """End the lease and all keys that are bound to it."""
@@ -115,18 +154,24 @@
             return
         self._note_renewal(asked_at)
         self._renewed_at = read_boottime()
+        self._answer_time = Seconds(self._renewed_at - asked_at)
 
     async def _keep(self, lease: int) -> bool:
         """Renew in the store, and by a peer too when this takes long."""
-        # A call that hangs until its limit would outlast the lease.
+        # A call that hangs until its limit would outlast the lease. So would
+        # one peer after the other before a store that is slow for all: its
+        # own answer, which comes meanwhile, ends the wait for theirs.
         call = create_task(self._store.keep_lease(lease))
+        relayed = create_task(self._renew_late(RELAY_AFTER))
         try:
-            done, _ = await wait((call,), timeout=RELAY_AFTER)
-            if not done:
-                await self._renew_by_relay()
             return await call
         finally:
             call.cancel()
+            relayed.cancel()
+
+    async def _renew_late(self, pause: Seconds) -> None:
+        await sleep(pause)
+        await self._renew_by_relay()
 
     async def _renew_by_relay(self) -> bool:
         """Have a peer renew the lease: the store may refuse this one only."""
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -11,6 +11,7 @@
     PlatformUnavailable,
 )
 from sedgeshunt.identifiers import (
+    Boottime,
     CopyPlace,
     GroupId,
     Incarnation,
@@ -78,6 +79,14 @@
         """Tell whether the store has answered of late."""
         return self._lease.reaches_store()
 
+    def is_refused_alone(self) -> bool:
+        """Tell whether peers that count as reaching the store truly do."""
+        return self._lease.is_refused_alone()
+
+    def has_prompt_store(self, since: Boottime) -> bool:
+        """Tell whether the store answers quickly, and has since a moment."""
+        return self._lease.has_prompt_store(since)
+
     def find_owner(self, group: GroupId) -> OwnerEntry | None:
         """Return who owns a group by the store, None for nobody."""
         pair = self._view.get(make_owner_key(group))
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -146,6 +146,48 @@
     And no write was done for 0 to 0.25 s at most
     And no two proxies owned the group at once
 
+  Scenario: A stopping owner keeps its group while the store is away
+    The store goes down in the moment in which the owner is told to stop. Given
+    up now, the group would have no owner before the store is back, and every
+    write would be refused. The owner serves on, and hands over then.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the store goes down
+    And "east-1" begins to hand over
+    And 2 s go by
+    Then "east-1" owns the group
+    When the store comes back
+    And 2 s go by
+    Then another proxy than "east-1" owns the group
+    And no write was done for 0 to 0.6 s at most
+    And no two proxies owned the group at once
+
+  Scenario: A stopping owner keeps its group while the store is slow
+    Each call takes the store 0.3 s, and a handover takes three. The owner hands
+    over once the store is prompt again; callers notice little.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When each answer of the store takes 0.3 s
+    And "east-1" begins to hand over
+    And 2 s go by
+    Then "east-1" owns the group
+    When the store comes back
+    And 2 s go by
+    Then another proxy than "east-1" owns the group
+    And no write was done for 0 to 0.6 s at most
+
+  Scenario: A slow store lets no lease lapse
+    Each answer takes a quarter of a second, longer than peers are given to renew
+    a lease for another. Asked one after the other they took more than a lease's
+    time; the store's own answer, which was there long before, ends the wait.
+    Given proxies "north-1, north-2, east-1, east-2, west-1, west-2, west-3"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When each answer of the store takes 0.26 s
+    And 4 s go by
+    Then no proxy's lease has lapsed
+    And the group was claimed 1 times
+    And no write was done for 0 to 0.2 s at most
+
   Scenario: What is open when the owner stops may end
     A transaction is open at the primary. The stopping owner waits until it is
     committed, then gives the group up; the transaction's caller notices nothing.
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -142,6 +142,19 @@
     context.nodes.time.act(context.nodes.store.recover)
 
 
+@when('each answer of the store takes {seconds:g} s')
+def slow_store(context: Any, seconds: float) -> None:
+    context.nodes.store.slow(seconds)
+
+
+@then("no proxy's lease has lapsed")
+def check_leases(context: Any) -> None:
+    lapsed = context.nodes.count_decisions(DecisionKind.LEASE_LOST)
+    assert not lapsed, lapsed
+    for name, node in context.nodes.nodes.items():
+        assert node.service.find_lease().is_held(), name
+
+
 @when('the store is cut off from "{node}" for {seconds:g} s')
 def cut_store_for(context: Any, node: str, seconds: float) -> None:
     cut_store(context, node)
