Lend a connection before a place at the target, and keep some for single statements

Cause: a single statement took one of the target's places and then waited for a connection, while the connections were lent to transactions whose statements waited for a place.

Ruled out: the primary's slots (half idle) and the databases' cap (not reached).

Change: the connection comes first, as within transactions. As many connections as the target takes at once, half of the share at most, are kept for statements that are over at once. Who would wait for a connection for more than half of its time is refused at once; those who wait go on in the order of their coming.

--- a/src/sedgeshunt/connections/session_pool.py
+++ b/src/sedgeshunt/connections/session_pool.py
@@ -9,10 +9,12 @@
     timeout_at,
 )
 from collections.abc import Mapping
+from functools import partial
 from types import TracebackType
 
 from result import Err, Ok, Result
 
+from sedgeshunt.clocks import read_clock
 from sedgeshunt.configuration.objects import Target
 from sedgeshunt.connections.target_session import (
     SessionPhase,
@@ -22,12 +24,18 @@
 from sedgeshunt.connections.turns import TurnQueue
 from sedgeshunt.exceptions import TargetBusy, TargetUnreachable
 from sedgeshunt.identifiers import Monotonic, Seconds
+from sedgeshunt.limits.average import MovingAverage
 from sedgeshunt.requests.outcome import Cause, NotRun
 from sedgeshunt.statements.statement import PreparedStatement
 
 # A new connection takes 12 ms and waits for a slot; more than this is a
 # target that does not answer.
 CONNECT_LIMIT = Seconds(0.4)
+# Share of the time left that may go by before a connection is lent, as for a
+# place at the target (limits/admission.py): what waits longer comes too late.
+SHARE_FOR_WAIT = 0.5
+# Weight of the latest loan in the usual time of one.
+HOLDING_WEIGHT = 0.1
 BUSY_RETRY = Seconds(0.05)
 UNREACHABLE_RETRY = Seconds(0.2)
 
@@ -57,9 +65,17 @@
 class SessionLoan:
     """Give one holder the sole use of a session until it is returned."""
 
-    def __init__(self, pool: 'SessionPool', session: PooledSession) -> None:
+    def __init__(
+        self,
+        pool: 'SessionPool',
+        session: PooledSession,
+        *,
+        is_transaction: bool,
+    ) -> None:
         """Hold `session` on behalf of `pool`."""
         self.session = session
+        self.is_transaction = is_transaction
+        self.lent_at = read_clock()
         self._pool = pool
         self._is_returned = False
 
@@ -67,7 +83,7 @@
         """Return the session, or close it when its state is in doubt."""
         if not self._is_returned:
             self._is_returned = True
-            await self._pool.take_back(self.session)
+            await self._pool.take_back(self)
 
     async def __aenter__(self) -> 'SessionLoan':
         """Enter the use of the session."""
@@ -91,10 +107,18 @@
         connector: TargetSessionConnector,
         target: Target,
         share: int,
+        at_once: int,
     ) -> None:
         """Open no connection before the first loan."""
         self.target = target
         self.share = share
+        self._at_once = at_once
+        self._in_transactions = 0
+        # How long loans last, those to transactions apart.
+        self._holding = {
+            is_transaction: MovingAverage(HOLDING_WEIGHT)
+            for is_transaction in (False, True)
+        }
         self._connector = connector
         self._idle: list[PooledSession] = []
         self._open = 0
@@ -112,15 +136,36 @@
         """Count the connections that are lent or being opened."""
         return self._open - len(self._idle)
 
+    def has_room(self, *, is_transaction: bool) -> bool:
+        """Tell whether a session could be lent without a wait for others."""
+        if is_transaction and self._in_transactions >= self._transaction_room:
+            return False
+        return bool(self._idle) or self._open < self.share
+
+    def expected_wait(self, *, is_transaction: bool) -> Seconds:
+        """Return how long a new loan would wait for those before it."""
+        if self.has_room(is_transaction=is_transaction):
+            return Seconds(0)
+        ahead = len(self._turns) + 1
+        hands = self._transaction_room if is_transaction else self.share
+        usual = self._holding[is_transaction].value
+        return Seconds(ahead * usual / max(1, hands))
+
     async def lend(
         self,
         values: Mapping[str, str],
         deadline: Monotonic,
+        *,
+        is_transaction: bool = False,
     ) -> Result[SessionLoan, NotRun]:
         """Lend a session, best one with `values`, until `deadline` at most."""
+        wait = self.expected_wait(is_transaction=is_transaction)
+        if wait > (deadline - read_clock()) * SHARE_FOR_WAIT:
+            reason = f'its connections are lent out for about {wait:.3f} s'
+            return Err(self._refuse(Cause.OVERLOAD, reason, wait))
         try:
             async with timeout_at(deadline):
-                return Ok(await self._lend(values))
+                return Ok(await self._lend(values, is_transaction))
         except TimeoutError:
             return Err(self._refuse(Cause.DEADLINE, 'no connection was free'))
         except TargetBusy as busy:
@@ -136,8 +181,12 @@
                 ),
             )
 
-    async def take_back(self, session: PooledSession) -> None:
+    async def take_back(self, loan: SessionLoan) -> None:
         """Keep a clean session within the share, close any other."""
+        session = loan.session
+        self._in_transactions -= loan.is_transaction
+        held = read_clock() - loan.lent_at
+        self._holding[loan.is_transaction].add(held)
         keep = (
             session.is_fit and not self._is_closed and self._open <= self.share
         )
@@ -167,19 +216,57 @@
         self._turns.wake_all()
         await self.drop_idle()
 
-    def _refuse(self, cause: Cause, reason: str) -> NotRun:
+    def resize(self, share: int) -> None:
+        """Change how many connections may be open."""
+        self.share = share
+        self._turns.wake_one()
+
+    @property
+    def _transaction_room(self) -> int:
+        # Transactions keep their connections while their callers think. With
+        # all of them lent so, single statements took the target's places and
+        # waited for connections, transactions kept these and waited for
+        # places: an overload that went on by itself for seconds after its
+        # cause. As many as the target takes at once are kept for the former.
+        return max(1, self.share - min(self._at_once, self.share // 2))
+
+    def _refuse(
+        self,
+        cause: Cause,
+        reason: str,
+        retry: Seconds = BUSY_RETRY,
+    ) -> NotRun:
         name = self.target.name
-        return NotRun(cause, f'target {name}: {reason}', BUSY_RETRY, name)
-
-    async def _lend(self, values: Mapping[str, str]) -> SessionLoan:
-        while True:
-            if self._is_closed:
-                raise self._describe_end()
-            if self._idle:
-                return SessionLoan(self, self._take_idle(values))
-            if self._open < self.share:
-                return SessionLoan(self, await self._connect())
-            await self._turns.wait()
+        after = Seconds(max(BUSY_RETRY, retry))
+        return NotRun(cause, f'target {name}: {reason}', after, name)
+
+    async def _lend(
+        self,
+        values: Mapping[str, str],
+        is_transaction: bool,
+    ) -> SessionLoan:
+        may_go = partial(self.has_room, is_transaction=is_transaction)
+        if self._turns.has_ready():
+            # Who comes now would overtake those who wait.
+            await self._turns.wait(may_go)
+        while not (self._is_closed or may_go()):
+            await self._turns.wait(may_go)
+        if self._is_closed:
+            raise self._describe_end()
+        # Counted before it is opened: two callers at once would otherwise
+        # both see room for one, and the target's limit be overrun.
+        self._in_transactions += is_transaction
+        try:
+            session = await self._take(values)
+        except BaseException:
+            self._in_transactions -= is_transaction
+            raise
+        return SessionLoan(self, session, is_transaction=is_transaction)
+
+    async def _take(self, values: Mapping[str, str]) -> PooledSession:
+        if self._idle:
+            return self._take_idle(values)
+        return await self._connect()
 
     def _take_idle(self, values: Mapping[str, str]) -> PooledSession:
         # The latest one that already has the caller's values saves a round
@@ -193,8 +280,6 @@
         return self._idle.pop()
 
     async def _connect(self) -> PooledSession:
-        # Counted before it is opened: two callers at once would otherwise
-        # both see room for one, and the target's limit be overrun.
         self._open += 1
         opening = create_task(
             self._connector.connect(
--- a/src/sedgeshunt/connections/turns.py
+++ b/src/sedgeshunt/connections/turns.py
@@ -2,6 +2,22 @@
 
 from asyncio import CancelledError, Future, get_running_loop
 from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+IsReady = Callable[[], bool]
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Waiting:
+    """Hold one who waits."""
+
+    turn: 'Future[None]'
+    is_ready: IsReady
+
+
+def _is_always_ready() -> bool:
+    return True
 
 
 class TurnQueue:
@@ -9,34 +25,53 @@
 
     def __init__(self) -> None:
         """Start with nobody."""
-        self._waiters: deque[Future[None]] = deque()
+        self._waiters: deque[_Waiting] = deque()
 
     def __bool__(self) -> bool:
         """Tell whether anybody waits."""
         return bool(self._waiters)
 
-    async def wait(self) -> None:
-        """Wait until woken."""
+    def __len__(self) -> int:
+        """Count those who wait."""
+        return len(self._waiters)
+
+    def has_ready(self) -> bool:
+        """Tell whether anybody waits who could go on now."""
+        return any(waiting.is_ready() for waiting in self._waiters)
+
+    async def wait(self, is_ready: IsReady = _is_always_ready) -> None:
+        """Wait until woken, which happens only while `is_ready`."""
         turn: Future[None] = get_running_loop().create_future()
-        self._waiters.append(turn)
+        waiting = _Waiting(turn, is_ready)
+        self._waiters.append(waiting)
         try:
             await turn
         except CancelledError:
+            if not turn.done() or turn.cancelled():
+                self._forget(waiting)
+                raise
             # A turn that was granted to a caller that has just given up
             # goes to the next one, who would else wait for nothing.
-            if turn.done() and not turn.cancelled():
-                self.wake_one()
+            self.wake_one()
             raise
 
     def wake_one(self) -> None:
-        """Wake the first who still waits."""
-        while self._waiters:
-            turn = self._waiters.popleft()
-            if not turn.done():
-                turn.set_result(None)
+        """Wake the first who still waits and can go on."""
+        for waiting in tuple(self._waiters):
+            if waiting.turn.done():
+                self._forget(waiting)
+            elif waiting.is_ready():
+                self._forget(waiting)
+                waiting.turn.set_result(None)
                 return
 
     def wake_all(self) -> None:
         """Wake everybody."""
         while self._waiters:
-            self.wake_one()
+            turn = self._waiters.popleft().turn
+            if not turn.done():
+                turn.set_result(None)
+
+    def _forget(self, waiting: _Waiting) -> None:
+        if waiting in self._waiters:
+            self._waiters.remove(waiting)
--- a/src/sedgeshunt/execution/runner.py
+++ b/src/sedgeshunt/execution/runner.py
@@ -34,7 +34,11 @@
     """Begin a call's transaction at a target."""
     if call.transaction is None:
         raise ValueError('a call outside a transaction begins none')
-    lent = await executor.pool.lend(call.values, deadline)
+    lent = await executor.pool.lend(
+        call.values,
+        deadline,
+        is_transaction=True,
+    )
     if isinstance(lent, Err):
         executor.note_refusal(lent.err_value)
         return lent
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -69,7 +69,7 @@
     ) -> None:
         """Open at most `share` connections, run `at_once` statements."""
         self.target = target
-        self.pool = SessionPool(connector, target, share)
+        self.pool = SessionPool(connector, target, share, at_once)
         self.admission = TargetAdmission(
             target.name,
             share,
@@ -104,11 +104,19 @@
         after: Point | None = None,
     ) -> Result[Answer, Refusal]:
         """Run one statement outside any transaction."""
-        return await self._take_turn(
-            call,
-            deadline,
-            lambda: self._run_lent(call, deadline, after),
-        )
+        # The connection comes first, as within transactions: a statement that
+        # has a place at the target and waits for a connection would keep out
+        # those whose end frees one.
+        lent = await self.pool.lend(call.values, deadline)
+        if isinstance(lent, Err):
+            self.note_refusal(lent.err_value)
+            return lent
+        async with lent.ok_value as loan:
+            return await self._take_turn(
+                call,
+                deadline,
+                lambda: self._run_on(loan, call, deadline, after),
+            )
 
     async def run_inside(
         self,
@@ -155,19 +163,6 @@
             permit.cancel()
         return outcome
 
-    async def _run_lent(
-        self,
-        call: StatementCall,
-        deadline: Monotonic,
-        after: Point | None,
-    ) -> Result[Answer, Refusal]:
-        lent = await self.pool.lend(call.values, deadline)
-        if isinstance(lent, Err):
-            self.note_refusal(lent.err_value)
-            return lent
-        async with lent.ok_value as loan:
-            return await self._run_on(loan, call, deadline, after)
-
     async def _run_on(
         self,
         loan: SessionLoan,
@@ -264,7 +259,7 @@
 
     def resize(self, share: int) -> None:
         """Change how many connections may be open."""
-        self.pool.share = share
+        self.pool.resize(share)
         self.admission.resize(share)
 
     def is_busy(self) -> bool:
--- /dev/null
+++ b/tests/features/steps/load_and_faults_steps.py
@@ -0,0 +1,91 @@
+"""Play loads and faults, and check what callers get."""
+
+from asyncio import sleep
+from typing import Any
+
+from behave import given, then, when
+
+from sedgeshunt.identifiers import TrafficClass
+from tests.features.node_bench import NodeBench
+from tests.features.node_callers import Callers, Told
+
+MILLISECONDS = 1000
+PERCENT = 100
+STATEMENTS = 5
+# A caller that was refused comes back after so long, in seconds.
+PAUSE = 0.05
+
+
+class Rush:
+    """Keep callers busy with transactions until it is over."""
+
+    def __init__(self, bench: NodeBench, database: str, rest: float) -> None:
+        """Rest so long in each step."""
+        self.is_over = False
+        self._bench = bench
+        self._database = database
+        self._rest = rest
+
+    async def run(self, number: int) -> None:
+        """Run one transaction after the other."""
+        service = next(iter(self._bench.nodes.values())).service
+        session = await service.open_session(TrafficClass(self._database))
+        assert session is not None
+        while not self.is_over:
+            await self._bench.answer(session, 'BEGIN')
+            for step in range(STATEMENTS):
+                text = f'WRITE rush{number} {step}'
+                outcome = await self._bench.answer(session, text)
+                if outcome.is_err():
+                    await sleep(PAUSE)
+                    break
+                await sleep(self._rest)
+            else:
+                await self._bench.answer(session, 'COMMIT')
+
+
+@when(
+    '{count:d} callers of "{database}" rest {rest:g} s in each of their '
+    + "transactions' steps",
+)
+def rush(context: Any, count: int, database: str, rest: float) -> None:
+    bench: NodeBench = context.nodes
+    context.rush = Rush(bench, database, rest)
+    for number in range(count):
+        bench.time.watch(context.rush.run(number))
+    bench.wait(1)
+
+
+@when('the rush is over')
+def end_rush(context: Any) -> None:
+    context.rush.is_over = True
+
+
+@when('{count:d} others write every {pause:g} s for {seconds:g} s')
+def write_others(
+    context: Any,
+    count: int,
+    pause: float,
+    seconds: float,
+) -> None:
+    bench: NodeBench = context.nodes
+    context.others = Callers(bench)
+    for _ in range(count):
+        session = bench.open(next(iter(bench.nodes)), 'settle')
+        bench.time.watch(context.others.write_on(session, pause))
+    bench.wait(seconds)
+    context.others.is_over = True
+
+
+@then(
+    "at least {share:d} % of the others' writes were done within {limit:d} ms"
+)
+def check_others(context: Any, share: int, limit: int) -> None:
+    told: list[Told] = context.others.list_writes()
+    assert told
+    quick = [one for one in told if one.is_done and _measure(one) <= limit]
+    assert len(quick) * PERCENT >= share * len(told), (len(quick), len(told))
+
+
+def _measure(told: Told) -> float:
+    return (told.answered_at - told.asked_at) * MILLISECONDS
