Say 'not ready' on the first suspicion of a cut, and send callers away with the balancer

Cause: a zone that is cut off refuses its callers until the balancer has left it out, which takes two questions, one a second, and until their sessions are ended, which took 2.2 s from the moment in which the cut was certain. A part with an owner was certain only 1.2 s after the cut, when the lease had lapsed.

Change: the store and peers that fall silent within 0.6 s of each other raise the suspicion of a cut after 0.3 to 0.5 s; it is taken back with the store, or after 2.5 s if an owner is still heard. An outage of the store alone, or a peer that is lost in one, raises none. Sessions are ended 0.05 s after the balancer has been told 'not ready' twice, after 2.2 s if its questions are lost.

--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -133,6 +133,8 @@
         self._awake = Event()
         self._number = 0
         self._called_at = read_clock()
+        # When the connection ended, None before the first and during one.
+        self._dropped_at: Monotonic | None = None
         self._echo = Boottime(0)
         self._backoff = Backoff(SHORTEST_PAUSE, LONGEST_PAUSE)
 
@@ -146,6 +148,17 @@
             return False
         return self._measure_wait() < MISSED_AFTER
 
+    def measure_silence(self) -> Seconds | None:
+        """Return for how long the peer has been silent, None if it isn't.
+
+        Nor is a peer silent that was never heard.
+        """
+        if self._channel is not None:
+            return None if self.is_answering() else self._measure_wait()
+        if self._dropped_at is None:
+            return None
+        return Seconds(read_clock() - self._dropped_at)
+
     def count_calls(self) -> int:
         """Count the calls that the peer has not answered yet."""
         return len(self._waiting)
@@ -246,6 +259,7 @@
 
     async def _use(self, channel: FrameChannel) -> None:
         self._channel = channel
+        self._dropped_at = None
         self._beats.clear()
         self._events.note_reach(self.peer.name, is_reached=True)
         async with TaskGroup() as tasks:
@@ -336,6 +350,7 @@
     def _drop(self, channel: FrameChannel) -> None:
         channel.close()
         self._channel = None
+        self._dropped_at = read_clock()
         self.owned = {}
         self.relayed = {}
         self._events.note_reach(self.peer.name, is_reached=False)
--- a/src/sedgeshunt/membership/isolation.py
+++ b/src/sedgeshunt/membership/isolation.py
@@ -11,7 +11,14 @@
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.statements.dispatch import SiteFinder
 
-LOOK_EVERY = Seconds(0.1)
+LOOK_EVERY = Seconds(0.05)
+# The store and a peer that fell silent within this time of each other were lost
+# to one cut: the store's silence shows up to 0.4 s after it, a peer's up to 0.5
+# s, and a connection that is given up counts from then.
+ONE_CUT = Seconds(0.6)
+# What is suspected for so long and has not come true, as an owner is still
+# heard, was an outage of the store: a reign by lease alone ends within 1 s.
+SUSPECT_FOR = Seconds(2.5)
 
 
 class Isolation:
@@ -22,6 +29,11 @@
     # and would be refused one statement after the other, while instances of
     # the other side could serve them. An instance that says that it is not
     # ready sends them there. In an outage of the store alone owners go on.
+    #
+    # The balancer takes 1 to 2 s to leave an instance out, and takes one
+    # question that is answered with "not ready" for nothing. So it is told on
+    # the first suspicion: the store and peers fell silent at once. Peers that
+    # still answer, and an outage that began at another time, raise none.
 
     def __init__(
         self,
@@ -39,33 +51,41 @@
         self._owners = owners
         self._configuration = configuration
         self._decisions = decisions
-        self._cut_since: Monotonic | None = None
+        self._is_cut_off = False
+        self._is_suspected = False
+        self._suspected_since: Monotonic | None = None
         self._asked_at: Monotonic | None = None
         self.is_noted = False
 
-    def measure(self) -> Seconds:
-        """Return for how long this instance has been cut off, 0 if it isn't."""
-        if self._cut_since is None:
-            return Seconds(0)
-        return Seconds(read_clock() - self._cut_since)
-
     def is_isolated(self) -> bool:
         """Tell whether callers are served better elsewhere."""
-        return self._cut_since is not None
+        return self._is_cut_off or self._is_suspected
 
     async def run(self) -> None:
         """Look until cancelled."""
         while True:
-            if not self._is_cut_off():
-                self._cut_since = None
-            elif self._cut_since is None:
-                self._cut_since = read_clock()
+            self._look()
             if self.is_isolated() != self.is_noted:
                 self._note()
             await sleep(LOOK_EVERY)
 
-    def _is_cut_off(self) -> bool:
-        if self._lease.is_fresh():
+    def _look(self) -> None:
+        if not self._misses_store():
+            self._is_cut_off = False
+            self._is_suspected = False
+            self._suspected_since = None
+            return
+        self._is_cut_off = not self._hears_owner()
+        if self._suspected_since is None and self._has_lost_peers():
+            self._suspected_since = read_clock()
+        since = self._suspected_since
+        self._is_suspected = (
+            since is not None and read_clock() - since < SUSPECT_FOR
+        )
+
+    def _misses_store(self) -> bool:
+        """Tell whether neither the store nor a peer that has it answers."""
+        if not self._lease.is_overdue():
             self._asked_at = None
             return False
         if self._asked_at is None:
@@ -74,7 +94,15 @@
             self._neighbours.wake_all()
         if read_clock() - self._asked_at < MISSED_AFTER:
             return False
-        return not (self._hears_store() or self._hears_owner())
+        return not self._hears_store()
+
+    def _has_lost_peers(self) -> bool:
+        """Tell whether peers fell silent when the store did."""
+        before = self._lease.measure_silence()
+        return any(
+            abs(before - silence) < ONE_CUT
+            for silence in self._neighbours.list_silences()
+        )
 
     def _hears_store(self) -> bool:
         answering = self._neighbours.list_answering()
--- a/src/sedgeshunt/membership/neighbours.py
+++ b/src/sedgeshunt/membership/neighbours.py
@@ -94,6 +94,13 @@
             if known.link.is_answering()
         ]
 
+    def list_silences(self) -> list[Seconds]:
+        """List for how long each peer that was heard has been silent."""
+        silences = (
+            known.link.measure_silence() for known in self._known.values()
+        )
+        return [silence for silence in silences if silence is not None]
+
     def wake_all(self) -> None:
         """Send a heartbeat to every peer now."""
         for known in self._known.values():
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -16,6 +16,7 @@
 from sedgeshunt.exceptions import SedgeshuntError, SettingsInvalid
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent, open_log
+from sedgeshunt.membership.rotation import Rotation
 from sedgeshunt.node_service import NodeService
 from sedgeshunt.node_settings import (
     LIVE_FIELDS,
@@ -39,9 +40,8 @@
 SETTINGS_OPTION = '--settings'
 # The balancer asks each second, and leaves an instance out after two misses.
 ROTATION_TIME = Seconds(2.2)
-# How often callers that came nevertheless are sent away from a zone that is
-# cut off.
-SEND_EVERY = Seconds(0.3)
+# How often callers are looked after that are better served elsewhere.
+SEND_EVERY = Seconds(0.05)
 # The platform may change the settings' file without a signal.
 LOOK_EVERY = Seconds(2)
 # Share of the grace in which open transactions may end, and share that is
@@ -66,6 +66,7 @@
         self._stopping = Event()
         self._signalled = Event()
         self._metrics = TextMetrics()
+        self._rotation = Rotation()
         self._store = MetadataStore(settings.store.place)
         self._promotions = PlatformPromotions(settings.promotions.place)
 
@@ -109,7 +110,8 @@
         """Send callers to other zones while this one is cut off."""
         while True:
             await sleep(SEND_EVERY)
-            if node.isolation.measure() > ROTATION_TIME:
+            self._rotation.note_state(is_ready=node.is_ready())
+            if node.isolation.is_isolated() and self._rotation.is_left_out():
                 callers.send_idle_away()
 
     def _open_node(self, owned: AsyncExitStack) -> NodeService:
@@ -146,7 +148,7 @@
             ),
             PageServer(
                 settings.readiness.place,
-                list_readiness_pages(node.is_ready),
+                list_readiness_pages(partial(self._tell_readiness, node)),
             ),
         ]
         if settings.metrics is not None:
@@ -160,6 +162,11 @@
         await callers.start()
         return callers
 
+    def _tell_readiness(self, node: NodeService) -> bool:
+        is_ready = node.is_ready()
+        self._rotation.note_answer(is_ready=is_ready)
+        return is_ready
+
     def _note_broken(self, failure: ProtocolBroken) -> None:
         self._log.note(
             ProcessEvent.PEER_FAILED,
--- a/tests/features/load_and_faults.feature
+++ b/tests/features/load_and_faults.feature
@@ -22,3 +22,47 @@
     And 1 s goes by
     And 6 others write every 0.1 s for 2 s
     Then at least 100 % of the others' writes were done within 100 ms
+
+  Scenario: The owner's part is cut off and says so on the first suspicion
+    The store and all others fall silent at once. The owner still holds its
+    group by its lease, but will have lost it before the balancer acts, which
+    takes two questions; callers are led elsewhere meanwhile.
+    Given proxies "north-1, east-1, west-1"
+    When "east-1" is cut off from proxies and store
+    And 0.6 s goes by
+    Then "east-1" is not ready
+    And "north-1" is ready
+    When all cuts heal
+    And 1.5 s go by
+    Then "east-1" is ready
+
+  Scenario: A proxy that is lost in an outage of the store sends nobody away
+    The store has been silent for a while when a proxy falls silent too. That is
+    no cut with the store on its other side; the owner goes on by promises.
+    Given proxies "north-1, east-1, west-1"
+    When the store goes down
+    And 2 s go by
+    And "north-1" is cut off from proxies and store
+    And 0.7 s goes by
+    Then "west-1" is ready
+    And "east-1" is ready
+
+  Scenario: Callers are sent away as soon as the balancer leads them elsewhere
+    The balancer leaves a proxy out after two questions without a yes. Sent away
+    before, callers come back here; later, they are refused meanwhile.
+    Given a proxy that the balancer asks
+    When the balancer is told "ready"
+    And the balancer is told "not ready"
+    And 1 s goes by
+    Then callers still come here
+    When the balancer is told "not ready"
+    And 0.1 s goes by
+    Then callers are led elsewhere
+    When the balancer is told "ready"
+    Then callers still come here
+
+  Scenario: Callers are sent away though the balancer's questions are lost
+    Given a proxy that the balancer asks
+    When the balancer is told "not ready"
+    And 2.3 s go by
+    Then callers are led elsewhere
--- a/tests/features/steps/load_and_faults_steps.py
+++ b/tests/features/steps/load_and_faults_steps.py
@@ -6,8 +6,9 @@
 from behave import given, then, when
 
 from sedgeshunt.identifiers import TrafficClass
+from sedgeshunt.membership.rotation import Rotation
 from tests.features.node_bench import NodeBench
-from tests.features.node_callers import Callers, Told
+from tests.features.node_callers import Callers, Told, open_bench
 
 MILLISECONDS = 1000
 PERCENT = 100
@@ -87,5 +88,38 @@
     assert len(quick) * PERCENT >= share * len(told), (len(quick), len(told))
 
 
+@given('a proxy that the balancer asks')
+def open_rotation(context: Any) -> None:
+    open_bench(context)
+    context.rotation = Rotation()
+
+
+@when('the balancer is told "{answer}"')
+def tell_balancer(context: Any, answer: str) -> None:
+    is_ready = answer == 'ready'
+
+    async def tell() -> None:
+        context.rotation.note_answer(is_ready=is_ready)
+
+    context.nodes.run(tell())
+
+
+@then('callers still come here')
+def check_in_rotation(context: Any) -> None:
+    assert not _is_left_out(context)
+
+
+@then('callers are led elsewhere')
+def check_left_out(context: Any) -> None:
+    assert _is_left_out(context)
+
+
+def _is_left_out(context: Any) -> bool:
+    async def look() -> bool:
+        return bool(context.rotation.is_left_out())
+
+    return bool(context.nodes.run(look()))
+
+
 def _measure(told: Told) -> float:
     return (told.answered_at - told.asked_at) * MILLISECONDS
