Remember targets by their life, and take no unusable entry of the store

Cause: a database that starts again under its id and address without its log may say that it leads in its old term. It was trusted: in virtual time all that had been acknowledged before was missing after it. An entry with a port out of range ended the task that connected, a host's name was looked up, slots below one stopped a queue; an unreadable entry was told at each look.

Ruled out: terms (the reborn primary's is the same).

Change: a target's life, its time of birth, goes with its entry and with the note of who led; readers drop what they learnt in another life; a noted leader of another life leads no more, nor does one whose log ends before what it has shown in its term, which each new connection to a primary tells. An entry names an IP number, a port and slots, or no target; each change of it is told once.

The specification of leaders is not extended yet, and a reborn replica that alone answers may still be promoted.

--- a/src/sedgeshunt/execution/group_access.py
+++ b/src/sedgeshunt/execution/group_access.py
@@ -93,7 +93,9 @@
         owner = GroupOwner(
             reign,
             state,
-            PrimaryKeeper(reign, state, self.probe, self._parts),
+            PrimaryKeeper(
+                reign, state, self.probe, self._parts, self.freshness
+            ),
             self.freshness,
         )
         self.owner = owner
--- a/src/sedgeshunt/execution/primary_finder.py
+++ b/src/sedgeshunt/execution/primary_finder.py
@@ -8,9 +8,10 @@
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.statuses import read_status, read_statuses
 from sedgeshunt.groups.successors import find_leader
-from sedgeshunt.identifiers import Seconds, TargetId
+from sedgeshunt.identifiers import Seconds, TargetId, Term
 from sedgeshunt.ownership.reign import Reign
 from sedgeshunt.registry.directory import GroupMembers, KnownTarget
+from sedgeshunt.routing.freshness import FreshnessProof
 
 RETRY_PAUSE = Seconds(0.05)
 # With no primary in sight for so long, another target is promoted.
@@ -28,10 +29,16 @@
 class PrimaryFinder:
     """Ask a group's targets which of them leads."""
 
-    def __init__(self, reign: Reign, parts: KeeperParts) -> None:
+    def __init__(
+        self,
+        reign: Reign,
+        parts: KeeperParts,
+        freshness: FreshnessProof,
+    ) -> None:
         """Ask on behalf of `reign`."""
         self._reign = reign
         self._parts = parts
+        self._freshness = freshness
 
     async def find(self) -> Leader | None:
         """Return the leader; None when there seems to be none any more."""
@@ -56,41 +63,65 @@
         return members if members is not None and members.targets else None
 
     async def _ask(self, members: GroupMembers) -> Leader | None:
-        recorded = await self._ask_recorded(members)
+        recorded = await self._ask_recorded()
         if recorded is not None:
             return recorded
         statuses = await read_statuses(self._parts.connector, members.targets)
         replacement = self._parts.replacement
         if await replacement.finish_pending(self._reign, statuses):
             return None
-        return self._choose(members, statuses)
+        least = self._parts.records.find_term(self._reign.group)
+        return self.choose_leader(members, statuses, least)
 
-    def _choose(
+    def choose_leader(
         self,
         members: GroupMembers,
         statuses: dict[TargetId, LogStatus],
+        least: Term,
     ) -> Leader | None:
-        least = self._parts.records.find_term(self._reign.group)
-        leader = find_leader(statuses, least)
+        """Return the one that leads of those that answered, None for none.
+
+        `least` is the newest term in which a target is known to have led.
+        """
+        trusted = {
+            name: status
+            for name, status in statuses.items()
+            if not self.is_reborn(members.find(name))
+        }
+        leader = find_leader(trusted, least, self._freshness.newest)
         known = None if leader is None else members.find(leader)
         if leader is None or known is None:
             return None
         return Leader(known, statuses[leader])
 
-    async def _ask_recorded(self, members: GroupMembers) -> Leader | None:
+    def is_reborn(self, known: KnownTarget | None) -> bool:
+        """Tell whether a target led in an earlier life of it.
+
+        It holds nothing of what it acknowledged then, whatever it says.
+        """
+        record = self._parts.records.find_record(self._reign.group)
+        note = None if record is None else record.leader
+        if note is None or known is None or known.target.name != note.target:
+            return False
+        return known.life != note.life
+
+    async def _ask_recorded(self) -> Leader | None:
         """Return the leader that the owner before has noted, if it leads."""
         # Another one can lead in a higher term only by an order of an owner,
         # and that owner would have noted it, or at least the intent.
         record = self._parts.records.find_record(self._reign.group)
+        members = self.list_members()
         if record is None or record.intent or record.leader is None:
             return None
-        known = members.find(record.leader.target)
-        if known is None:
+        known = None if members is None else members.find(record.leader.target)
+        if members is None or known is None:
             return None
         status = await read_status(self._parts.connector, known)
         if status is None:
             return None
         # The term may be noted without the target that led in it.
-        if find_leader({known.target.name: status}, record.leader.term) is None:
-            return None
-        return Leader(known, status)
+        return self.choose_leader(
+            members,
+            {known.target.name: status},
+            record.leader.term,
+        )
--- a/src/sedgeshunt/execution/primary_keeper.py
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -24,7 +24,6 @@
 )
 from sedgeshunt.execution.target_executor import TargetExecutor
 from sedgeshunt.groups.points import Point
-from sedgeshunt.groups.successors import find_leader
 from sedgeshunt.identifiers import (
     Boottime,
     Monotonic,
@@ -35,6 +34,7 @@
 )
 from sedgeshunt.ownership.reign import Reign
 from sedgeshunt.registry.directory import GroupMembers
+from sedgeshunt.routing.freshness import FreshnessProof
 
 # A connection that broke says little while others go on.
 SETTLE_AFTER = Seconds(0.03)
@@ -63,13 +63,14 @@
         state: PrimaryState,
         probe: PrimaryProbe,
         parts: KeeperParts,
+        freshness: FreshnessProof,
     ) -> None:
         """Keep nothing before run()."""
         self._reign = reign
         self._state = state
         self._parts = parts
         self._probe_before = probe
-        self._finder = PrimaryFinder(reign, parts)
+        self._finder = PrimaryFinder(reign, parts, freshness)
         self._copies = CopyNotes(reign, parts.records, parts.connector)
         # The end of what callers were told by the primary before.
         self._acknowledged: Point | None = None
@@ -159,6 +160,7 @@
             self._reign,
             known.target.name,
             leader.status.term,
+            known.life,
         )
 
     async def _watch(self, executor: TargetExecutor) -> None:
@@ -166,8 +168,17 @@
         members = self._finder.list_members()
         if members is None:
             await sleep(CHECK_EVERY)
-            return
-        await self._copies.keep(members, executor)
+        elif self._finder.is_reborn(members.find(executor.target.name)):
+            await self._state.drop()
+        else:
+            await self._copies.keep(members, executor)
+            await self._tend(members, executor)
+
+    async def _tend(
+        self,
+        members: GroupMembers,
+        executor: TargetExecutor,
+    ) -> None:
         if must_go(members, executor.target.name):
             await self._replace_planned(members, executor)
         elif await self._shows_trouble(executor):
@@ -177,6 +188,8 @@
         with suppress(TimeoutError):
             async with timeout(find_pause(executor)):
                 await executor.failed.wait()
+        if executor.has_lost_log:
+            return True
         if executor.failed.is_set():
             executor.failed.clear()
             failed_at = read_clock()
@@ -199,8 +212,10 @@
             return
         asked_at = read_clock()
         signs = await ask_all(self._parts, self._reign.group, members, known)
-        if signs.is_leading():
+        has_lost_log = signs.has_lost_log(executor.tip)
+        if signs.is_leading() and not has_lost_log:
             executor.waiting_since = None
+            executor.has_lost_log = False
             return
         self._parts.tell(
             DecisionKind.PRIMARY_SUSPECTED,
@@ -213,6 +228,8 @@
         await self._state.drop()
         if signs.status is None:
             await self._replace_silent(members, executor, signs, asked_at)
+        elif has_lost_log:
+            await self._replace(members, signs.others, executor.tip)
 
     async def _replace_silent(
         self,
@@ -244,10 +261,10 @@
     ) -> None:
         """Have another target lead, if one can."""
         self._state.expect(REPLACING_TIME)
-        leading = find_leader(statuses, self._find_least())
-        known = None if leading is None else members.find(leading)
-        if leading is not None and known is not None:
-            await self._serve(Leader(known, statuses[leading]))
+        least = self._find_least()
+        leading = self._finder.choose_leader(members, statuses, least)
+        if leading is not None:
+            await self._serve(leading)
             return
         await self._promote(members, statuses, acknowledged)
 
--- a/src/sedgeshunt/execution/replica_reader.py
+++ b/src/sedgeshunt/execution/replica_reader.py
@@ -1,6 +1,6 @@
 """Read from a group's replicas as old a state as the caller accepts."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from result import Err, Result
@@ -64,6 +64,13 @@
             self._failures = min(self._failures + 1, 4)
             self._avoid(Seconds(min(LONGEST_PAUSE, pause)))
 
+    def is_other_life(self, listed: KnownTarget | None) -> bool:
+        """Tell whether the target is gone, has started anew, or elsewhere."""
+        if listed is None or self.known.life != listed.life:
+            return True
+        known, target = self.known.target, listed.target
+        return (known.host, known.port) != (target.host, target.port)
+
     def has_shown(self, point: Point) -> bool:
         """Tell whether its log is known to include a point."""
         tip = self.executor.tip
@@ -100,11 +107,19 @@
         members = self._configuration.find_members(self.group)
         share = 0 if members is None else self._find_share(members.group)
         listed = _list_replicas(members) if members and share else {}
-        for gone in set(self._replicas) - set(listed):
-            await self._replicas.pop(gone).executor.close()
+        await self._drop_others(listed)
         for known in listed.values():
             self._keep(known, share)
 
+    async def _drop_others(
+        self,
+        listed: Mapping[TargetId, KnownTarget],
+    ) -> None:
+        for name, replica in tuple(self._replicas.items()):
+            # Another life of it has nothing of what was learnt or prepared.
+            if replica.is_other_life(listed.get(name)):
+                await self._replicas.pop(name).executor.close()
+
     def is_able(self) -> bool:
         """Tell whether this instance has a share of the replicas."""
         return bool(self._replicas)
--- a/src/sedgeshunt/execution/signs.py
+++ b/src/sedgeshunt/execution/signs.py
@@ -8,6 +8,8 @@
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.statuses import read_status, read_statuses
 from sedgeshunt.execution.target_executor import TargetExecutor
+from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.successors import is_behind
 from sedgeshunt.identifiers import (
     GroupId,
     Monotonic,
@@ -34,6 +36,10 @@
     heir: ProxyId | None
     others: dict[TargetId, LogStatus]
 
+    def has_lost_log(self, seen: Point | None) -> bool:
+        """Tell whether the primary's log ends before what it has shown."""
+        return self.status is not None and is_behind(self.status.received, seen)
+
     def is_leading(self) -> bool:
         """Tell whether the primary says that it leads."""
         return self.status is not None and self.status.role is LogRole.PRIMARY
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -8,6 +8,7 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.configuration.objects import Target
 from sedgeshunt.connections.session_pool import (
+    LifeCheck,
     PooledSession,
     SessionLoan,
     SessionPool,
@@ -16,12 +17,14 @@
     RefusalKind,
     TargetRefusal,
     TargetReply,
+    TargetSession,
     TargetSessionConnector,
 )
 from sedgeshunt.exceptions import TargetGone, TargetLost
 from sedgeshunt.execution.preparing import needs_preparing, prepare
 from sedgeshunt.execution.transactions import OpenTransaction
 from sedgeshunt.groups.points import Point
+from sedgeshunt.groups.successors import is_behind
 from sedgeshunt.identifiers import Monotonic, Seconds
 from sedgeshunt.limits.admission import TargetAdmission
 from sedgeshunt.limits.concurrency import FixedConcurrency
@@ -55,7 +58,7 @@
 }
 
 
-class TargetExecutor:
+class TargetExecutor(LifeCheck):
     """Own the sessions with one target and the queue before it."""
 
     def __init__(
@@ -69,7 +72,8 @@
     ) -> None:
         """Open at most `share` connections, run `at_once` statements."""
         self.target = target
-        self.pool = SessionPool(connector, target, share, at_once)
+        self._is_primary = is_primary
+        self.pool = SessionPool(connector, target, share, at_once, self)
         self.admission = TargetAdmission(
             target.name,
             share,
@@ -88,6 +92,9 @@
         # It is not the primary any more for all that this proxy knows; what
         # it answers from now on must not be passed on.
         self.is_abandoned = False
+        # A new connection showed an end of its log before `tip`: it has started
+        # again without what it held.
+        self.has_lost_log = False
         # Sessions with a request that can be asked again elsewhere.
         self._harmless: set[PooledSession] = set()
 
@@ -257,6 +264,14 @@
         self._note_answer(reply)
         return Ok(reply)
 
+    def check_life(self, seen: Point | None, session: TargetSession) -> bool:
+        """Tell whether a new session's log has what was `seen` before it."""
+        if not self._is_primary or not is_behind(session.point, seen):
+            return True
+        self.has_lost_log = True
+        self.failed.set()
+        return False
+
     def resize(self, share: int) -> None:
         """Change how many connections may be open."""
         self.pool.resize(share)
--- a/src/sedgeshunt/groups/successors.py
+++ b/src/sedgeshunt/groups/successors.py
@@ -11,22 +11,41 @@
 def find_leader(
     statuses: Mapping[TargetId, LogStatus],
     least: Term,
+    seen: Point | None = None,
 ) -> TargetId | None:
     """Return the target that leads in the newest term, if one does.
 
-    `least` is the newest term in which a target is known to have led.
+    `least` is the newest term in which a target is known to have led, `seen`
+    the newest end of its log that any primary has shown.
     """
     # A primary that was cut off or silent still says that it leads for up to a
     # second after it is back. If the one that replaced it is lost meanwhile,
     # the old one is all that says so; what was written since is not in its log.
     newest = max((status.term for status in statuses.values()), default=least)
     for target, status in statuses.items():
-        if status.role is LogRole.PRIMARY:
-            if status.term >= max(newest, least):
-                return target
+        if status.role is not LogRole.PRIMARY:
+            continue
+        has_lost_log = status.term <= (seen or status.received).term and (
+            is_behind(status.received, seen)
+        )
+        if status.term >= max(newest, least) and not has_lost_log:
+            return target
     return None
 
 
+def is_behind(point: Point | None, seen: Point | None) -> bool:
+    """Tell whether a primary's log ends before what it has shown.
+
+    Safeguard: a target that has started again without its log may still say
+    that it leads, in its old term. Trusted, it would serve reads that miss
+    acknowledged writes, and replicas would follow it. A primary's log never
+    gets shorter within a term, so a shorter one is proof enough.
+    """
+    if point is None or seen is None or point.term > seen.term:
+        return False
+    return point < seen
+
+
 def choose_successor(
     group: GroupId,
     statuses: Mapping[TargetId, LogStatus],
--- a/src/sedgeshunt/identifiers.py
+++ b/src/sedgeshunt/identifiers.py
@@ -25,6 +25,8 @@
 TransactionId = NewType('TransactionId', str)
 # One life of one proxy's process.
 Incarnation = NewType('Incarnation', str)
+# One life of a target, by the Unix time of its start in ms; 0: not told.
+TargetLife = NewType('TargetLife', int)
 # Grows with each change of a group's owner.
 OwnerToken = NewType('OwnerToken', int)
 # A reading of the clock that also counts while the instance is suspended.
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -19,6 +19,7 @@
     ProxyId,
     Revision,
     TargetId,
+    TargetLife,
     Term,
 )
 from sedgeshunt.ownership.lease import InstanceLease
@@ -180,7 +181,7 @@
         # The store may have missed who led since: the next owner must not
         # trust the one that it has noted.
         if leader is not None and leader.term < served:
-            leader = LeaderNote(leader.target, served)
+            leader = LeaderNote(leader.target, served, leader.life)
         return await self._change(reign, intent=intent, leader=leader)
 
     async def clear_intent(self, reign: Reign) -> bool:
@@ -198,10 +199,11 @@
         reign: Reign,
         target: TargetId,
         term: Term,
+        life: TargetLife,
     ) -> bool:
         """Write which target leads, and that no promotion is under way."""
         record = self.find_record(reign.group)
-        leader = LeaderNote(target, term)
+        leader = LeaderNote(target, term, life)
         if record is not None and record.leader == leader:
             if record.intent is None:
                 return True
--- a/src/sedgeshunt/platform/documents.py
+++ b/src/sedgeshunt/platform/documents.py
@@ -1,6 +1,7 @@
 """Read what the operator and the databases write into the store."""
 
 from collections.abc import Iterable
+from ipaddress import ip_address
 from typing import Any
 
 from msgspec import Struct, ValidationError, field
@@ -15,7 +16,13 @@
     Target,
 )
 from sedgeshunt.exceptions import SedgeshuntError
-from sedgeshunt.identifiers import GroupId, TargetId, TrafficClass, ZoneId
+from sedgeshunt.identifiers import (
+    GroupId,
+    TargetId,
+    TargetLife,
+    TrafficClass,
+    ZoneId,
+)
 from sedgeshunt.ports import KeyValue
 from sedgeshunt.registry.directory import (
     Declared,
@@ -32,6 +39,7 @@
     'bounded_staleness': Consistency.BOUNDED_AGE,
 }
 READY_STATE = 'ready'
+LARGEST_PORT = 65535
 PRIMARY_ROLE = 'primary'
 ROLE_LABEL = 'role'
 VERSION_LABEL = 'version'
@@ -94,6 +102,8 @@
     # Statements that it runs at once.
     capacity_slots: int = 3
     cold_remaining_ms: int = 0
+    # Unix time of its start in ms, whole.
+    born: int = 0
 
 
 class StoreDocuments(PlatformDocuments):
@@ -115,9 +125,9 @@
     def read_target(self, pair: KeyValue) -> KnownTarget:
         """Read one database's entry; raise DocumentUnreadable."""
         read = _decode(pair.value, _Server, pair.key)
-        host, _, port = read.address.rpartition(':')
-        if not (host and port.isdecimal()):
-            reason = f'"{read.address}" is no address'
+        host, port = _read_address(pair.key, read.address)
+        if read.capacity_slots < 1:
+            reason = f'{read.capacity_slots} slots run nothing'
             raise DocumentUnreadable(pair.key, reason)
         labels = {VERSION_LABEL: read.version, ROLE_LABEL: read.db_role}
         if read.state != READY_STATE:
@@ -127,12 +137,13 @@
                 TargetId(pair.key.removeprefix(TARGETS_PREFIX)),
                 GroupId(read.service),
                 host,
-                int(port),
+                port,
                 ZoneId(read.zone),
                 labels,
             ),
             read.capacity_slots,
             read.db_role == PRIMARY_ROLE,
+            TargetLife(read.born),
         )
 
 
@@ -143,6 +154,19 @@
         raise DocumentUnreadable(key, str(failure)) from failure
 
 
+def _read_address(key: str, address: str) -> tuple[str, int]:
+    # Another writer's entry may hold anything; a name would be looked up, and
+    # a port out of range end the task that connects.
+    host, _, port = address.rpartition(':')
+    try:
+        is_usable = bool(ip_address(host)) and 0 < int(port) <= LARGEST_PORT
+    except ValueError:
+        is_usable = False
+    if not is_usable:
+        raise DocumentUnreadable(key, f'"{address}" is no address')
+    return host, int(port)
+
+
 def _make_group(service: _Service, limits: _Limits) -> Group:
     return Group(
         GroupId(service.name),
--- a/src/sedgeshunt/registry/configuration.py
+++ b/src/sedgeshunt/registry/configuration.py
@@ -36,6 +36,7 @@
         self._documents = documents
         self._decisions = decisions
         self._targets: dict[str, KnownTarget] = {}
+        self._unreadable: dict[str, Revision] = {}
         self._listeners: list[Callable[[], None]] = []
         self._loaded = Event()
         view.listen(self._note_change)
@@ -140,10 +141,15 @@
         pair = self._view.get(key)
         if pair is None:
             self._targets.pop(key, None)
+            self._unreadable.pop(key, None)
             return
         try:
             self._targets[key] = self._documents.read_target(pair)
         except SedgeshuntError as unreadable:
+            # Told once for each change, however often it is read.
+            if self._unreadable.get(key) == pair.revision:
+                return
+            self._unreadable[key] = pair.revision
             reasons = {'why': str(unreadable)}
             self._decisions.record(
                 Decision(DecisionKind.CONFIGURATION_REFUSED, reasons=reasons),
--- a/src/sedgeshunt/registry/directory.py
+++ b/src/sedgeshunt/registry/directory.py
@@ -9,6 +9,7 @@
     CopyPlace,
     GroupId,
     TargetId,
+    TargetLife,
     TrafficClass,
 )
 from sedgeshunt.ports import KeyValue
@@ -23,6 +24,8 @@
     slots: int
     # It believes that it leads its group.
     leads: bool
+    # Started again, it holds nothing of what it held before.
+    life: TargetLife = TargetLife(0)
 
 
 @dataclass(frozen=True)
--- a/src/sedgeshunt/registry/entries.py
+++ b/src/sedgeshunt/registry/entries.py
@@ -12,6 +12,7 @@
     OwnerToken,
     ProxyId,
     TargetId,
+    TargetLife,
     Term,
     ZoneId,
 )
@@ -56,6 +57,8 @@
 
     target: TargetId
     term: Term
+    # The life in which it led.
+    life: TargetLife = TargetLife(0)
 
 
 class GroupRecord(Struct, frozen=True):
--- a/tests/features/node_bench.py
+++ b/tests/features/node_bench.py
@@ -319,6 +319,7 @@
         ),
         SLOTS,
         target.role is LogRole.PRIMARY,
+        target.life,
     )
 
 
--- a/tests/features/replacement.feature
+++ b/tests/features/replacement.feature
@@ -37,6 +37,30 @@
     And "db-east" has committed the write
     And the caller is told that its end is in doubt
 
+  Scenario: A primary is started again without its log
+    Its process ends and is there again within 30 ms, under its id and address,
+    leading in its old term, as it says; its log is empty. What it had
+    acknowledged is on the replicas, so one of them must lead next; nobody reads
+    at the empty one.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the primary is reborn with an empty log
+    And 3 s go by
+    Then "db-east" does not lead
+    And every acknowledged write is on the primary
+    And no write ran twice
+
+  Scenario: The reborn primary's owner is lost too
+    All that the next owner has is the note of who led, in which life.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When every proxy is killed
+    And the primary is reborn with an empty log
+    And every proxy starts again
+    And 5 s go by
+    Then "db-east" does not lead
+    And every acknowledged write is on the primary
+
   Scenario: A superseded primary says that it leads when the next one is lost
     The primary falls silent and is replaced. It comes back, and says that it
     leads until it learns better; in this moment its successor is lost. What was
--- /dev/null
+++ b/tests/features/steps/entries_steps.py
@@ -0,0 +1,150 @@
+"""Check what entries of other writers lead to."""
+
+from ipaddress import ip_address
+from json import dumps
+from typing import Any
+
+from behave import given, then, when
+from hypothesis import given as draw
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sedgeshunt.decisions import DecisionKind, MemoryDecisionLog
+from sedgeshunt.exceptions import SedgeshuntError
+from sedgeshunt.identifiers import GroupId, Revision
+from sedgeshunt.platform.documents import (
+    CONFIGURATION_KEY,
+    TARGETS_PREFIX,
+    StoreDocuments,
+)
+from sedgeshunt.ports import KeyValue
+from sedgeshunt.registry.configuration import LiveConfiguration
+from sedgeshunt.registry.store_view import Listener
+
+GROUP = 'songbook'
+FOREIGN = f'{TARGETS_PREFIX}foreign'
+LARGEST_PORT = 65535
+DECLARED = {
+    'version': 1,
+    'routes': [],
+    'services': [{'name': GROUP, 'max_connections': 16}],
+}
+_LEAVES = st.none() | st.booleans() | st.integers() | st.text() | st.floats()
+_FIELDS = st.fixed_dictionaries(
+    {},
+    optional={
+        'service': st.just(GROUP) | _LEAVES,
+        'address': st.sampled_from(
+            ['10.0.0.1:80', 'host:80', '10.0.0.1:99999', '10.0.0.1:0', ':', ''],
+        )
+        | _LEAVES,
+        'zone': st.just('east') | _LEAVES,
+        'state': st.sampled_from(['ready', 'draining', 'odd']) | _LEAVES,
+        'capacity_slots': st.integers(-2, 3) | _LEAVES,
+        'born': st.integers() | _LEAVES,
+        'odd': _LEAVES,
+    },
+)
+
+
+class FixedView:
+    """Hold items as a view of the store does."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.items: dict[str, KeyValue] = {}
+        self.listeners: list[Listener] = []
+
+    def listen(self, listener: Listener) -> None:
+        """Call `listener` with each change."""
+        self.listeners.append(listener)
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return one item."""
+        return self.items.get(key)
+
+    def list_prefix(self, prefix: str) -> list[KeyValue]:
+        """List the items under `prefix`."""
+        return [
+            pair for key, pair in self.items.items() if key.startswith(prefix)
+        ]
+
+    def put(self, key: str, document: bytes, revision: int) -> None:
+        """Write one item without telling anybody."""
+        self.items[key] = KeyValue(
+            key,
+            document,
+            Revision(revision),
+            Revision(1),
+        )
+
+    def tell(self, key: str) -> None:
+        """Tell of a change, of a listing for ''."""
+        for listener in self.listeners:
+            listener(key)
+
+
+@given('entries of any bytes and of any fields')
+def draw_entries(context: Any) -> None:
+    context.documents = StoreDocuments()
+
+
+@then('each one is refused as unreadable or names an address by IP number')
+def check_entries(context: Any) -> None:
+    documents = context.documents
+
+    @settings(max_examples=400, deadline=None, database=None)
+    @draw(st.binary() | _FIELDS.map(lambda read: dumps(read).encode()))
+    def check(document: bytes) -> None:
+        pair = KeyValue(FOREIGN, document, Revision(1), Revision(1))
+        try:
+            known = documents.read_target(pair)
+        except SedgeshuntError:
+            return
+        assert ip_address(known.target.host)
+        assert 0 < known.target.port <= LARGEST_PORT
+        assert known.slots > 0
+
+    check()
+
+
+@given('a database "{name}" and a foreign entry beside it')
+def write_entries(context: Any, name: str) -> None:
+    context.view = FixedView()
+    context.decisions = MemoryDecisionLog()
+    context.live = LiveConfiguration(
+        context.view,
+        StoreDocuments(),
+        context.decisions,
+    )
+    entry = {'service': GROUP, 'address': '10.0.0.1:80', 'zone': 'east'}
+    context.view.put(CONFIGURATION_KEY, dumps(DECLARED).encode(), 1)
+    context.view.put(f'{TARGETS_PREFIX}{name}', dumps(entry).encode(), 2)
+    context.view.put(FOREIGN, b'\xff{', 3)
+
+
+@when('the entries are listed {times:d} times')
+def list_entries(context: Any, times: int) -> None:
+    for _ in range(times):
+        context.view.tell('')
+
+
+@when('the foreign entry is written again')
+def write_again(context: Any) -> None:
+    context.view.put(FOREIGN, b'{"service": 3}', 4)
+    context.view.tell(FOREIGN)
+
+
+@then('"{name}" is the only target')
+def check_only(context: Any, name: str) -> None:
+    members = context.live.find_members(GroupId(GROUP))
+    assert members is not None
+    assert [known.target.name for known in members.targets] == [name]
+
+
+@then('{count:d} refusals were taken down')
+def check_refusals(context: Any, count: int) -> None:
+    refused = context.decisions.list_decisions(
+        DecisionKind.CONFIGURATION_REFUSED,
+    )
+    assert len(refused) == count, refused
--- a/tests/features/steps/replacement_steps.py
+++ b/tests/features/steps/replacement_steps.py
@@ -124,6 +124,27 @@
     context.nodes.time.act(context.nodes.group.targets[name].thawed.set)
 
 
+@when('the primary is reborn with an empty log')
+def rebear_primary(context: Any) -> None:
+    primary = context.nodes.group.find_primary()
+    primary.is_down = True
+    context.nodes.wait(0.03)
+    primary.be_reborn()
+    primary.is_down = False
+
+
+@when('every proxy is killed')
+def kill_every(context: Any) -> None:
+    for node in context.nodes.nodes.values():
+        context.nodes.time.act(node.kill)
+
+
+@when('every proxy starts again')
+def restart_every(context: Any) -> None:
+    for name in tuple(context.nodes.nodes):
+        context.nodes.restart(name)
+
+
 @when('the new primary crashes as "{name}" goes on')
 def crash_next(context: Any, name: str) -> None:
     group = context.nodes.group
--- a/tests/standins/statement_group.py
+++ b/tests/standins/statement_group.py
@@ -13,7 +13,13 @@
     PromotionService,
 )
 from sedgeshunt.groups.points import Point
-from sedgeshunt.identifiers import Position, Seconds, TargetId, Term
+from sedgeshunt.identifiers import (
+    Position,
+    Seconds,
+    TargetId,
+    TargetLife,
+    Term,
+)
 from tests.standins.network import Network, Place
 
 WORK = 0.01
@@ -58,6 +64,7 @@
     role: LogRole = LogRole.REPLICA
     term: Term = Term(1)
     held_term: Term = Term(0)
+    life: TargetLife = TargetLife(1)
     log: list[Commit] = field(default_factory=lambda: [FIRST_COMMIT])
     # Commits of the log that reads see.
     applied: int = 1
@@ -100,6 +107,12 @@
                     return value
         return ''
 
+    def be_reborn(self) -> None:
+        """Start again with nothing of before, in the same role and term."""
+        self.life = TargetLife(self.life + 1)
+        self.log = [FIRST_COMMIT]
+        self.applied = 1
+
     def read_status(self) -> LogStatus:
         """Tell the log's state."""
         return LogStatus(self.role, self.term, self.end, self.held_term)
