End connections of peers without a traceback, and break the circle of transactions

Cause: at a stop each peer's connection was cancelled by the runner, and the library logged a traceback at 'error' for each: seven a stop, read as faults. execution/target_executor.py and execution/transactions.py imported each other.

Change: one listener, for peers and pages, owns the tasks that serve connections and ends them itself. Transactions name the place where they run by an abstract class of their own, which a target's executor is.

--- a/src/sedgeshunt/adapters/forwarding.py
+++ b/src/sedgeshunt/adapters/forwarding.py
@@ -1,11 +1,9 @@
 """Carry frames between proxies over TCP."""
 
 from asyncio import (
-    Server,
     StreamReader,
     StreamWriter,
     open_connection,
-    start_server,
     timeout,
 )
 from collections.abc import Awaitable, Callable
@@ -16,6 +14,7 @@
     encode_frame,
     read_frame,
 )
+from sedgeshunt.adapters.listener import StreamListener
 from sedgeshunt.exceptions import PeerUnreachable
 from sedgeshunt.forwarding.channel import FrameChannel, FrameConnector
 from sedgeshunt.forwarding.messages import Frame
@@ -103,20 +102,15 @@
         self.address = address
         self._handle = handle
         self._note_broken = note_broken
-        self._server: Server | None = None
+        self._listener = StreamListener(address, self._serve)
 
     async def start(self) -> None:
         """Listen; raise OSError."""
-        self._server = await start_server(
-            self._serve,
-            self.address.host,
-            self.address.port,
-        )
+        await self._listener.start()
 
     async def stop(self) -> None:
-        """Listen no more."""
-        if self._server is not None:
-            self._server.close()
+        """Listen no more, and end what is served."""
+        await self._listener.stop()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         channel = StreamChannel(reader, writer, self._note_broken)
--- /dev/null
+++ b/src/sedgeshunt/adapters/listener.py
@@ -0,0 +1,66 @@
+"""Accept connections and own the tasks that serve them."""
+
+from asyncio import (
+    CancelledError,
+    Server,
+    StreamReader,
+    StreamWriter,
+    Task,
+    current_task,
+    start_server,
+    wait,
+)
+from collections.abc import Awaitable, Callable
+
+from sedgeshunt.identifiers import Seconds
+from sedgeshunt.ports import Address
+
+ServeStream = Callable[[StreamReader, StreamWriter], Awaitable[None]]
+
+# Time for what a connection had begun to be undone: one round trip to a target.
+END_LIMIT = Seconds(0.5)
+
+
+class StreamListener:
+    """Listen at one address."""
+
+    def __init__(self, address: Address, serve: ServeStream) -> None:
+        """Hand each connection to `serve`."""
+        self._address = address
+        self._serve = serve
+        self._server: Server | None = None
+        self._tasks: set[Task[None]] = set()
+        self._is_stopping = False
+
+    async def start(self) -> None:
+        """Listen; raise OSError."""
+        self._server = await start_server(
+            self._run,
+            self._address.host,
+            self._address.port,
+        )
+
+    async def stop(self) -> None:
+        """Listen no more, and end what is served."""
+        self._is_stopping = True
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await wait(tuple(self._tasks), timeout=END_LIMIT)
+
+    async def _run(self, reader: StreamReader, writer: StreamWriter) -> None:
+        task = current_task()
+        if task is not None:
+            self._tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except CancelledError:
+            # The library takes a cancelled connection for a fault, and logs a
+            # traceback for each; these have been ended on purpose.
+            if not self._is_stopping:
+                raise
+        finally:
+            if task is not None:
+                self._tasks.discard(task)
--- a/src/sedgeshunt/adapters/pages.py
+++ b/src/sedgeshunt/adapters/pages.py
@@ -1,11 +1,12 @@
 """Serve small pages over HTTP."""
 
-from asyncio import Server, StreamReader, StreamWriter, start_server
+from asyncio import StreamReader, StreamWriter
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass
 
 from sedgeshunt.adapters.http_connection import HttpBroken, HttpConnection
+from sedgeshunt.adapters.listener import StreamListener
 from sedgeshunt.ports import Address
 
 OK = 200
@@ -36,20 +37,15 @@
         """Serve nothing before start()."""
         self.address = address
         self._pages = pages
-        self._server: Server | None = None
+        self._listener = StreamListener(address, self._serve)
 
     async def start(self) -> None:
         """Listen; raise OSError."""
-        self._server = await start_server(
-            self._serve,
-            self.address.host,
-            self.address.port,
-        )
+        await self._listener.start()
 
     async def stop(self) -> None:
-        """Listen no more."""
-        if self._server is not None:
-            self._server.close()
+        """Listen no more, and end what is served."""
+        await self._listener.stop()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         connection = HttpConnection(reader, writer, is_server=True)
--- a/src/sedgeshunt/execution/group_owner.py
+++ b/src/sedgeshunt/execution/group_owner.py
@@ -14,7 +14,11 @@
     run_in_transaction,
 )
 from sedgeshunt.execution.target_executor import TargetExecutor
-from sedgeshunt.execution.transactions import OpenTransaction, TransactionBook
+from sedgeshunt.execution.transactions import (
+    OpenTransaction,
+    TransactionBook,
+    TransactionPlace,
+)
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import GroupId, Monotonic, Seconds, TransactionId
 from sedgeshunt.ownership.reign import Reign
@@ -126,7 +130,7 @@
 
     def _check(
         self,
-        executor: TargetExecutor,
+        executor: TransactionPlace,
         call: StatementCall,
         outcome: Result[Answer, Refusal],
     ) -> Result[Answer, Refusal]:
--- a/src/sedgeshunt/execution/primary_state.py
+++ b/src/sedgeshunt/execution/primary_state.py
@@ -4,6 +4,7 @@
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.execution.target_executor import TargetExecutor
+from sedgeshunt.execution.transactions import TransactionPlace
 from sedgeshunt.groups.waiters import ChangeSignal
 from sedgeshunt.identifiers import GroupId, Monotonic, Seconds
 from sedgeshunt.limits.holding import find_retry, is_worth_holding
@@ -48,7 +49,7 @@
         if dropped is not None:
             await dropped.abandon(is_lost=True)
 
-    def may_continue(self, executor: TargetExecutor) -> bool:
+    def may_continue(self, executor: TransactionPlace) -> bool:
         """Tell whether a transaction at `executor` may go on."""
         return executor in (self.executor, self.leaving)
 
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -22,7 +22,10 @@
 )
 from sedgeshunt.exceptions import TargetGone, TargetLost
 from sedgeshunt.execution.preparing import needs_preparing, prepare
-from sedgeshunt.execution.transactions import OpenTransaction
+from sedgeshunt.execution.transactions import (
+    OpenTransaction,
+    TransactionPlace,
+)
 from sedgeshunt.groups.points import Point
 from sedgeshunt.groups.successors import is_behind
 from sedgeshunt.identifiers import Monotonic, Seconds
@@ -58,7 +61,7 @@
 }
 
 
-class TargetExecutor(LifeCheck):
+class TargetExecutor(LifeCheck, TransactionPlace):
     """Own the sessions with one target and the queue before it."""
 
     def __init__(
--- a/src/sedgeshunt/execution/transactions.py
+++ b/src/sedgeshunt/execution/transactions.py
@@ -2,26 +2,48 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+
+from result import Result
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.connections.session_pool import SessionLoan
 from sedgeshunt.identifiers import Monotonic, Seconds, TransactionId
-
-if TYPE_CHECKING:
-    from sedgeshunt.execution.target_executor import TargetExecutor
+from sedgeshunt.requests.outcome import Answer, Refusal
+from sedgeshunt.statements.call import StatementCall
 
 # Undoing a transaction takes one round trip to its target; one that takes
 # longer is undone by closing its connection.
 ROLLBACK_LIMIT = Seconds(0.5)
 
 
+class TransactionPlace(ABC):
+    """Run the statements of transactions at one target."""
+
+    # Those that are open there.
+    transactions: set['OpenTransaction']
+    # What it answers from now on must not be passed on.
+    is_abandoned: bool
+
+    @abstractmethod
+    async def run_inside(
+        self,
+        loan: SessionLoan,
+        call: StatementCall,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Run one statement of the transaction that is open on `loan`."""
+
+    @abstractmethod
+    async def roll_back(self, loan: SessionLoan, deadline: Monotonic) -> None:
+        """Undo a lent session's transaction; it stays in doubt if it fails."""
+
+
 @dataclass(slots=True, eq=False)
 class OpenTransaction:
     """Hold one transaction with the session that it alone may use."""
 
     id: TransactionId
-    executor: 'TargetExecutor'
+    executor: TransactionPlace
     loan: SessionLoan
     used_at: Monotonic
     # It runs at the primary, which only the group's owner may use.
--- a/tests/features/platform_process.feature
+++ b/tests/features/platform_process.feature
@@ -82,6 +82,7 @@
     And the other caller is told "ERROR BUSY"
     And process "east-1" has ended with 0
     And the log of "east-1" has "proxy-stopped"
+    And the log of "east-1" has no "eliot:traceback"
     When a caller of "kigali" at "west-1" runs "READ turn" over the wire
     Then the wire answers "ROW 1"
 
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -207,6 +207,12 @@
     assert context.platform.proxies[proxy].wait_end() == code
 
 
+@then('the log of "{proxy}" has no "{event}"')
+def check_no_line(context: Any, proxy: str, event: str) -> None:
+    lines = context.platform.proxies[proxy].list_lines(event)
+    assert not lines, lines
+
+
 @then('the log of "{proxy}" has "{event}"')
 def check_log(context: Any, proxy: str, event: str) -> None:
     context.platform.proxies[proxy].wait_line(event)
