--- a/src/sedgeshunt/execution/primary_probe.py
+++ b/src/sedgeshunt/execution/primary_probe.py
@@ -1,8 +1,7 @@
 """Ask a primary whether it still leads while its owner is silent."""
 
-from asyncio import Event, sleep, timeout
+from asyncio import Event, sleep
 from collections.abc import Callable
-from contextlib import suppress
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.connections.target_session import (
@@ -16,10 +15,6 @@
 from sedgeshunt.registry.directory import KnownTarget
 
 LOOK_EVERY = Seconds(0.2)
-# How often it is asked whether a look is wanted: an owner that is lost shows by
-# a heartbeat without an answer 0.3 s after at the latest, and is followed 0.8 s
-# after at the soonest; the look itself takes up to 0.25 s.
-WANTED_EVERY = Seconds(0.1)
 # Longest time between a look and the claim that makes use of it.
 FRESH_FOR = Seconds(0.5)
 
@@ -58,9 +53,7 @@
                 await self._look()
                 await sleep(LOOK_EVERY)
             else:
-                with suppress(TimeoutError):
-                    async with timeout(WANTED_EVERY):
-                        await self._awake.wait()
+                await self._awake.wait()
 
     def is_unreachable(self) -> bool:
         """Tell whether the primary has just failed to answer."""
--- a/src/sedgeshunt/membership/neighbours.py
+++ b/src/sedgeshunt/membership/neighbours.py
@@ -106,11 +106,6 @@
         for known in self._known.values():
             known.link.wake()
 
-    def is_owner_answering(self, group: GroupId, owner: ProxyId) -> bool:
-        """Tell whether an owner has answered the latest heartbeats."""
-        link = self.find_link(owner)
-        return link is not None and link.is_answering() and group in link.owned
-
     def is_owner_heard(self, group: GroupId, owner: ProxyId) -> bool:
         """Tell whether a peer says that it still owns a group."""
         link = self.find_link(owner)
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -57,10 +57,6 @@
     def find_instance(self, name: ProxyId) -> InstanceEntry | None:
         """Return one listed instance."""
 
-    @abstractmethod
-    def is_owner_answering(self, group: GroupId, owner: ProxyId) -> bool:
-        """Tell whether an owner has answered the latest heartbeats."""
-
     @abstractmethod
     def is_owner_heard(self, group: GroupId, owner: ProxyId) -> bool:
         """Tell whether a peer says that it still owns a group."""
@@ -88,7 +84,6 @@
         self.list_instances = peers.list_instances
         self.find_instance = peers.find_instance
         self.is_owner_heard = peers.is_owner_heard
-        self.is_owner_answering = peers.is_owner_answering
         self.decisions = decisions
         self.started_at = read_boottime()
         self.is_stopping = False
@@ -123,7 +118,7 @@
             return False
         if record.owner in ('', records.owner):
             return False
-        return not self._context.is_owner_answering(self.group, record.owner)
+        return not self._context.is_owner_heard(self.group, record.owner)
 
     async def wait_reign(self) -> Reign:
         """Wait until this instance owns the group."""
