Judge a primary's log by what it had shown when it was asked

Its log end was held against what callers had been told when all others had answered or run into their limit, up to 0.25 s later; meanwhile the log had grown. A promotion without need loses what no replica has received.

Ruled out: the primary (it answered, as the leader, with no failure); new connections (their end is held against what was shown before they were opened).

Change: the end that the primary had shown goes with the question. It is one that answers showed, as a promoted target may have received more than it shows yet. In the same files: the balancer's time is one constant, peers and pages inherit one listener, a list of members is not looked up twice.

--- a/src/sedgeshunt/adapters/forwarding.py
+++ b/src/sedgeshunt/adapters/forwarding.py
@@ -89,7 +89,7 @@
         return StreamChannel(reader, writer, self._note_broken)
 
 
-class ForwardingServer:
+class ForwardingServer(StreamListener):
     """Let other proxies in."""
 
     def __init__(
@@ -99,18 +99,9 @@
         note_broken: NoteBroken,
     ) -> None:
         """Hand each connection to `handle`."""
-        self.address = address
+        super().__init__(address)
         self._handle = handle
         self._note_broken = note_broken
-        self._listener = StreamListener(address, self._serve)
-
-    async def start(self) -> None:
-        """Listen; raise OSError."""
-        await self._listener.start()
-
-    async def stop(self) -> None:
-        """Listen no more, and end what is served."""
-        await self._listener.stop()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         channel = StreamChannel(reader, writer, self._note_broken)
--- a/src/sedgeshunt/adapters/listener.py
+++ b/src/sedgeshunt/adapters/listener.py
@@ -1,5 +1,6 @@
 """Accept connections and own the tasks that serve them."""
 
+from abc import ABC, abstractmethod
 from asyncio import (
     CancelledError,
     Server,
@@ -10,24 +11,19 @@
     start_server,
     wait,
 )
-from collections.abc import Awaitable, Callable
-
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.ports import Address
 
-ServeStream = Callable[[StreamReader, StreamWriter], Awaitable[None]]
-
 # Time for what a connection had begun to be undone: one round trip to a target.
 END_LIMIT = Seconds(0.5)
 
 
-class StreamListener:
-    """Listen at one address."""
+class StreamListener(ABC):
+    """Listen at one address and serve each connection."""
 
-    def __init__(self, address: Address, serve: ServeStream) -> None:
-        """Hand each connection to `serve`."""
-        self._address = address
-        self._serve = serve
+    def __init__(self, address: Address) -> None:
+        """Accept nothing before start()."""
+        self.address = address
         self._server: Server | None = None
         self._tasks: set[Task[None]] = set()
         self._is_stopping = False
@@ -36,8 +32,8 @@
         """Listen; raise OSError."""
         self._server = await start_server(
             self._run,
-            self._address.host,
-            self._address.port,
+            self.address.host,
+            self.address.port,
         )
 
     async def stop(self) -> None:
@@ -50,6 +46,10 @@
         if self._tasks:
             await wait(tuple(self._tasks), timeout=END_LIMIT)
 
+    @abstractmethod
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Serve one connection to its end."""
+
     async def _run(self, reader: StreamReader, writer: StreamWriter) -> None:
         task = current_task()
         if task is not None:
--- a/src/sedgeshunt/adapters/pages.py
+++ b/src/sedgeshunt/adapters/pages.py
@@ -26,7 +26,7 @@
 MakePage = Callable[[], Page]
 
 
-class PageServer:
+class PageServer(StreamListener):
     """Answer each path with the page that is made for it at that moment."""
 
     def __init__(
@@ -35,17 +35,8 @@
         pages: Mapping[bytes, MakePage],
     ) -> None:
         """Serve nothing before start()."""
-        self.address = address
+        super().__init__(address)
         self._pages = pages
-        self._listener = StreamListener(address, self._serve)
-
-    async def start(self) -> None:
-        """Listen; raise OSError."""
-        await self._listener.start()
-
-    async def stop(self) -> None:
-        """Listen no more, and end what is served."""
-        await self._listener.stop()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         connection = HttpConnection(reader, writer, is_server=True)
--- a/src/sedgeshunt/connections/session_pool.py
+++ b/src/sedgeshunt/connections/session_pool.py
@@ -108,8 +108,8 @@
 class LifeCheck(ABC):
     """Know whether a target has kept its log."""
 
-    # The end of the target's log, as it last showed it.
-    tip: Point | None
+    # The newest end of the target's log that its answers showed.
+    shown: Point | None
 
     @abstractmethod
     def check_life(self, seen: Point | None, session: TargetSession) -> bool:
@@ -341,7 +341,7 @@
             ),
         )
         self._opening.add(opening)
-        seen = self._life.tip
+        seen = self._life.shown
         try:
             connection = await opening
             if not self._life.check_life(seen, connection):
--- a/src/sedgeshunt/execution/primary_finder.py
+++ b/src/sedgeshunt/execution/primary_finder.py
@@ -7,6 +7,7 @@
 from sedgeshunt.connections.target_session import LogStatus
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.statuses import read_status, read_statuses
+from sedgeshunt.groups.points import Point
 from sedgeshunt.groups.successors import find_leader
 from sedgeshunt.identifiers import Seconds, TargetId, Term
 from sedgeshunt.ownership.reign import Reign
@@ -62,8 +63,13 @@
         members = self._parts.configuration.find_members(self._reign.group)
         return members if members is not None and members.targets else None
 
+    def read_seen(self) -> Point | None:
+        """Return the newest log end that is known to have been shown."""
+        return self._freshness.newest
+
     async def _ask(self, members: GroupMembers) -> Leader | None:
-        recorded = await self._ask_recorded()
+        seen = self.read_seen()
+        recorded = await self._ask_recorded(members, seen)
         if recorded is not None:
             return recorded
         statuses = await read_statuses(self._parts.connector, members.targets)
@@ -71,24 +77,26 @@
         if await replacement.finish_pending(self._reign, statuses):
             return None
         least = self._parts.records.find_term(self._reign.group)
-        return self.choose_leader(members, statuses, least)
+        return self.choose_leader(members, statuses, least, seen)
 
     def choose_leader(
         self,
         members: GroupMembers,
         statuses: dict[TargetId, LogStatus],
         least: Term,
+        seen: Point | None,
     ) -> Leader | None:
         """Return the one that leads of those that answered, None for none.
 
-        `least` is the newest term in which a target is known to have led.
+        `least` is the newest term in which a target is known to have led,
+        `seen` the end of the log that was known when they were asked.
         """
         trusted = {
             name: status
             for name, status in statuses.items()
             if not self.is_reborn(members.find(name))
         }
-        leader = find_leader(trusted, least, self._freshness.newest)
+        leader = find_leader(trusted, least, seen)
         known = None if leader is None else members.find(leader)
         if leader is None or known is None:
             return None
@@ -106,16 +114,19 @@
         # An entry or a note without a life tells nothing.
         return 0 not in (known.life, note.life) and known.life != note.life
 
-    async def _ask_recorded(self) -> Leader | None:
+    async def _ask_recorded(
+        self,
+        members: GroupMembers,
+        seen: Point | None,
+    ) -> Leader | None:
         """Return the leader that the owner before has noted, if it leads."""
         # Another one can lead in a higher term only by an order of an owner,
         # and that owner would have noted it, or at least the intent.
         record = self._parts.records.find_record(self._reign.group)
-        members = self.list_members()
         if record is None or record.intent or record.leader is None:
             return None
-        known = None if members is None else members.find(record.leader.target)
-        if members is None or known is None:
+        known = members.find(record.leader.target)
+        if known is None:
             return None
         status = await read_status(self._parts.connector, known)
         if status is None:
@@ -125,4 +136,5 @@
             members,
             {known.target.name: status},
             record.leader.term,
+            seen,
         )
--- a/src/sedgeshunt/execution/primary_keeper.py
+++ b/src/sedgeshunt/execution/primary_keeper.py
@@ -111,7 +111,9 @@
         if found is not None:
             await self._serve(found)
             return
-        await self._replace(members, await self._look_past(members, lost), None)
+        seen = self._finder.read_seen()
+        statuses = await self._look_past(members, lost)
+        await self._replace(members, statuses, None, seen)
 
     async def _look_past(
         self,
@@ -211,9 +213,14 @@
             await sleep(CHECK_EVERY)
             return
         asked_at = read_clock()
-        signs = await ask_all(self._parts, self._reign.group, members, known)
-        has_lost_log = signs.has_lost_log(executor.tip)
-        if signs.is_leading() and not has_lost_log:
+        signs = await ask_all(
+            self._parts,
+            self._reign.group,
+            members,
+            known,
+            executor.shown,
+        )
+        if signs.is_leading() and not signs.has_lost_log():
             executor.waiting_since = None
             executor.has_lost_log = False
             return
@@ -228,8 +235,13 @@
         await self._state.drop()
         if signs.status is None:
             await self._replace_silent(members, executor, signs, asked_at)
-        elif has_lost_log:
-            await self._replace(members, signs.others, executor.tip)
+        elif signs.has_lost_log():
+            await self._replace(
+                members,
+                signs.others,
+                executor.tip,
+                signs.shown,
+            )
 
     async def _replace_silent(
         self,
@@ -244,7 +256,7 @@
             # The replicas may have received more since they were asked.
             lost = executor.target.name
             statuses = await ask_others(self._parts, members, lost)
-        await self._replace(members, statuses, executor.tip)
+        await self._replace(members, statuses, executor.tip, signs.shown)
 
     async def _leave_to_reaching(self, heir: ProxyId | None) -> None:
         """Have a peer that reaches the primary own the group."""
@@ -258,11 +270,16 @@
         members: GroupMembers,
         statuses: dict[TargetId, LogStatus],
         acknowledged: Point | None,
+        seen: Point | None,
     ) -> None:
         """Have another target lead, if one can."""
         self._state.expect(REPLACING_TIME)
-        least = self._find_least()
-        leading = self._finder.choose_leader(members, statuses, least)
+        leading = self._finder.choose_leader(
+            members,
+            statuses,
+            self._find_least(),
+            seen,
+        )
         if leading is not None:
             await self._serve(leading)
             return
--- a/src/sedgeshunt/execution/signs.py
+++ b/src/sedgeshunt/execution/signs.py
@@ -32,13 +32,17 @@
     """Hold what a primary under suspicion and those around it answered."""
 
     status: LogStatus | None
+    # The end of its log that it had shown when it was asked.
+    shown: Point | None
     # A peer that reaches it.
     heir: ProxyId | None
     others: dict[TargetId, LogStatus]
 
-    def has_lost_log(self, seen: Point | None) -> bool:
-        """Tell whether the primary's log ends before what it has shown."""
-        return self.status is not None and is_behind(self.status.received, seen)
+    def has_lost_log(self) -> bool:
+        """Tell whether the primary's log ends before what it had shown."""
+        if self.status is None:
+            return False
+        return is_behind(self.status.received, self.shown)
 
     def is_leading(self) -> bool:
         """Tell whether the primary says that it leads."""
@@ -50,6 +54,7 @@
     group: GroupId,
     members: GroupMembers,
     known: KnownTarget,
+    shown: Point | None,
 ) -> PrimarySigns:
     """Ask the primary, the peers and the other targets."""
     # Each question may take its whole limit, and writes wait meanwhile.
@@ -58,7 +63,12 @@
         status = tasks.create_task(read_status(parts.connector, known))
         heir = tasks.create_task(parts.peers.find_reaching(group, name))
         others = tasks.create_task(ask_others(parts, members, name))
-    return PrimarySigns(status.result(), heir.result(), others.result())
+    return PrimarySigns(
+        status.result(),
+        shown,
+        heir.result(),
+        others.result(),
+    )
 
 
 async def ask_others(
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -85,6 +85,9 @@
         )
         # The end of the target's log, as it last showed it.
         self.tip: Point | None = None
+        # The same as far as answers showed it. A target that was just promoted
+        # may have received more than it shows yet.
+        self.shown: Point | None = None
         # When the target last answered anything, and when something was
         # first sent that it has not answered since.
         self.answered_at: Monotonic | None = None
@@ -365,8 +368,8 @@
         self.failures = 0
         if reply.point is None:
             return
-        if self.tip is None or self.tip < reply.point:
-            self.tip = reply.point
+        self.shown = _take_later(self.shown, reply.point)
+        self.tip = _take_later(self.tip, reply.point)
 
     def note_refusal(self, refusal: NotRun) -> None:
         """Take in that no session could be lent."""
@@ -390,6 +393,10 @@
         return Err(Unknown(cause, reason, name))
 
 
+def _take_later(known: Point | None, point: Point) -> Point:
+    return point if known is None else max(known, point)
+
+
 def weigh_priority(priority: int) -> int:
     """Return the share of a busy target that a priority gets."""
     return _WEIGHTS[min(max(priority, 0), len(_WEIGHTS) - 1)]
--- a/src/sedgeshunt/groups/successors.py
+++ b/src/sedgeshunt/groups/successors.py
@@ -16,7 +16,7 @@
     """Return the target that leads in the newest term, if one does.
 
     `least` is the newest term in which a target is known to have led, `seen`
-    the newest end of its log that any primary has shown.
+    the newest end of its log that any primary had shown when they were asked.
     """
     # A primary that was cut off or silent still says that it leads for up to a
     # second after it is back. If the one that replaced it is lost meanwhile,
@@ -25,10 +25,11 @@
     for target, status in statuses.items():
         if status.role is not LogRole.PRIMARY:
             continue
-        has_lost_log = status.term <= (seen or status.received).term and (
-            is_behind(status.received, seen)
-        )
-        if status.term >= max(newest, least) and not has_lost_log:
+        # One of a newer term may lack what an earlier one showed last.
+        is_of_term = seen is not None and status.term <= seen.term
+        if is_of_term and is_behind(status.received, seen):
+            continue
+        if status.term >= max(newest, least):
             return target
     return None
 
@@ -39,11 +40,10 @@
     Safeguard: a target that has started again without its log may still say
     that it leads, in its old term. Trusted, it would serve reads that miss
     acknowledged writes, and replicas would follow it. A primary's log never
-    gets shorter within a term, so a shorter one is proof enough.
+    gets shorter within a term, so a shorter one is proof enough, if `seen` was
+    shown before the question: a live primary's log grows while others answer.
     """
-    if point is None or seen is None or point.term > seen.term:
-        return False
-    return point < seen
+    return point is not None and seen is not None and point < seen
 
 
 def choose_successor(
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -11,12 +11,13 @@
 
 from sedgeshunt.adapters.channel import ProtocolBroken
 from sedgeshunt.adapters.forwarding import ForwardingServer, StreamConnector
+from sedgeshunt.adapters.listener import StreamListener
 from sedgeshunt.adapters.pages import PageServer
 from sedgeshunt.adapters.text_metrics import TextMetrics
 from sedgeshunt.exceptions import SedgeshuntError, SettingsInvalid
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent, open_log
-from sedgeshunt.membership.rotation import Rotation
+from sedgeshunt.membership.rotation import LONGEST_ROTATION, Rotation
 from sedgeshunt.node_service import NodeService
 from sedgeshunt.node_settings import (
     LIVE_FIELDS,
@@ -38,8 +39,6 @@
 from sedgeshunt.statements.counts import DecisionCounts, StatementCounts
 
 SETTINGS_OPTION = '--settings'
-# The balancer asks each second, and leaves an instance out after two misses.
-ROTATION_TIME = Seconds(2.2)
 # How often callers are looked after that are better served elsewhere.
 SEND_EVERY = Seconds(0.05)
 # The platform may change the settings' file without a signal.
@@ -140,7 +139,7 @@
             settings.capacity.most_callers,
             node.open_session,
         )
-        servers: list[ForwardingServer | PageServer] = [
+        servers: list[StreamListener] = [
             ForwardingServer(
                 settings.peers.place,
                 node.serve_peer,
@@ -186,9 +185,9 @@
         async with TaskGroup() as tasks:
             tasks.create_task(node.hand_over(drain))
             # The balancer sends callers here until it has asked twice in vain.
-            await sleep(min(ROTATION_TIME, drain))
+            await sleep(min(LONGEST_ROTATION, drain))
             callers.close()
-            await callers.send_away(Seconds(max(0, drain - ROTATION_TIME)))
+            await callers.send_away(Seconds(max(0, drain - LONGEST_ROTATION)))
             await callers.abort(Seconds(grace * LAST_SHARE))
         await node.leave()
 
--- a/tests/features/replacement.feature
+++ b/tests/features/replacement.feature
@@ -50,6 +50,22 @@
     And every acknowledged write is on the primary
     And no write ran twice
 
+  Scenario: A primary that hesitates under load is not replaced
+    It answers nothing for a moment, then says that it leads, while a replica
+    that is asked at the same time does not answer at all. Until that is certain
+    callers go on writing, and the log outgrows what the primary said. It has
+    lost nothing, and a promotion would lose what no replica has received.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When "db-north" freezes
+    And the primary freezes
+    And 0.25 s go by
+    And "db-east" goes on
+    And 2 s go by
+    Then "db-east" leads
+    And every acknowledged write is on the primary
+    And no promotion was ordered
+
   Scenario: The reborn primary's owner is lost too
     All that the next owner has is the note of who led, in which life.
     Given proxies "north-1, east-1, west-1"
