--- a/src/sedgeshunt/adapters/forwarding.thrift
+++ b/src/sedgeshunt/adapters/forwarding.thrift
@@ -99,13 +99,30 @@
   9: optional map<string, i64> released
 }
 
+// A change of one of the store's items; one without a document was removed.
+struct Change {
+  1: string key
+  2: optional binary document
+  3: i64 revision
+  4: i64 created
+}
+
+struct Changes {
+  // Who is not as far as this has missed something.
+  1: i64 after
+  2: i64 revision
+  3: list<Change> changes
+  // The changes are all items that there are.
+  4: optional bool is_whole
+}
+
 struct Frame {
   1: i64 number
   2: optional Call call
   3: optional Reply reply
   4: optional Beat beat
   5: optional BeatReply beat_reply
-  // The caller has left: give the call up.
+  // The caller has left: give the call up. Or no more changes will come.
   6: optional bool is_cancelled
   // The caller has given this transaction up.
   7: optional string undone
@@ -115,4 +132,7 @@
   9: optional i64 kept_lease
   // The answer to both.
   10: optional bool is_reached
+  // Hand on what the store changes after this revision.
+  11: optional i64 followed_from
+  12: optional Changes changes
 }
--- a/src/sedgeshunt/adapters/forwarding_codec.py
+++ b/src/sedgeshunt/adapters/forwarding_codec.py
@@ -13,6 +13,8 @@
     WireBeat,
     WireBeatReply,
     WireCall,
+    WireChange,
+    WireChanges,
     WireFrame,
     WireInstance,
     WireOwned,
@@ -45,6 +47,8 @@
     TransactionId,
     ZoneId,
 )
+from sedgeshunt.ports import WatchEvent
+from sedgeshunt.registry.changes import StoreChanges
 from sedgeshunt.registry.entries import InstanceEntry
 from sedgeshunt.requests.outcome import (
     Answer,
@@ -136,6 +140,10 @@
         ),
         kept_lease=frame.kept_lease,
         is_reached=frame.is_reached,
+        followed_from=frame.followed_from,
+        changes=(
+            None if frame.changes is None else _make_changes(frame.changes)
+        ),
     )
 
 
@@ -159,6 +167,8 @@
         ),
         raw.kept_lease,
         raw.is_reached,
+        None if raw.followed_from is None else Revision(raw.followed_from),
+        None if raw.changes is None else _read_changes(raw.changes),
     )
 
 
@@ -391,3 +401,32 @@
         )
         for one in raw or ()
     )
+
+
+def _make_changes(changes: StoreChanges) -> Any:
+    return WireChanges(
+        changes.after,
+        changes.revision,
+        [
+            WireChange(one.key, one.value, one.revision, one.created)
+            for one in changes.events
+        ],
+        changes.is_whole or None,
+    )
+
+
+def _read_changes(raw: Any) -> StoreChanges:
+    return StoreChanges(
+        Revision(raw.after),
+        Revision(raw.revision),
+        tuple(
+            WatchEvent(
+                one.key,
+                one.document,
+                Revision(one.revision),
+                Revision(one.created),
+            )
+            for one in raw.changes
+        ),
+        bool(raw.is_whole),
+    )
--- a/src/sedgeshunt/adapters/forwarding_frames.py
+++ b/src/sedgeshunt/adapters/forwarding_frames.py
@@ -421,6 +421,78 @@
 )
 
 
+class WireChange(TBase):
+    """Hold a message of the kind Change."""
+
+    __slots__ = (
+        'key',
+        'document',
+        'revision',
+        'created',
+    )
+
+    def __init__(
+        self,
+        key: Any = None,
+        document: Any = None,
+        revision: Any = None,
+        created: Any = None,
+    ) -> None:
+        """Leave out what is not given."""
+        self.key = key
+        self.document = document
+        self.revision = revision
+        self.created = created
+
+
+WireChange.thrift_spec = (
+    None,
+    (1, TType.STRING, 'key', 'UTF8', None),
+    (2, TType.STRING, 'document', 'BINARY', None),
+    (3, TType.I64, 'revision', None, None),
+    (4, TType.I64, 'created', None, None),
+)
+
+
+class WireChanges(TBase):
+    """Hold a message of the kind Changes."""
+
+    __slots__ = (
+        'after',
+        'revision',
+        'changes',
+        'is_whole',
+    )
+
+    def __init__(
+        self,
+        after: Any = None,
+        revision: Any = None,
+        changes: Any = None,
+        is_whole: Any = None,
+    ) -> None:
+        """Leave out what is not given."""
+        self.after = after
+        self.revision = revision
+        self.changes = changes
+        self.is_whole = is_whole
+
+
+WireChanges.thrift_spec = (
+    None,
+    (1, TType.I64, 'after', None, None),
+    (2, TType.I64, 'revision', None, None),
+    (
+        3,
+        TType.LIST,
+        'changes',
+        (TType.STRUCT, [WireChange, WireChange.thrift_spec], False),
+        None,
+    ),
+    (4, TType.BOOL, 'is_whole', None, None),
+)
+
+
 class WireFrame(TBase):
     """Hold a message of the kind Frame."""
 
@@ -435,6 +507,8 @@
         'reach',
         'kept_lease',
         'is_reached',
+        'followed_from',
+        'changes',
     )
 
     def __init__(
@@ -449,6 +523,8 @@
         reach: Any = None,
         kept_lease: Any = None,
         is_reached: Any = None,
+        followed_from: Any = None,
+        changes: Any = None,
     ) -> None:
         """Leave out what is not given."""
         self.number = number
@@ -461,6 +537,8 @@
         self.reach = reach
         self.kept_lease = kept_lease
         self.is_reached = is_reached
+        self.followed_from = followed_from
+        self.changes = changes
 
 
 WireFrame.thrift_spec = (
@@ -481,4 +559,6 @@
     (8, TType.STRUCT, 'reach', [WireReach, WireReach.thrift_spec], None),
     (9, TType.I64, 'kept_lease', None, None),
     (10, TType.BOOL, 'is_reached', None, None),
+    (11, TType.I64, 'followed_from', None, None),
+    (12, TType.STRUCT, 'changes', [WireChanges, WireChanges.thrift_spec], None),
 )
--- a/src/sedgeshunt/adapters/platform.py
+++ b/src/sedgeshunt/adapters/platform.py
@@ -56,7 +56,12 @@
         """Use `others` in turn when the first address can't be reached."""
         self._client = JsonClient([Address(host, port), *others])
 
-    async def list_prefix(self, prefix: str) -> Listing:
+    async def list_prefix(
+        self,
+        prefix: str,
+        *,
+        may_be_old: bool = False,
+    ) -> Listing:
         """Read all pairs under `prefix`; raise PlatformUnavailable."""
         with _explaining():
             return read_listing(
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -5,12 +5,13 @@
     CancelledError,
     Event,
     Future,
+    Queue,
     TaskGroup,
     get_running_loop,
     sleep,
     timeout_at,
 )
-from collections.abc import Mapping
+from collections.abc import AsyncGenerator, Mapping
 from contextlib import suppress
 
 from msgspec.structs import replace
@@ -33,10 +34,12 @@
     GroupId,
     Monotonic,
     ProxyId,
+    Revision,
     Seconds,
     TargetId,
     TransactionId,
 )
+from sedgeshunt.registry.changes import StoreChanges
 from sedgeshunt.registry.entries import InstanceEntry
 from sedgeshunt.requests.outcome import (
     Answer,
@@ -128,6 +131,8 @@
         self._events = events
         self._channel: FrameChannel | None = None
         self._waiting: dict[int, Future[Frame]] = {}
+        # What the peer hands on, by the number of the question.
+        self._feeds: dict[int, Queue[StoreChanges | None]] = {}
         # Heartbeats without an answer, and when each was sent.
         self._beats: dict[int, Boottime] = {}
         self._awake = Event()
@@ -251,6 +256,26 @@
             self._waiting.pop(number, None)
         return bool(frame.is_reached)
 
+    async def follow_changes(
+        self,
+        after: Revision,
+    ) -> AsyncGenerator[StoreChanges, None]:
+        """Yield what the store changes, as the peer hands it on."""
+        channel = self._channel
+        if channel is None:
+            return
+        self._number += 1
+        number = self._number
+        handed: Queue[StoreChanges | None] = Queue()
+        self._feeds[number] = handed
+        channel.send(Frame(number, followed_from=after))
+        try:
+            while (changes := await handed.get()) is not None:
+                yield changes
+        finally:
+            self._feeds.pop(number, None)
+            channel.send(Frame(number, is_cancelled=True))
+
     def end_transaction(self, transaction: TransactionId) -> None:
         """Have the peer undo a transaction; a broken link does so too."""
         if self._channel is not None:
@@ -328,6 +353,10 @@
             if asked_at is not None:
                 self._note_beat(frame.beat_reply, asked_at)
             return
+        if frame.number in self._feeds:
+            # A frame without changes is the feed's end.
+            self._feeds[frame.number].put_nowait(frame.changes)
+            return
         waiting = self._waiting.get(frame.number)
         if waiting is not None and not waiting.done():
             waiting.set_result(frame)
@@ -355,6 +384,8 @@
             self._silent_since = Monotonic(read_clock() - wait)
         self.owned = {}
         self.relayed = {}
+        for handed in self._feeds.values():
+            handed.put_nowait(None)
         self._events.note_reach(self.peer.name, is_reached=False)
         lost = PeerUnreachable(self.peer.name, 'the connection broke')
         for reply in self._waiting.values():
--- a/src/sedgeshunt/forwarding/messages.py
+++ b/src/sedgeshunt/forwarding/messages.py
@@ -13,6 +13,7 @@
     TargetId,
     TransactionId,
 )
+from sedgeshunt.registry.changes import StoreChanges
 from sedgeshunt.registry.entries import InstanceEntry
 from sedgeshunt.requests.outcome import Answer, Refusal
 from sedgeshunt.statements.call import StatementCall
@@ -85,3 +86,7 @@
     kept_lease: int | None = None
     # The answer to both.
     is_reached: bool | None = None
+    # Have the receiver hand on what the store changes after this.
+    followed_from: Revision | None = None
+    # What it hands on, under the number of that frame.
+    changes: StoreChanges | None = None
--- a/src/sedgeshunt/forwarding/server.py
+++ b/src/sedgeshunt/forwarding/server.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from asyncio import Task, TaskGroup
+from functools import partial
 
 from msgspec.structs import replace
 from result import Result
@@ -17,8 +18,16 @@
     ReachQuestion,
 )
 from sedgeshunt.groups.points import Point
-from sedgeshunt.identifiers import GroupId, Monotonic, TargetId, TransactionId
+from sedgeshunt.identifiers import (
+    GroupId,
+    Monotonic,
+    Revision,
+    TargetId,
+    TransactionId,
+)
+from sedgeshunt.registry.changes import StoreChanges
 from sedgeshunt.registry.entries import InstanceEntry
+from sedgeshunt.registry.feeds import ChangeReceiver
 from sedgeshunt.requests.outcome import Answer, Refusal
 from sedgeshunt.statements.call import StatementCall
 
@@ -59,6 +68,14 @@
     def answer_beat(self, beat: Beat) -> BeatReply:
         """Answer a heartbeat."""
 
+    @abstractmethod
+    def hand_on(self, receive: ChangeReceiver, after: Revision) -> None:
+        """Hand a peer what the store changes after a revision."""
+
+    @abstractmethod
+    def stop_handing(self, receive: ChangeReceiver) -> None:
+        """Hand a peer nothing more."""
+
 
 class PeerConversation:
     """Serve one peer's connection."""
@@ -69,6 +86,8 @@
         self._desk = desk
         self._book = TransactionBook()
         self._running: dict[int, Task[None]] = {}
+        # Where the peer's questions for changes are answered to.
+        self._receivers: dict[int, ChangeReceiver] = {}
         # Said once on each connection, and left out until it changes.
         self._sender: InstanceEntry | None = None
         self._relayed: tuple[OwnedGroup, ...] | None = None
@@ -82,6 +101,8 @@
                 for task in self._running.values():
                     task.cancel()
         finally:
+            for receive in self._receivers.values():
+                self._desk.stop_handing(receive)
             await self._book.undo_all()
 
     def _take(self, frame: Frame, tasks: TaskGroup) -> None:
@@ -93,8 +114,12 @@
             self._running[number] = tasks.create_task(
                 self._run(number, frame.call),
             )
-        if frame.is_cancelled and number in self._running:
-            self._running[number].cancel()
+        if frame.is_cancelled:
+            self._give_up(number)
+        if frame.followed_from is not None:
+            receive = partial(self._send_changes, number)
+            self._receivers[number] = receive
+            self._desk.hand_on(receive, frame.followed_from)
         if frame.reach is not None:
             tasks.create_task(self._answer_reach(number, frame.reach))
         if frame.kept_lease is not None:
@@ -104,6 +129,19 @@
                 self._desk.end_transaction(frame.undone, self._book),
             )
 
+    def _give_up(self, number: int) -> None:
+        if number in self._running:
+            self._running[number].cancel()
+        receive = self._receivers.pop(number, None)
+        if receive is not None:
+            self._desk.stop_handing(receive)
+
+    def _send_changes(self, number: int, changes: StoreChanges | None) -> None:
+        is_over = changes is None
+        self._channel.send(
+            Frame(number, changes=changes, is_cancelled=is_over),
+        )
+
     def _answer_beat(self, beat: Beat) -> BeatReply | None:
         self._sender = beat.sender or self._sender
         if self._sender is None:
--- a/src/sedgeshunt/membership/circle.py
+++ b/src/sedgeshunt/membership/circle.py
@@ -32,6 +32,9 @@
 # Instances of each zone that any other one knows whatever it does, so that it
 # notices being cut off and hears of a new configuration.
 WITNESSES_PER_ZONE = 1
+# Instances of each zone that watch the store for all of it, beside those who
+# may own a group: one may be lost while the other takes over its followers.
+WATCHERS_PER_ZONE = 2
 LARGEST_WEIGHT = 2**64
 
 
@@ -43,6 +46,13 @@
     share: int
 
 
+class _KnownWatchers(Struct, frozen=True):
+    """Hold who watches the store for a zone, for one list of instances."""
+
+    instances: Sequence[InstanceEntry]
+    names: tuple[ProxyId, ...]
+
+
 class Circle:
     """Know the part of the fleet that one instance has to do with."""
 
@@ -56,6 +66,7 @@
         self._own = own
         self._configuration = configuration
         self._records = records
+        self._watchers = _KnownWatchers((), ())
 
     def choose(self, instances: Sequence[InstanceEntry]) -> frozenset[ProxyId]:
         """Return the instances to keep in touch with."""
@@ -64,13 +75,38 @@
         groups = self._configuration.list_groups()
         parts = (self._list_partners(group, instances) for group in groups)
         witnesses = _choose_witnesses(self._own.name, instances)
-        return frozenset(chain(witnesses, *parts))
+        watchers = self.list_watchers(instances)
+        return frozenset(chain(witnesses, watchers, *parts))
+
+    def list_watchers(
+        self,
+        instances: Sequence[InstanceEntry],
+    ) -> tuple[ProxyId, ...]:
+        """List who watches the store for the own zone."""
+        if self._watchers.instances is not instances:
+            chosen = choose_watchers(self._own.zone, instances)
+            self._watchers = _KnownWatchers(instances, chosen)
+        return self._watchers.names
+
+    def is_watcher(self, instances: Sequence[InstanceEntry]) -> bool:
+        """Tell whether this instance watches the store itself."""
+        if len(instances) <= SMALL_FLEET:
+            return True
+        # Who may claim a group has to see at once that its owner is gone.
+        if self.is_candidate_of_any():
+            return True
+        return self._own.name in self.list_watchers(instances)
 
     def is_candidate(self, group: GroupId) -> bool:
         """Tell whether this instance may claim a group."""
         record = self._records.find_record(group)
         return record is not None and self._own.name in record.candidates
 
+    def is_candidate_of_any(self) -> bool:
+        """Tell whether this instance may claim any group."""
+        groups = self._configuration.declared.groups
+        return any(map(self.is_candidate, groups))
+
     def _list_partners(
         self,
         group: Group,
@@ -107,6 +143,16 @@
     return ReaderPlan(readers, max(1, open_to_all // len(readers)))
 
 
+def choose_watchers(
+    zone: ZoneId,
+    instances: Iterable[InstanceEntry],
+) -> tuple[ProxyId, ...]:
+    """Choose who watches the store for a zone; all find the same."""
+    members = [entry for entry in instances if entry.zone == zone]
+    ranked = _rank(f'watchers of {zone}', members)
+    return tuple(entry.name for entry in ranked[:WATCHERS_PER_ZONE])
+
+
 def _choose_readers(
     group: GroupId,
     instances: Sequence[InstanceEntry],
--- a/src/sedgeshunt/membership/heartbeats.py
+++ b/src/sedgeshunt/membership/heartbeats.py
@@ -17,6 +17,7 @@
 from sedgeshunt.identifiers import Boottime, GroupId, ProxyId, Seconds
 from sedgeshunt.membership.circle import Circle
 from sedgeshunt.membership.neighbours import Neighbours
+from sedgeshunt.membership.zone_feed import ZoneFeed
 from sedgeshunt.ownership.lease import InstanceLease
 from sedgeshunt.ownership.promises import (
     OUTAGE_PROMISE_TIME,
@@ -63,10 +64,16 @@
         self._releases = releases
         self._decisions = decisions
 
-    def bind(self, neighbours: Neighbours, groups: GroupTable) -> None:
+    def bind(
+        self,
+        neighbours: Neighbours,
+        groups: GroupTable,
+        feed: ZoneFeed,
+    ) -> None:
         """Speak for `groups` and of `neighbours`."""
         self._neighbours = neighbours
         self._groups = groups
+        self._feed = feed
 
     def make_beat(
         self,
@@ -99,7 +106,7 @@
             tuple(self._list_relayed()),
             self._view.revision,
             # A peer that counts on it must hear at once that it is over.
-            not self._lease.is_overdue(),
+            self._lease.has_own_answer(),
             tuple(self._releases.list_own()),
             self._configuration.copy_newer(beat.revision),
         )
@@ -115,7 +122,8 @@
             return FAST_BEATS
         groups = {*owned, *self._list_owned_by(peer)}
         if not groups:
-            return SLOW_BEATS
+            # That the store answers is known by the one alone.
+            return TIP_BEATS if self._feed.is_present(peer) else SLOW_BEATS
         # Promises bind for less than a second.
         is_bound = any(map(self._circle.is_candidate, groups))
         return FAST_BEATS if is_bound else TIP_BEATS
--- a/src/sedgeshunt/membership/isolation.py
+++ b/src/sedgeshunt/membership/isolation.py
@@ -20,6 +20,10 @@
 # heard, was an outage of the store: a reign by lease alone ends within 1 s.
 SUSPECT_FOR = Seconds(2.5)
 
+# By then all to whom the store is lost have missed an answer: renewals are
+# 0.3 s apart. Who has lost it alone is not cut off.
+ASK_FOR = Seconds(1)
+
 
 class Isolation:
     """Notice that neither the store nor any group's owner is reached."""
@@ -55,6 +59,7 @@
         self._is_suspected = False
         self._suspected_since: Monotonic | None = None
         self._asked_at: Monotonic | None = None
+        self._asked_again_at = Monotonic(0)
         self.is_noted = False
 
     def is_isolated(self) -> bool:
@@ -85,16 +90,34 @@
 
     def _misses_store(self) -> bool:
         """Tell whether neither the store nor a peer that has it answers."""
-        if not self._lease.is_overdue():
+        self._lease.look()
+        is_overdue = self._lease.is_overdue()
+        if not (is_overdue or self._lease.is_doubtful()):
             self._asked_at = None
             return False
         if self._asked_at is None:
             # Peers that tell little are asked rarely; now it matters.
             self._asked_at = read_clock()
+            self._asked_again_at = self._asked_at
             self._neighbours.wake_all()
         if read_clock() - self._asked_at < MISSED_AFTER:
             return False
-        return not self._hears_store()
+        self._ask_again()
+        return is_overdue and not self._hears_store()
+
+    def _ask_again(self) -> None:
+        """Ask those who still had the store a moment ago."""
+        # A cut shows to each instance as its next renewal has no answer. A peer
+        # that is asked before its own says that it has the store, and its word
+        # would count until its next heartbeat, up to a second later.
+        now = read_clock()
+        since = now - (self._asked_at or now)
+        if since > ASK_FOR or now - self._asked_again_at < MISSED_AFTER:
+            return
+        self._asked_again_at = now
+        for link in self._neighbours.list_answering():
+            if link.reaches_store:
+                link.wake()
 
     def _has_lost_peers(self) -> bool:
         """Tell whether peers fell silent when the store did."""
--- /dev/null
+++ b/src/sedgeshunt/membership/registration.py
@@ -0,0 +1,34 @@
+"""Tell whether the store lists this process."""
+
+from asyncio import timeout
+from contextlib import suppress
+
+from sedgeshunt.identifiers import Seconds
+from sedgeshunt.ownership.lease import Registration
+from sedgeshunt.registry.entries import InstanceEntry, read_entry
+from sedgeshunt.registry.keys import make_instance_key
+from sedgeshunt.registry.store_view import StoreView
+
+
+class ViewedRegistration(Registration):
+    """Look for this process in the view of the store."""
+
+    def __init__(self, view: StoreView, own: InstanceEntry) -> None:
+        """Look for the entry `own`."""
+        self._view = view
+        self._own = own
+
+    async def wait_known(self, limit: Seconds) -> None:
+        """Wait until it is known what the store holds, or `limit` is over."""
+        with suppress(TimeoutError):
+            async with timeout(limit):
+                await self._view.loaded.wait()
+
+    def is_missing(self) -> bool:
+        """Tell whether the store surely does not list this process."""
+        if not (self._view.is_reached and self._view.loaded.is_set()):
+            return False
+        pair = self._view.get(make_instance_key(self._own.name))
+        if pair is None:
+            return True
+        return read_entry(pair.value, InstanceEntry) != self._own
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -26,9 +26,12 @@
     ZoneId,
 )
 from sedgeshunt.membership.circle import Circle
+from sedgeshunt.membership.feed_desk import FeedDesk
 from sedgeshunt.membership.heartbeats import Heartbeats
 from sedgeshunt.membership.isolation import Isolation
 from sedgeshunt.membership.neighbours import Neighbours
+from sedgeshunt.membership.registration import ViewedRegistration
+from sedgeshunt.membership.zone_feed import ZoneFeed
 from sedgeshunt.metrics import Metrics
 from sedgeshunt.node_settings import NodeSettings
 from sedgeshunt.ownership.claims import ClaimContext
@@ -152,7 +155,10 @@
                 decisions,
             ),
         )
-        self._heartbeats.bind(self._neighbours, self._groups)
+        self._feed = ZoneFeed(self.entry, circle, self._neighbours)
+        self._view.bind(self._feed)
+        self._feeds = FeedDesk(self._view, self._lease)
+        self._heartbeats.bind(self._neighbours, self._groups, self._feed)
         owners = OwnerDirectory(
             self._groups,
             self._neighbours,
@@ -176,16 +182,25 @@
             self._configuration,
             connector,
             store,
+            self._feeds,
+        )
+        self._lease.bind(
+            self._opinions,
+            self._feed,
+            ViewedRegistration(self._view, self.entry),
         )
-        self._lease.bind(self._opinions)
         self._view.listen(self._note_change)
 
     async def run(self) -> None:
         """Run until cancelled."""
         async with TaskGroup() as tasks:
-            tasks.create_task(self._lease.run())
-            tasks.create_task(self._view.run())
-            tasks.create_task(self.isolation.run())
+            for part in (
+                self._lease,
+                self._view,
+                self.isolation,
+                self._feeds,
+            ):
+                tasks.create_task(part.run())
             while True:
                 await self._groups.changed.wait()
                 self._groups.changed.clear()
@@ -229,6 +244,10 @@
         """List the instances that this one keeps in touch with."""
         return self._neighbours.list_known()
 
+    def watches_store(self) -> bool:
+        """Tell whether this instance follows the store itself."""
+        return self._view.is_watching
+
     def measure(self, metrics: Metrics) -> None:
         """Set the levels of this moment."""
         executors = [
@@ -241,6 +260,9 @@
             'groups.owned': owned,
             'peers.answering': len(self._neighbours.list_answering()),
             'store.reached': self._lease.reaches_store(),
+            'store.watched': self._view.is_watching,
+            'store.followers': len(self._view.followers),
+            'store.revision': self._view.revision,
             'zone.isolated': self.isolation.is_isolated(),
             'statements.running': sum(
                 executor.admission.running for executor in executors
@@ -285,7 +307,7 @@
         return find_primary_zone(self._configuration, group)
 
     def _is_checker(self) -> bool:
-        if not self._lease.reaches_store():
+        if not self._lease.has_own_answer():
             return False
         # All keep in touch with owners, and so hear what one of them has seen.
         first = min(self._groups.names(), default=None)
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -37,6 +37,10 @@
 IDLE_LOOK = Seconds(0.25)
 # Each instance that is better placed gets this long to claim first.
 RANK_DELAY = Seconds(0.06)
+# At the first start of all a claim is known everywhere only once the changes
+# of the start have been gathered: with 0.06 s a rank, fifteen others
+# would claim each group in vain.
+FIRST_RANK_DELAY = Seconds(0.6)
 # An heir that was named gets as long as this many others.
 HEIR_RANKS = 5
 # At the first start of all, others register within this time.
@@ -238,7 +242,7 @@
             return absent_for > LONGEST_EXTENSION + OUTAGE_PROMISE_TIME
         if self._free_since is None:
             self._free_since = now
-        return now - self._free_since >= self._find_rank(last) * RANK_DELAY
+        return now - self._free_since >= self._find_delay(record, last)
 
     def _find_bound(self, record: GroupRecord | None) -> ProxyId:
         """Return the latest owner if it may still go on by promises."""
@@ -252,6 +256,15 @@
             return ProxyId('')
         return record.owner
 
+    def _find_delay(
+        self,
+        record: GroupRecord | None,
+        last: ProxyId,
+    ) -> Seconds:
+        """Return for how long others may claim first."""
+        delay = FIRST_RANK_DELAY if record is None else RANK_DELAY
+        return Seconds(self._find_rank(last) * delay)
+
     def _find_rank(self, last: ProxyId) -> int:
         own = self._context.records.owner
         record = self._context.records.find_record(self.group)
@@ -284,6 +297,10 @@
         self,
         candidates: Sequence[ProxyId],
     ) -> OwnerToken | None:
+        if not self._context.lease.is_short():
+            # An owner that is gone has to be missed at once.
+            self._context.lease.shorten()
+            return None
         try:
             return await self._context.records.claim(self.group, candidates)
         except (PlatformUnavailable, LeaseLapsed):
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -1,7 +1,10 @@
 """Hold this instance's lease in the platform's store."""
 
 from abc import ABC, abstractmethod
-from asyncio import create_task, sleep
+from asyncio import Event, create_task, sleep, timeout
+from contextlib import suppress
+
+from msgspec import Struct
 
 from sedgeshunt.clocks import read_boottime
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
@@ -15,12 +18,18 @@
 from sedgeshunt.registry.entries import InstanceEntry, encode_entry
 from sedgeshunt.registry.keys import make_instance_key
 
-# Time without a renewal after which another instance may take over: the
-# store's shortest lease. Two renewals may fail in it.
-LEASE_TIME = Seconds(1)
-RENEW_EVERY = Seconds(0.3)
 # A renewal that failed is tried again after so long.
 RETRY_AFTER = Seconds(0.1)
+# Without any sign of the store for so long it is asked at once, so that its
+# silence shows as soon as to those who renew a short lease.
+ASK_AFTER = Seconds(0.3)
+# An instance that has just been asked to claim a group keeps a short lease for
+# so long; by then the group's record names it.
+SHORT_FOR = Seconds(5)
+# What was registered shows in the view of the store within this time, in calm.
+SHOWN_AFTER = Seconds(2)
+# How long a start waits to know which lease is needed: one listing.
+KNOWN_WITHIN = Seconds(0.3)
 # Without a renewal for so long the store counts as out of reach: two of them
 # are due in this time.
 REACH_LIMIT = Seconds(0.8)
@@ -40,6 +49,47 @@
 DRIFT_MARGIN = Seconds(0.05)
 
 
+class LeaseTerms(Struct, frozen=True):
+    """Say how long a lease lasts and how often it is renewed."""
+
+    time: Seconds
+    renew_every: Seconds
+    retry_after: Seconds
+
+
+# For who owns a group or may claim one: the time without a renewal after which
+# another may take over is the store's shortest. Two renewals may fail in it.
+SHORT_TERMS = LeaseTerms(Seconds(1), Seconds(0.3), RETRY_AFTER)
+# For all others: peers see by their links that one is gone, and its entry only
+# counts it among those who could do something. Two renewals may fail in it.
+# With 195 instances renewals are 140 calls a second of the store, not 650.
+LONG_TERMS = LeaseTerms(Seconds(9), Seconds(3), Seconds(0.5))
+
+
+class StoreWitness(ABC):
+    """Know of the store by others."""
+
+    @abstractmethod
+    def hears_store(self) -> bool:
+        """Tell whether a peer shows at this moment that the store answers."""
+
+    @abstractmethod
+    def may_own(self) -> bool:
+        """Tell whether this instance may claim a group, or owns one."""
+
+
+class Registration(ABC):
+    """Know whether the store lists this instance."""
+
+    @abstractmethod
+    async def wait_known(self, limit: Seconds) -> None:
+        """Wait until it is known what the store holds, or `limit` is over."""
+
+    @abstractmethod
+    def is_missing(self) -> bool:
+        """Tell whether the store surely does not list this process."""
+
+
 class LeaseRelay(ABC):
     """Have a peer that the store answers renew a lease."""
 
@@ -64,23 +114,49 @@
         self._decisions = decisions
         self._held_until = Boottime(0)
         self._renewed_at = Boottime(0)
+        # When a peer last showed that the store answers.
+        self._witnessed_at = Boottime(0)
+        self._terms = LONG_TERMS
+        self._short_until = Boottime(0)
+        self._registered_at = Boottime(0)
+        self._awake = Event()
         # How long the latest renewal took.
         self._answer_time = Seconds(0)
         # Since when a renewal has been under way.
         self._asked_at: Boottime | None = None
         self.is_released = False
         self._relay: LeaseRelay | None = None
+        self._witness: StoreWitness | None = None
+        self._registration: Registration | None = None
 
     def reaches_store(self) -> bool:
         """Tell whether the store has answered of late."""
         return self.measure_silence() < REACH_LIMIT
 
     def measure_silence(self) -> Seconds:
-        """Return for how long the store has not answered a renewal."""
-        return Seconds(read_boottime() - self._renewed_at)
+        """Return for how long nothing has shown that the store answers."""
+        now = read_boottime()
+        if self._hears_store():
+            self._witnessed_at = now
+        return Seconds(now - max(self._renewed_at, self._witnessed_at))
+
+    def has_own_answer(self) -> bool:
+        """Tell whether the store itself has answered of late."""
+        # Peers that are told so rely on it: who knows it from another, which
+        # may have lost the store meanwhile, must not pass it on.
+        own_silence = read_boottime() - self._renewed_at
+        return own_silence < LATE_AFTER and not self.is_overdue()
+
+    def is_doubtful(self) -> bool:
+        """Tell whether the last sign of the store was a peer's, and is over."""
+        if self._hears_store():
+            return False
+        return self._witnessed_at > self._renewed_at
 
     def is_overdue(self) -> bool:
         """Tell whether an answer of the store has not come when it was due."""
+        if self._hears_store():
+            return False
         if not self.is_fresh():
             return True
         asked_at = self._asked_at
@@ -98,9 +174,32 @@
         """Tell whether peers that count as reaching the store truly do."""
         return self.measure_silence() > ALONE_AFTER
 
-    def bind(self, relay: LeaseRelay) -> None:
+    def bind(
+        self,
+        relay: LeaseRelay,
+        witness: StoreWitness,
+        registration: Registration,
+    ) -> None:
         """Use `relay` where the store does not answer."""
         self._relay = relay
+        self._witness = witness
+        self._registration = registration
+
+    def is_short(self) -> bool:
+        """Tell whether the lease ends soon after its holder, as owners need."""
+        return self._terms is SHORT_TERMS
+
+    def shorten(self) -> None:
+        """Take a short lease as soon as the store answers."""
+        self._short_until = Boottime(read_boottime() + SHORT_FOR)
+        self.look()
+
+    def look(self) -> None:
+        """Have the store asked at once where that is needed."""
+        is_silent = self.measure_silence() > ASK_AFTER
+        is_asked = is_silent or self.is_doubtful()
+        if is_asked or self._wants_short() != self.is_short():
+            self._awake.set()
 
     def read_end(self, lease: int) -> Boottime:
         """Return until when `lease` is surely held; 0 if it ended."""
@@ -116,6 +215,8 @@
 
     async def run(self) -> None:
         """Hold a lease until cancelled."""
+        if self._registration is not None:
+            await self._registration.wait_known(KNOWN_WITHIN)
         while True:
             began_at = read_boottime()
             self._asked_at = began_at
@@ -125,13 +226,14 @@
                 # A peer has seen to it: the store, which refuses this instance
                 # or is overloaded, need not be asked again sooner than usual.
                 is_kept = await self._renew_by_relay()
-                await sleep(RENEW_EVERY if is_kept else RETRY_AFTER)
+                terms = self._terms
+                await sleep(terms.renew_every if is_kept else terms.retry_after)
             else:
                 self._asked_at = None
                 # A store that takes long to answer takes none of the time
                 # between two renewals away.
                 spent = read_boottime() - began_at
-                await sleep(max(RETRY_AFTER, RENEW_EVERY - spent))
+                await self._rest(Seconds(self._terms.renew_every - spent))
 
     async def release(self) -> None:
         """End the lease and all keys that are bound to it."""
@@ -146,16 +248,51 @@
             return
         # Counted from before the call: the store counts from its arrival.
         asked_at = read_boottime()
-        if self.id is None:
-            self.id = await self._store.grant_lease(LEASE_TIME)
-            await self._register(self.id)
+        is_short = self._wants_short()
+        if self.id is None or is_short != self.is_short():
+            await self._take_lease(SHORT_TERMS if is_short else LONG_TERMS)
         elif not await self._keep(self.id):
             self._note_lapse()
-            return
+            await self._take_lease(self._terms)
+        elif self._is_missing():
+            # The answer to its registration was lost, or came true late and
+            # under a lease that has ended since.
+            await self._register(self.id)
         self._note_renewal(asked_at)
         self._renewed_at = read_boottime()
         self._answer_time = Seconds(self._renewed_at - asked_at)
 
+    async def _take_lease(self, terms: LeaseTerms) -> None:
+        """Register under a new lease; the one before ends by itself."""
+        lease = await self._store.grant_lease(terms.time)
+        await self._register(lease)
+        self.id = lease
+        self._terms = terms
+        # What holds by the lease before does not hold by this one.
+        self._held_until = Boottime(0)
+
+    def _wants_short(self) -> bool:
+        if read_boottime() < self._short_until:
+            return True
+        return self._witness is None or self._witness.may_own()
+
+    def _hears_store(self) -> bool:
+        return self._witness is not None and self._witness.hears_store()
+
+    def _is_missing(self) -> bool:
+        if self._registration is None or not self._registration.is_missing():
+            return False
+        return read_boottime() - self._registered_at > SHOWN_AFTER
+
+    async def _rest(self, span: Seconds) -> None:
+        """Wait until the next renewal is due, or is needed sooner."""
+        await sleep(RETRY_AFTER)
+        self._awake.clear()
+        self.look()
+        with suppress(TimeoutError):
+            async with timeout(max(0, span - RETRY_AFTER)):
+                await self._awake.wait()
+
     async def _keep(self, lease: int) -> bool:
         """Renew in the store, and by a peer too when this takes long."""
         # A call that hangs until its limit would outlast the lease. So would
@@ -184,7 +321,7 @@
         return is_kept
 
     def _note_renewal(self, asked_at: Boottime) -> None:
-        end = asked_at + LEASE_TIME - DRIFT_MARGIN
+        end = asked_at + self._terms.time - DRIFT_MARGIN
         self._held_until = Boottime(max(self._held_until, end))
 
     async def _register(self, lease: int) -> None:
@@ -193,6 +330,7 @@
             (),
             (Put(key, encode_entry(self._entry), lease),),
         )
+        self._registered_at = read_boottime()
 
     def _note_lapse(self) -> None:
         self._decisions.record(
--- a/src/sedgeshunt/platform/store.py
+++ b/src/sedgeshunt/platform/store.py
@@ -45,6 +45,7 @@
 GONE = 410
 CONFLICT = 412
 MILLISECONDS = 1000
+STALE = '1'
 
 
 class MetadataStore(KeyValueService):
@@ -58,21 +59,33 @@
         """Call another address from the next call on."""
         self._client.move(address)
 
-    async def list_prefix(self, prefix: str) -> Listing:
-        """Read all pairs under `prefix`; raise PlatformUnavailable."""
+    async def list_prefix(
+        self,
+        prefix: str,
+        *,
+        may_be_old: bool = False,
+    ) -> Listing:
+        """Read all pairs under `prefix`; raise PlatformUnavailable.
+
+        A state that `may_be_old` is charged at a tenth, and not against the
+        rate that all proxies share.
+        """
+        asked = {'prefix': prefix}
+        if may_be_old:
+            asked['is_stale'] = STALE
         pairs: list[KeyValue] = []
-        after = ''
+        revisions: list[Revision] = []
         while True:
-            asked = {'prefix': prefix}
-            if after:
-                asked['after'] = after
             document = await self._read('/kv-range', asked, LIST_TIMEOUT)
             page = [_read_item(item) for item in document['items']]
             pairs += page
+            revisions.append(Revision(document['at_revision']))
             if not (document['has_more'] and page):
                 break
-            after = page[-1].key
-        return Listing(Revision(document['at_revision']), pairs)
+            asked['after'] = page[-1].key
+        # The pages are no snapshot: who follows the changes after the oldest
+        # one hears of what changed between them.
+        return Listing(min(revisions), pairs)
 
     async def commit(
         self,
--- a/src/sedgeshunt/ports.py
+++ b/src/sedgeshunt/ports.py
@@ -149,8 +149,16 @@
     """Keep what must last: compare-and-swap, leases and watches."""
 
     @abstractmethod
-    async def list_prefix(self, prefix: str) -> Listing:
-        """Read all pairs under `prefix`; raise PlatformUnavailable."""
+    async def list_prefix(
+        self,
+        prefix: str,
+        *,
+        may_be_old: bool = False,
+    ) -> Listing:
+        """Read all pairs under `prefix`; raise PlatformUnavailable.
+
+        A state that `may_be_old`, by seconds, costs the service less.
+        """
 
     @abstractmethod
     async def commit(
--- a/src/sedgeshunt/registry/store_view.py
+++ b/src/sedgeshunt/registry/store_view.py
@@ -3,12 +3,20 @@
 from asyncio import (
     FIRST_COMPLETED,
     Event,
+    Task,
     TaskGroup,
     create_task,
     sleep,
+    timeout,
     wait,
 )
-from collections.abc import AsyncGenerator, Callable, Sequence
+from collections.abc import (
+    AsyncGenerator,
+    Callable,
+    Coroutine,
+    Iterator,
+    Sequence,
+)
 from contextlib import AsyncExitStack, suppress
 
 from sedgeshunt.clocks import read_clock
@@ -22,55 +30,41 @@
     WatchCompacted,
     WatchEvent,
 )
+from sedgeshunt.registry.changes import ChangeLog, StoreChanges
+from sedgeshunt.registry.feeds import ChangeFeed, Followers, NoFeed
+from sedgeshunt.registry.gathering import Gathering
 
 # Times between attempts at a store that does not answer, in seconds; the
 # longest is short against the 3 s in which a configuration comes into force.
 SHORTEST_PAUSE = Seconds(0.1)
 LONGEST_PAUSE = Seconds(0.8)
 # How often one proxy asks how far the store is, and for how long a watch may
-# be behind that; together they fit into the 3 s of a configuration.
+# be behind that: longer than changes are gathered. Together they fit into the
+# 3 s of a configuration.
 CHECK_EVERY = Seconds(1)
-WATCH_LAG = Seconds(0.3)
-# For how long changes are gathered, at first and at the most: a configuration
-# has 3 s to come into force, and its check takes up to 1.3 s of them. A burst
-# is over after a gap.
-SHORTEST_GATHER = Seconds(0.15)
-LONGEST_GATHER = Seconds(0.6)
-GATHER_GROWTH = 1.5
-BURST_GAP = Seconds(1.5)
+WATCH_LAG = Seconds(0.8)
+# How often a proxy that follows the store itself looks for a peer to do so.
+FEED_LOOK = Seconds(0.25)
+# How long a proxy that is to follow a peer waits for one before it watches the
+# store itself. At the end of an outage each one that does not wait makes a
+# call, and another for each change of the others. It fits into the 3 s of a
+# configuration with the second in which a peer's silence shows.
+FEED_WAIT = Seconds(1)
+# Everything that there is; what concerns nobody here is left out.
+ALL_KEYS = ''
 # A key that is never there: its listing brings the revision alone.
 NO_KEY = 'sedgeshunt/none/'
 
 Listener = Callable[[str], None]
 
 
-class Gathering:
-    """Say how long to gather changes before a watch is armed again."""
-
-    # Each arming is a call of each instance, and changes come in bursts: a
-    # fleet that starts, an instance that is lost with what it owned. The first
-    # changes of a burst are taken in at once, the later ones more together.
-
-    def __init__(self) -> None:
-        """Start with no burst."""
-        self._pause = SHORTEST_GATHER
-        self._noted_at: Monotonic | None = None
-
-    def find_pause(self, now: Monotonic) -> Seconds:
-        """Return how long to wait after changes that came at `now`."""
-        before = self._noted_at
-        self._noted_at = now
-        if before is None or now - before > BURST_GAP:
-            self._pause = SHORTEST_GATHER
-        else:
-            longer = GATHER_GROWTH * self._pause
-            self._pause = Seconds(min(LONGEST_GATHER, longer))
-        return self._pause
-
-
 class StoreView:
     """Hold the store's items as of the newest revision that was seen."""
 
+    # Changes come by a watch of the store or by a peer that has one. Watched by
+    # all, each change would cost a call of every proxy: with N proxies that
+    # start at once, N squared.
+
     def __init__(
         self,
         store: KeyValueService,
@@ -82,19 +76,28 @@
         self.revision = Revision(0)
         self.loaded = Event()
         self.is_reached = False
+        # Changes are brought by the store itself.
+        self.is_watching = False
         self._store = store
         self._prefixes = tuple(prefixes)
         self._decisions = decisions
         # Tells whether it falls to this proxy to ask how far the store is.
         self._is_checker = is_checker
+        self._feed: ChangeFeed = NoFeed()
         self._is_deaf = Event()
         self._newest_elsewhere = Revision(0)
         self._missed_since: Monotonic | None = None
         self._items: dict[str, KeyValue] = {}
+        self._log = ChangeLog()
+        self.followers = Followers(self._log, self._items.values)
         self._listeners: list[Listener] = []
         self._backoff = Backoff(SHORTEST_PAUSE, LONGEST_PAUSE)
         self._gathering = Gathering()
 
+    def bind(self, feed: ChangeFeed) -> None:
+        """Let `feed` bring changes where it offers to."""
+        self._feed = feed
+
     def listen(self, listener: Listener) -> None:
         """Call `listener` with the key of each change, '' after a listing."""
         self._listeners.append(listener)
@@ -155,16 +158,18 @@
                 self._note_reach(is_reached=False, why=str(failure))
                 await sleep(self._backoff.draw())
 
-    async def refresh(self) -> None:
+    async def refresh(self, *, may_be_old: bool = False) -> None:
         """List everything anew; raise PlatformUnavailable."""
-        listed: dict[str, KeyValue] = {}
-        oldest: Revision | None = None
-        for prefix in self._prefixes:
-            listing = await self._store.list_prefix(prefix)
-            listed.update((pair.key, pair) for pair in listing.pairs)
-            # The pages are no snapshot; the watch goes on from the first.
-            oldest = listing.revision if oldest is None else oldest
-        self._replace(listed, oldest or Revision(0))
+        listing = await self._store.list_prefix(ALL_KEYS, may_be_old=may_be_old)
+        # The pages are no snapshot; the watch goes on from the first.
+        self._replace(
+            {
+                pair.key: pair
+                for pair in listing.pairs
+                if pair.key.startswith(self._prefixes)
+            },
+            listing.revision,
+        )
 
     def note(self, pair: KeyValue) -> None:
         """Take in an item that this proxy has just written or read."""
@@ -175,58 +180,135 @@
 
     async def _follow(self) -> None:
         if not self.loaded.is_set():
-            await self.refresh()
+            # At a start an old state will do: what has changed since comes at
+            # once. After a gap it might be older than what is known.
+            await self.refresh(may_be_old=self.revision == 0)
             self.loaded.set()
-        listening = create_task(self._listen())
-        deaf = create_task(self._is_deaf.wait())
+        if self._feed.is_expected():
+            await self._wait_feed()
+        if self._feed.is_offered():
+            await self._follow_peer()
+        else:
+            await self._follow_store()
+
+    async def _follow_peer(self) -> None:
+        """Take in what a peer hands on, until it stops or is behind."""
+        await self._run_until_deaf(self._take_handed())
+        self._feed.distrust()
+
+    async def _follow_store(self) -> None:
+        """Watch the store until a peer offers to, or the watch is behind."""
         try:
-            await wait((listening, deaf), return_when=FIRST_COMPLETED)
-            if listening.done():
-                listening.result()
+            is_behind = await self._run_until_deaf(
+                self._listen(),
+                self._wait_offer(),
+            )
         finally:
-            deaf.cancel()
-            listening.cancel()
+            # Who is handed changes must never hand them on: two that do it
+            # for each other would hear of nothing, and not know it.
+            self.is_watching = False
+            self.followers.end_all()
+        if is_behind:
+            raise WatchCompacted
+
+    async def _run_until_deaf(
+        self,
+        *works: Coroutine[None, None, None],
+    ) -> bool:
+        """Run to the first end; tell whether others were seen to know more."""
         self._is_deaf.clear()
-        raise WatchCompacted
+        tasks = [create_task(work) for work in works]
+        deaf = create_task(self._is_deaf.wait())
+        try:
+            await wait((deaf, *tasks), return_when=FIRST_COMPLETED)
+            for task in filter(Task.done, tasks):
+                task.result()
+        finally:
+            for started in (deaf, *tasks):
+                started.cancel()
+        return self._is_deaf.is_set()
+
+    async def _take_handed(self) -> None:
+        feed = self._feed.open(self.revision)
+        async with AsyncExitStack() as owned:
+            owned.push_async_callback(feed.aclose)
+            async for changes in feed:
+                if not self._take_changes(changes):
+                    return
+
+    def _take_changes(self, changes: StoreChanges) -> bool:
+        """Take in what a peer hands on; tell whether nothing is missing."""
+        if changes.is_whole:
+            if changes.revision > self.revision:
+                self._replace(dict(_list_pairs(changes)), changes.revision)
+            return True
+        if changes.after > self.revision:
+            return False
+        self._take(changes.events, changes.revision)
+        return True
+
+    async def _wait_feed(self) -> None:
+        with suppress(TimeoutError):
+            async with timeout(FEED_WAIT):
+                await self._wait_offer()
+
+    async def _wait_offer(self) -> None:
+        while not self._feed.is_offered():
+            await sleep(FEED_LOOK)
 
     async def _listen(self) -> None:
-        watch = self._store.watch('', self.revision)
+        watch = self._store.watch(ALL_KEYS, self.revision)
+        self.is_watching = True
         async with AsyncExitStack() as owned:
             if isinstance(watch, AsyncGenerator):
                 owned.push_async_callback(watch.aclose)
             async for events in watch:
                 self._note_reach(is_reached=True)
-                self._take(events)
+                newest = max((one.revision for one in events), default=0)
+                self._take(events, Revision(newest))
                 await sleep(self._gathering.find_pause(read_clock()))
 
-    def _take(self, events: Sequence[WatchEvent]) -> None:
-        for event in events:
-            self.revision = Revision(max(self.revision, event.revision))
-            if not event.key.startswith(self._prefixes):
-                continue
-            known = self._items.get(event.key)
-            if known is not None and known.revision >= event.revision:
-                continue
-            if event.value is None:
-                self._items.pop(event.key, None)
-            else:
-                self._items[event.key] = KeyValue(
-                    event.key,
-                    event.value,
-                    event.revision,
-                    event.created,
-                )
-            self._tell(event.key)
+    def _take(self, events: Sequence[WatchEvent], revision: Revision) -> None:
+        relevant = [one for one in events if one.key.startswith(self._prefixes)]
+        self.revision = Revision(max(self.revision, revision))
+        self._log.note(relevant, revision)
+        for event in relevant:
+            self._take_event(event)
+        self.followers.tell()
+
+    def _take_event(self, event: WatchEvent) -> None:
+        known = self._items.get(event.key)
+        if known is not None and known.revision >= event.revision:
+            return
+        if event.value is None:
+            self._items.pop(event.key, None)
+        else:
+            self._items[event.key] = KeyValue(
+                event.key,
+                event.value,
+                event.revision,
+                event.created,
+            )
+        self._tell(event.key)
 
     def _replace(
         self,
         listed: dict[str, KeyValue],
         revision: Revision,
     ) -> None:
-        self._items = listed
+        # What this proxy wrote itself may be newer than the listing.
+        own = {
+            key: pair
+            for key, pair in self._items.items()
+            if pair.revision > revision
+        }
+        self._items.clear()
+        self._items.update(listed | own)
         self.revision = Revision(max(self.revision, revision))
+        self._log.begin(self.revision)
         self._note_reach(is_reached=True)
         self._tell('')
+        self.followers.tell()
 
     def _tell(self, key: str) -> None:
         for listener in self._listeners:
@@ -244,3 +326,12 @@
             else DecisionKind.STORE_LOST
         )
         self._decisions.record(Decision(kind, reasons={'why': why}))
+
+
+def _list_pairs(changes: StoreChanges) -> Iterator[tuple[str, KeyValue]]:
+    for event in changes.events:
+        if event.value is not None:
+            yield (
+                event.key,
+                KeyValue(event.key, event.value, event.revision, event.created),
+            )
--- a/src/sedgeshunt/statements/peer_desk.py
+++ b/src/sedgeshunt/statements/peer_desk.py
@@ -24,11 +24,13 @@
     GroupId,
     Monotonic,
     ProxyId,
+    Revision,
     Seconds,
     TargetId,
     TransactionId,
     ZoneId,
 )
+from sedgeshunt.membership.feed_desk import FeedDesk
 from sedgeshunt.membership.heartbeats import Heartbeats
 from sedgeshunt.membership.neighbours import Neighbours
 from sedgeshunt.ownership.lease import LeaseRelay
@@ -36,6 +38,7 @@
 from sedgeshunt.ownership.records import GroupRecords
 from sedgeshunt.ports import KeyValueService
 from sedgeshunt.registry.configuration import LiveConfiguration
+from sedgeshunt.registry.feeds import ChangeReceiver
 from sedgeshunt.requests.outcome import Answer, Cause, NotRun, Refusal
 from sedgeshunt.statements.call import Access, StatementCall
 from sedgeshunt.statements.owners import OwnerDirectory
@@ -57,8 +60,10 @@
         configuration: LiveConfiguration,
         connector: TargetSessionConnector,
         store: KeyValueService,
+        feeds: FeedDesk,
     ) -> None:
         """Work with what this proxy has."""
+        self._feeds = feeds
         self._groups = groups
         self._owners = owners
         self._heartbeats = heartbeats
@@ -122,6 +127,14 @@
         """Answer a heartbeat."""
         return self._heartbeats.answer(beat)
 
+    def hand_on(self, receive: ChangeReceiver, after: Revision) -> None:
+        """Hand a peer what the store changes after a revision."""
+        self._feeds.hand_on(receive, after)
+
+    def stop_handing(self, receive: ChangeReceiver) -> None:
+        """Hand a peer nothing more."""
+        self._feeds.stop(receive)
+
     async def _relay(
         self,
         call: StatementCall,
--- a/tests/features/fleet_bench.py
+++ b/tests/features/fleet_bench.py
@@ -73,7 +73,12 @@
         self.delays_next = False
         self.swaps_events = False
 
-    async def list_prefix(self, prefix: str) -> Listing:
+    async def list_prefix(
+        self,
+        prefix: str,
+        *,
+        may_be_old: bool = False,
+    ) -> Listing:
         """Read all pairs, from the member that lags if there is one."""
         if self.old_listing is not None:
             return self.old_listing
--- a/tests/features/node_bench.py
+++ b/tests/features/node_bench.py
@@ -157,6 +157,7 @@
         )
         self._clock.start()
         self.store = self.time.run(_make(lambda: KeyValueStandIn(self.network)))
+        self.store.gathers = True
         self.group = StatementGroup(self.network)
         self.listeners: dict[Address, tuple[Place, Handler]] = {}
         self.nodes: dict[str, Node] = {}
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -127,6 +127,8 @@
     Then it is refused as not run within 900 ms
     Given the suspension is over
     Then the group was claimed 2 times
+    When a caller of "settle" at "east-1" runs "WRITE turn 0"
+    Then it is done
     When a caller of "settle" at "east-1" runs "WRITE turn 1" across a suspension
     Then its outcome is unknown
 
--- a/tests/features/specs.feature
+++ b/tests/features/specs.feature
@@ -19,6 +19,7 @@
       | ownership                   | 1700000 |
       | succession                  | 150    |
       | leaders                     | 16000  |
+      | feeds                       | 1600   |
 
   Scenario: Every accepted change can still come into force everywhere
     Then the specification "configuration" can always reach its goal
@@ -123,3 +124,16 @@
       | an owner minds the newest term that the store has noted              | 9     |
       | a promotion is noted together with the newest term that was served   | 14    |
       | a target that was to lead and is lost may have led the next term     | 10    |
+
+  Scenario Outline: Changes that are handed on without one of the safeguards
+    Two proxies watch the store or follow each other; they start anew, stop, and
+    forget what they kept, and what is handed on may be lost.
+    When the handing on of changes lacks "<safeguard>"
+    Then the search breaks "<property>" in <steps> steps
+
+    Examples:
+      | safeguard                                                  | property                                 | steps |
+      | only who watches the store hands changes on                | who is fed is fed by a watcher           | 1     |
+      | who stops watching ends its feeds                          | who is fed is fed by a watcher           | 3     |
+      | who is too far behind gets all items                       | nothing is missed up to what is known    | 5     |
+      | changes that begin later than what is known are refused    | nothing is missed up to what is known    | 8     |
--- a/tests/features/steps/fleets_steps.py
+++ b/tests/features/steps/fleets_steps.py
@@ -105,13 +105,17 @@
 @given('{count:d} proxies in three zones')
 def start_fleet(context: Any, count: int) -> None:
     bench = open_bench(context)
-    names = [
+    bench.start(*name_proxies(count))
+    bench.wait(2)
+    bench.time.watch(context.callers.watch_owners())
+
+
+def name_proxies(count: int) -> list[str]:
+    """Name proxies that are spread over the zones."""
+    return [
         f'{ZONES[number % len(ZONES)]}-{number // len(ZONES)}'
         for number in range(count)
     ]
-    bench.start(*names)
-    bench.wait(2)
-    bench.time.watch(context.callers.watch_owners())
 
 
 @when('callers of "{database}" at every proxy write and read for {seconds:g} s')
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -65,6 +65,8 @@
         # The statement is at the target now, and its answer not here yet.
         await sleep(0.005)
         bench.suspended += SUSPENSION
+        # The store is not suspended: its clock has gone on.
+        bench.store.store.end_leases()
         context.told = await asked
 
     bench.run(suspend())
--- a/tests/features/steps/specs_steps.py
+++ b/tests/features/steps/specs_steps.py
@@ -6,6 +6,7 @@
 
 from tests.specs import (
     configuration_spec,
+    feeds_spec,
     leaders_spec,
     operators_spec,
     ownership_spec,
@@ -33,6 +34,7 @@
     'ownership': ownership_spec.specify_ownership(),
     'succession': succession_spec.specify_succession(),
     'leaders': leaders_spec.specify_leaders(),
+    'feeds': feeds_spec.specify_feeds(),
 }
 
 
@@ -90,6 +92,12 @@
     context.finding = refute(leaders_spec.specify_leaders(removed))
 
 
+@when('the handing on of changes lacks "{safeguard}"')
+def search_feeds(context: Any, safeguard: str) -> None:
+    removed = feeds_spec.Safeguard(safeguard)
+    context.finding = refute(feeds_spec.specify_feeds(removed))
+
+
 @then('the search visits all of at least {states:d} states')
 def check_exhaustive(context: Any, states: int) -> None:
     assert context.finding.is_exhaustive
--- /dev/null
+++ b/tests/features/steps/store_changes_steps.py
@@ -0,0 +1,289 @@
+"""Check that few proxies watch the store for all."""
+
+from asyncio import Queue, create_task
+from collections import Counter
+from collections.abc import AsyncGenerator
+from typing import Any
+
+from behave import given, then, when
+
+from sedgeshunt.decisions import MemoryDecisionLog
+from sedgeshunt.identifiers import Revision, TrafficClass
+from sedgeshunt.ports import WatchEvent
+from sedgeshunt.registry.changes import StoreChanges
+from sedgeshunt.registry.feeds import ChangeFeed
+from sedgeshunt.registry.keys import INSTANCES_PREFIX, OWN_PREFIX
+from sedgeshunt.registry.store_view import StoreView
+from tests.features.node_bench import NodeBench
+from tests.features.node_callers import open_bench
+from tests.features.steps.fleets_steps import name_proxies
+from tests.features.steps.ownership_steps import cut_node, cut_store
+from tests.standins.network import PLATFORM, Network, Place
+from tests.standins.platform import KeyValueStandIn, MemoryKeyValue
+
+# What one call is charged; calls that are not named cost 1. A renewal and a
+# listing that may be old cost a tenth.
+CHARGES = {'keep': 0.1, 'old list': 0.1}
+# Views that run, until their loop ends.
+RUNNING: list[object] = []
+FEED_TIME = 0.5
+OUTAGE_TIME = 4
+NOTHING = Revision(0)
+FIRST_KEY = f'{OWN_PREFIX}a'
+
+
+@when('the calls to the store are counted for {seconds:g} s')
+def count_calls(context: Any, seconds: float) -> None:
+    bench: NodeBench = context.nodes
+    before = Counter(bench.store.counts)
+    bench.wait(seconds)
+    context.charged = _charge(bench.store.counts - before)
+    context.counted_for = seconds
+
+
+@then(
+    'the store was charged at most {most:g} calls a second for each proxy',
+)
+def check_charged(context: Any, most: float) -> None:
+    bench: NodeBench = context.nodes
+    rate = context.charged / context.counted_for / len(bench.nodes)
+    assert rate <= most, rate
+
+
+@given('calls to the store while {few:d} and then {many:d} proxies start')
+def start_both(context: Any, few: int, many: int) -> None:
+    context.per_proxy = [_charge_start(count) for count in (few, many)]
+
+
+@given(
+    'calls to the store after an outage of {few:d} and then of {many:d}'
+    + ' proxies',
+)
+def end_both_outages(context: Any, few: int, many: int) -> None:
+    context.per_proxy = [_charge_outage(count) for count in (few, many)]
+
+
+@then(
+    'the store was charged at most {most:g} times as much for each one of the'
+    + ' {many:d}',
+)
+def check_growth(context: Any, most: float, many: int) -> None:
+    few, more = context.per_proxy
+    assert more <= most * few, context.per_proxy
+
+
+@when('the watchers of "{zone}" {fault}')
+def strike_watchers(context: Any, zone: str, fault: str) -> None:
+    struck = _list_watchers(context, zone)
+    assert len(struck) >= 2, struck
+    for name in struck:
+        _strike(context, name, fault)
+
+
+@then('no proxy that reaches the store lets a caller of "{database}" in')
+def check_dropped(context: Any, database: str) -> None:
+    bench: NodeBench = context.nodes
+    for name, node in bench.nodes.items():
+        if not bench.network.is_cut(PLATFORM, node.place):
+            assert not _lets_in(context, name, database), name
+
+
+@then('no proxy of "{zone}" is ready')
+def check_unready(context: Any, zone: str) -> None:
+    ready = [name for name, is_ready in _list_ready(context, zone) if is_ready]
+    assert not ready, ready
+
+
+@then('every proxy of "{zone}" is ready')
+def check_ready(context: Any, zone: str) -> None:
+    unready = [
+        name for name, is_ready in _list_ready(context, zone) if not is_ready
+    ]
+    assert not unready, unready
+
+
+@then('every proxy is listed')
+def check_listed(context: Any) -> None:
+    bench: NodeBench = context.nodes
+    listed = {
+        pair.key.removeprefix(INSTANCES_PREFIX)
+        for pair in bench.store.store.list_matching(_is_instance).pairs
+    }
+    assert listed == set(bench.nodes), set(bench.nodes) ^ listed
+
+
+@when('the store is cut off from a follower of "{zone}"')
+def cut_follower(context: Any, zone: str) -> None:
+    watching = _list_watchers(context, zone)
+    context.follower = next(
+        name
+        for name in context.nodes.nodes
+        if name.startswith(zone) and name not in watching
+    )
+    cut_store(context, context.follower)
+
+
+@then('it does not let a caller of "{database}" in')
+def check_follower(context: Any, database: str) -> None:
+    assert not _lets_in(context, context.follower, database)
+
+
+@given('the store refuses the next registration')
+def refuse_registration(context: Any) -> None:
+    context.nodes.store.refuse_next_commits(1)
+
+
+@when('"{node}" joins')
+def join(context: Any, node: str) -> None:
+    context.nodes.restart(node)
+
+
+@given('a view that has followed the store to revision {revision:d}')
+def follow_to(context: Any, revision: int) -> None:
+    bench = open_bench(context)
+    context.feed = HandFeed()
+    context.view = bench.run(_start_view(context.feed))
+    event = _change('a', revision)
+    _hand(context, StoreChanges(NOTHING, Revision(revision), (event,)))
+
+
+@when('it is handed what changed from {after:d} to {revision:d}')
+def hand_changes(context: Any, after: int, revision: int) -> None:
+    event = _change('b', revision)
+    _hand(context, StoreChanges(Revision(after), Revision(revision), (event,)))
+
+
+@when('it is handed all items as of revision {revision:d}')
+def hand_all(context: Any, revision: int) -> None:
+    event = _change('c', revision)
+    _hand(
+        context,
+        StoreChanges(NOTHING, Revision(revision), (event,), is_whole=True),
+    )
+
+
+@then('it asks somebody else')
+def check_refused(context: Any) -> None:
+    assert not context.feed.is_trusted
+    assert [pair.key for pair in context.view.list_prefix('')] == [FIRST_KEY]
+    context.feed.is_trusted = True
+
+
+@then('it is at revision {revision:d}')
+def check_revision(context: Any, revision: int) -> None:
+    assert context.view.revision == revision, context.view.revision
+
+
+@then('it has nothing else')
+def check_items(context: Any) -> None:
+    keys = [pair.key for pair in context.view.list_prefix('')]
+    assert keys == [f'{OWN_PREFIX}c'], keys
+
+
+class HandFeed(ChangeFeed):
+    """Hand on what a scenario says."""
+
+    def __init__(self) -> None:
+        """Have nothing yet."""
+        self.handed: Queue[StoreChanges] = Queue()
+        self.is_trusted = True
+
+    def is_expected(self) -> bool:
+        """Tell that it will bring changes."""
+        return True
+
+    def is_offered(self) -> bool:
+        """Tell whether it has brought nothing wrong."""
+        return self.is_trusted
+
+    async def open(self, after: Revision) -> AsyncGenerator[StoreChanges, None]:
+        """Yield what the scenario hands over."""
+        while True:
+            yield await self.handed.get()
+
+    def distrust(self) -> None:
+        """Take in that it is not wanted any more."""
+        self.is_trusted = False
+
+
+async def _start_view(feed: HandFeed) -> StoreView:
+    store = MemoryKeyValue(KeyValueStandIn(Network()), Place('view', 'east'))
+    view = StoreView(store, (OWN_PREFIX,), MemoryDecisionLog(), bool)
+    view.bind(feed)
+    RUNNING.append(create_task(view.run()))
+    return view
+
+
+def _hand(context: Any, changes: StoreChanges) -> None:
+    context.feed.handed.put_nowait(changes)
+    context.nodes.wait(FEED_TIME)
+
+
+def _change(name: str, revision: int) -> WatchEvent:
+    return WatchEvent(f'{OWN_PREFIX}{name}', b'', Revision(revision))
+
+
+def _charge(counts: Counter[str]) -> float:
+    return sum(CHARGES.get(name, 1) * count for name, count in counts.items())
+
+
+def _charge_start(count: int) -> float:
+    bench = NodeBench()
+    try:
+        bench.start(*name_proxies(count))
+        bench.wait(FEED_TIME)
+        return _charge(bench.store.counts) / count
+    finally:
+        bench.close()
+
+
+def _charge_outage(count: int) -> float:
+    bench = NodeBench()
+    try:
+        bench.start(*name_proxies(count))
+        bench.time.act(bench.store.outage)
+        bench.wait(OUTAGE_TIME)
+        bench.time.act(bench.store.recover)
+        before = Counter(bench.store.counts)
+        bench.wait(OUTAGE_TIME)
+        return _charge(bench.store.counts - before) / count
+    finally:
+        bench.close()
+
+
+def _list_watchers(context: Any, zone: str) -> list[str]:
+    return [
+        name
+        for name, node in context.nodes.nodes.items()
+        if name.startswith(zone) and node.service.watches_store()
+    ]
+
+
+def _strike(context: Any, name: str, fault: str) -> None:
+    bench: NodeBench = context.nodes
+    if fault == 'are killed':
+        bench.time.act(bench.nodes.pop(name).kill)
+    elif fault == 'are cut off from the store':
+        cut_store(context, name)
+    elif fault == 'hear nothing more by their watches':
+        bench.store.deaf_clients.add(name)
+    else:
+        cut_node(context, name)
+
+
+def _lets_in(context: Any, name: str, database: str) -> bool:
+    service = context.nodes.nodes[name].service
+    opened = context.nodes.run(service.open_session(TrafficClass(database)))
+    return opened is not None
+
+
+def _list_ready(context: Any, zone: str) -> list[tuple[str, bool]]:
+    return [
+        (name, node.service.is_ready())
+        for name, node in context.nodes.nodes.items()
+        if name.startswith(zone)
+    ]
+
+
+def _is_instance(key: str) -> bool:
+    return key.startswith(INSTANCES_PREFIX)
--- a/tests/standins/keyvalues.py
+++ b/tests/standins/keyvalues.py
@@ -61,8 +61,14 @@
         leases = {change.lease for change in changes if isinstance(change, Put)}
         if not leases <= {None, *self._leases}:
             raise LeaseNotFound('requested lease not found')
-        if not all(map(self._holds, compares)):
-            return CommitResult(succeeded=False, revision=self.revision)
+        demanded = tuple(compares)
+        if not all(map(self._holds, demanded)):
+            keys = {compare.key for compare in demanded}
+            return CommitResult(
+                succeeded=False,
+                revision=self.revision,
+                current=self.list_matching(keys.__contains__).pairs,
+            )
         self._apply(changes)
         return CommitResult(succeeded=True, revision=self.revision)
 
@@ -110,6 +116,11 @@
         self._apply([Delete(key) for key in sorted(ended.keys)])
         return True
 
+    def end_leases(self) -> None:
+        """End all leases, as when nobody has renewed them for long."""
+        for lease in tuple(self._leases):
+            self.revoke_lease(lease)
+
     def _start_timer(self, lease: int, ttl: float) -> TimerHandle:
         return get_running_loop().call_later(ttl, self.revoke_lease, lease)
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -43,10 +43,15 @@
         self._store = service.store
         self._client = client
 
-    async def list_prefix(self, prefix: str) -> Listing:
+    async def list_prefix(
+        self,
+        prefix: str,
+        *,
+        may_be_old: bool = False,
+    ) -> Listing:
         """Read all pairs under `prefix`."""
         return await self._call(
-            'list',
+            'old list' if may_be_old else 'list',
             lambda: self._store.list_matching(_match_prefix(prefix)),
         )
 
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -26,10 +26,15 @@
         # Calls by name, as the service's rates count them.
         self.counts: Counter[str] = Counter()
         self.down = False
+        # A watch brings all that has changed at once, and each time that it
+        # does so counts as a call, as with the users' platform.
+        self.gathers = False
         # Watches hear nothing of what changes.
         self.is_deaf = False
+        self.deaf_clients: set[str] = set()
         self._delay = ANSWER_TIME
         self._answers_to_lose = 0
+        self._commits_to_refuse = 0
         self._tasks: set[Task[object]] = set()
 
     def outage(self) -> None:
@@ -50,6 +55,10 @@
         """Apply the next changes, but let their answers get lost."""
         self._answers_to_lose = count
 
+    def refuse_next_commits(self, count: int) -> None:
+        """Refuse the next changes, and nothing else."""
+        self._commits_to_refuse = count
+
     def cut(self, zone: str) -> None:
         """Let nothing pass between the platform and a zone."""
         self.network.cut(PLATFORM.name, zone)
@@ -77,22 +86,26 @@
         matches: Matcher,
         after: Revision,
     ) -> AsyncIterator[list[WatchEvent]]:
-        """Yield changes past `after`, one list for each revision."""
+        """Yield changes past `after`, one list each or all together."""
         seen = after
         await self.answer(client, 'watch', lambda: None)
         while True:
             if self.down:
                 raise PlatformUnavailable('watch ended')
-            if self.is_deaf:
+            if self.is_deaf or client.name in self.deaf_clients:
                 await self.store.changed.wait()
                 continue
             events = self.store.list_events(seen, matches)
             seen = max(seen, self.store.revision)
             if events:
                 await self.network.cross(PLATFORM, client)
+            if self.gathers and events:
+                yield events
+                self.counts['watch'] += 1
+                continue
             for _, batch in groupby(events, lambda event: event.revision):
                 yield list(batch)
-            if seen == self.store.revision and not self.down:
+            if seen >= self.store.revision and not self.down:
                 await self.store.changed.wait()
 
     async def _answer(
@@ -106,6 +119,9 @@
         self._refuse_when_down()
         await sleep(self._delay)
         self._refuse_when_down()
+        if name == 'commit' and self._commits_to_refuse:
+            self._commits_to_refuse -= 1
+            raise PlatformUnavailable('status 503')
         found = action()
         if name == 'commit' and self._answers_to_lose:
             self._answers_to_lose -= 1
