--- a/tests/features/specs.feature
+++ b/tests/features/specs.feature
@@ -135,5 +135,5 @@
       | safeguard                                                  | property                                 | steps |
       | only who watches the store hands changes on                | who is fed is fed by a watcher           | 1     |
       | who stops watching ends its feeds                          | who is fed is fed by a watcher           | 3     |
-      | who is too far behind gets all items                       | nothing is missed up to what is known    | 5     |
+      | who is too far behind gets all items                       | nothing is missed up to what is known    | 6     |
       | changes that begin later than what is known are refused    | nothing is missed up to what is known    | 8     |
