Count waits for connections together again

Hypothesis: a single statement is refused for a queue of transactions in which it does not stand.

Conclusion: reverted, with its test. Comments on the times of leases name their figures.

--- a/src/sedgeshunt/connections/session_pool.py
+++ b/src/sedgeshunt/connections/session_pool.py
@@ -133,8 +133,6 @@
         self._at_once = at_once
         self._life = life
         self._in_transactions = 0
-        # Those who wait for a connection, transactions apart.
-        self._waiting = {False: 0, True: 0}
         # The target takes no more connections until then than were open.
         self._crowded_until = Monotonic(0)
         self._crowded_share = share
@@ -170,11 +168,10 @@
         """Return how long a new loan would wait for those before it."""
         if self.has_room(is_transaction=is_transaction):
             return Seconds(0)
-        # Each kind waits for its own: transactions that have no room stand in
-        # no statement's way, and what they hold serves none.
-        ahead = self._waiting[is_transaction] + 1
+        ahead = len(self._turns) + 1
+        hands = self._transaction_room if is_transaction else self.share
         usual = self._holding[is_transaction].value
-        return Seconds(ahead * usual / self._count_hands(is_transaction))
+        return Seconds(ahead * usual / max(1, hands))
 
     async def lend(
         self,
@@ -211,11 +208,6 @@
                 ),
             )
 
-    def _count_hands(self, is_transaction: bool) -> int:
-        if is_transaction:
-            return self._transaction_room
-        return max(1, self.share - self._in_transactions)
-
     async def take_back(self, loan: SessionLoan) -> None:
         """Keep a clean session within the share, close any other."""
         session = loan.session
@@ -281,11 +273,7 @@
         is_transaction: bool,
     ) -> SessionLoan:
         while True:
-            self._waiting[is_transaction] += 1
-            try:
-                await self._wait_room(is_transaction)
-            finally:
-                self._waiting[is_transaction] -= 1
+            await self._wait_room(is_transaction)
             # Counted before it is opened: two callers at once would otherwise
             # both see room for one, and the target's limit be overrun.
             self._in_transactions += is_transaction
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -34,13 +34,13 @@
 # are due in this time.
 REACH_LIMIT = Seconds(0.8)
 # Silent for so long, the store is out of reach of this instance alone if a peer
-# still counts as reaching it: in an outage the peer's last renewal came at most
-# RENEW_EVERY later, and its word is a heartbeat old.
+# still counts as reaching it: in an outage the peer's last answer came at most
+# 0.3 s later, and its word is a heartbeat old.
 ALONE_AFTER = Seconds(1.5)
 # The store answers in some milliseconds. A relayed renewal that starts now,
 # after a pause and a call, still comes within the lease.
 RELAY_AFTER = Seconds(0.2)
-# A renewal later than this is late: it is due after RENEW_EVERY and takes some
+# A short renewal later than this is late: it is due after 0.3 s and takes some
 # milliseconds.
 LATE_AFTER = Seconds(0.4)
 # A renewal without an answer for so long is overdue: it takes 4 ms.
--- a/tests/features/load_and_faults.feature
+++ b/tests/features/load_and_faults.feature
@@ -12,16 +12,6 @@
     And 6 others write every 0.1 s for 4 s
     Then at least 98 % of the others' writes were done within 150 ms
 
-  Scenario: Transactions that wait for a connection are in no statement's way
-    A single statement takes one of the connections that are kept for its like.
-    Transactions that found none queue beside it; it was refused for the length
-    of a queue in which it does not stand.
-    Given a pool of 18 connections to a target that runs 3 statements at once
-    And its loans to statements last 0.1 s
-    When 15 transactions and 3 statements hold its connections
-    And 30 transactions wait for one
-    Then a statement is expected to wait at most 0.1 s
-
   Scenario: A rush of transactions leaves nothing behind
     Four times as many callers as the primary has connections begin transactions
     at once. A second after the rush every statement is done as before it.
--- a/tests/features/steps/load_and_faults_steps.py
+++ b/tests/features/steps/load_and_faults_steps.py
@@ -6,27 +6,18 @@
 
 from behave import given, then, when
 
-from sedgeshunt.clocks import read_clock
-from sedgeshunt.configuration.objects import Target
-from sedgeshunt.connections.session_pool import LifeCheck, SessionPool
-from sedgeshunt.connections.target_session import TargetSession
-from sedgeshunt.groups.points import Point
-from sedgeshunt.identifiers import Monotonic, TrafficClass, ZoneId
+from sedgeshunt.identifiers import TrafficClass
 from sedgeshunt.membership.rotation import Rotation
-from tests.features.node_bench import GROUP, HOST, NodeBench
+from tests.features.node_bench import NodeBench
 from tests.features.node_callers import Callers, Told, open_bench
-from tests.standins.network import PLATFORM, Place
+from tests.standins.network import PLATFORM
 from tests.standins.statement_group import CONNECTION_LIMIT, SLOTS
-from tests.standins.statement_sessions import MemoryTargetConnector
 
 MILLISECONDS = 1000
 PERCENT = 100
 STATEMENTS = 5
 # A caller that was refused comes back after so long, in seconds.
 PAUSE = 0.05
-# Loans after which the pool knows how long they last.
-LOANS = 30
-LONG = 60
 
 
 class Rush:
@@ -152,81 +143,6 @@
     assert not late, (len(late), len(refused))
 
 
-@given(
-    'a pool of {share:d} connections to a target that runs {count:d}'
-    + ' statements at once',
-)
-def open_pool(context: Any, share: int, count: int) -> None:
-    bench = open_bench(context)
-    primary = bench.group.find_primary()
-    context.pool = SessionPool(
-        MemoryTargetConnector(bench.group, Place('pool', 'east')),
-        Target(primary.name, GROUP, HOST, primary.port, ZoneId('east')),
-        share,
-        count,
-        AnyLife(),
-    )
-
-
-@given('its loans to statements last {seconds:g} s')
-def hold_loans(context: Any, seconds: float) -> None:
-    async def hold() -> None:
-        loan = (await _lend(context, is_transaction=False)).unwrap()
-        await sleep(seconds)
-        await loan.give_back()
-
-    for _ in range(LOANS):
-        context.nodes.run(hold())
-
-
-@when(
-    '{transactions:d} transactions and {singles:d} statements hold its'
-    + ' connections',
-)
-def take_connections(context: Any, transactions: int, singles: int) -> None:
-    async def take() -> None:
-        for place in range(transactions + singles):
-            is_transaction = place < transactions
-            (await _lend(context, is_transaction=is_transaction)).unwrap()
-
-    context.nodes.run(take())
-
-
-@when('{count:d} transactions wait for one')
-def wait_for_one(context: Any, count: int) -> None:
-    for _ in range(count):
-        context.nodes.time.watch(_lend(context, is_transaction=True))
-    context.nodes.wait(PAUSE)
-
-
-@then('a statement is expected to wait at most {seconds:g} s')
-def check_expected(context: Any, seconds: float) -> None:
-    expected = context.nodes.run(_expect(context.pool))
-    assert 0 < expected <= seconds, expected
-
-
-class AnyLife(LifeCheck):
-    """Take any log for the one that was there."""
-
-    shown = None
-
-    def check_life(self, seen: Point | None, session: TargetSession) -> bool:
-        """Tell that it is."""
-        return True
-
-
-async def _expect(pool: SessionPool) -> float:
-    return pool.expected_wait(is_transaction=False)
-
-
-async def _lend(context: Any, *, is_transaction: bool) -> Any:
-    return await context.pool.lend(
-        {},
-        Monotonic(read_clock() + LONG),
-        is_transaction=is_transaction,
-    )
-
-
 @when('others hold all other connections of the primary')
 def hold_connections(context: Any) -> None:
     context.nodes.group.find_primary().connections = CONNECTION_LIMIT
