--- a/src/sedgeshunt/adapters/forwarding.thrift
+++ b/src/sedgeshunt/adapters/forwarding.thrift
@@ -32,6 +32,11 @@
   16: optional Place after
   17: optional i32 max_age_ms
   18: optional bool is_relayed
+  // In whose name it is made, by a digest of which key, and which version of
+  // the configuration says so.
+  19: optional string customer
+  20: optional string key_digest
+  21: optional i64 version
 }
 
 struct Reply {
@@ -97,6 +102,7 @@
   8: bool reaches_store
   // Groups that the sender owned by a claim, and does not own any more.
   9: optional map<string, i64> released
+  10: optional bool is_packed
 }
 
 // A change of one of the store's items; one without a document was removed.
@@ -105,6 +111,8 @@
   2: optional binary document
   3: i64 revision
   4: i64 created
+  // The document is compressed.
+  5: optional bool is_packed
 }
 
 struct Changes {
@@ -116,6 +124,22 @@
   4: optional bool is_whole
 }
 
+// Operations that a customer wants to begin.
+struct Spend {
+  1: string customer
+  2: i32 wanted
+  // Another counter asks, for its own part of the limit.
+  3: optional bool is_borrowed
+}
+
+struct Spent {
+  1: i32 granted
+  // Until there is room for one more.
+  2: i32 wait_ms
+  // The answering proxy does not count for this customer.
+  3: optional bool is_elsewhere
+}
+
 struct Frame {
   1: i64 number
   2: optional Call call
@@ -135,4 +159,6 @@
   // Hand on what the store changes after this revision.
   11: optional i64 followed_from
   12: optional Changes changes
+  13: optional Spend spend
+  14: optional Spent spent
 }
--- a/src/sedgeshunt/adapters/forwarding_codec.py
+++ b/src/sedgeshunt/adapters/forwarding_codec.py
@@ -22,7 +22,12 @@
     WirePrepared,
     WireReach,
     WireReply,
+    WireSpend,
+    WireSpent,
 )
+from sedgeshunt.adapters.packing import pack, unpack
+from sedgeshunt.customers.counting import Spend, Spent
+from sedgeshunt.customers.directory import Identity
 from sedgeshunt.forwarding.messages import (
     Beat,
     BeatReply,
@@ -33,8 +38,10 @@
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import (
     Boottime,
+    CustomerId,
     GroupId,
     Incarnation,
+    KeyDigest,
     OwnerToken,
     Position,
     ProxyId,
@@ -144,6 +151,8 @@
         changes=(
             None if frame.changes is None else _make_changes(frame.changes)
         ),
+        spend=None if frame.spend is None else _make_spend(frame.spend),
+        spent=None if frame.spent is None else _make_spent(frame.spent),
     )
 
 
@@ -169,6 +178,8 @@
         raw.is_reached,
         None if raw.followed_from is None else Revision(raw.followed_from),
         None if raw.changes is None else _read_changes(raw.changes),
+        None if raw.spend is None else _read_spend(raw.spend),
+        None if raw.spent is None else _read_spent(raw.spent),
     )
 
 
@@ -209,6 +220,9 @@
         after=_make_place(call.after),
         max_age_ms=_count_ms(call.max_age) or None,
         is_relayed=call.is_relayed or None,
+        customer=call.identity.customer or None,
+        key_digest=call.identity.key or None,
+        version=call.identity.version or None,
     )
 
 
@@ -232,9 +246,38 @@
         _read_place(raw.after),
         _read_ms(raw.max_age_ms),
         bool(raw.is_relayed),
+        Identity(
+            CustomerId(raw.customer or ''),
+            KeyDigest(raw.key_digest or ''),
+            raw.version or 0,
+        ),
+    )
+
+
+def _make_spend(spend: Spend) -> Any:
+    return WireSpend(spend.customer, spend.wanted, spend.is_borrowed or None)
+
+
+def _read_spend(raw: Any) -> Spend:
+    return Spend(
+        CustomerId(raw.customer),
+        raw.wanted,
+        bool(raw.is_borrowed),
     )
 
 
+def _make_spent(spent: Spent) -> Any:
+    return WireSpent(
+        spent.granted,
+        _count_ms(spent.wait),
+        spent.is_elsewhere or None,
+    )
+
+
+def _read_spent(raw: Any) -> Spent:
+    return Spent(raw.granted, _read_ms(raw.wait_ms), bool(raw.is_elsewhere))
+
+
 def _make_prepared(prepared: PreparedStatement | None) -> Any:
     if prepared is None:
         return None
@@ -356,6 +399,7 @@
 
 
 def _make_beat_reply(reply: BeatReply) -> Any:
+    document, is_packed = pack(reply.document)
     return WireBeatReply(
         stamp=reply.stamp,
         owned=_make_owned(reply.owned),
@@ -365,7 +409,8 @@
         released=dict(reply.released) or None,
         revision=reply.revision,
         is_stopping=reply.is_stopping,
-        document=reply.document,
+        document=document,
+        is_packed=is_packed or None,
     )
 
 
@@ -382,7 +427,7 @@
             (GroupId(group), claim)
             for group, claim in (raw.released or {}).items()
         ),
-        raw.document,
+        _unpack(raw),
     )
 
 
@@ -407,10 +452,7 @@
     return WireChanges(
         changes.after,
         changes.revision,
-        [
-            WireChange(one.key, one.value, one.revision, one.created)
-            for one in changes.events
-        ],
+        [_make_change(one) for one in changes.events],
         changes.is_whole or None,
     )
 
@@ -422,7 +464,7 @@
         tuple(
             WatchEvent(
                 one.key,
-                one.document,
+                _unpack(one),
                 Revision(one.revision),
                 Revision(one.created),
             )
@@ -430,3 +472,22 @@
         ),
         bool(raw.is_whole),
     )
+
+
+def _make_change(event: WatchEvent) -> Any:
+    document, is_packed = pack(event.value)
+    return WireChange(
+        event.key,
+        document,
+        event.revision,
+        event.created,
+        is_packed or None,
+    )
+
+
+def _unpack(raw: Any) -> bytes | None:
+    return unpack(
+        raw.document,
+        is_packed=bool(raw.is_packed),
+        longest=LONGEST_FRAME,
+    )
--- a/src/sedgeshunt/adapters/forwarding_frames.py
+++ b/src/sedgeshunt/adapters/forwarding_frames.py
@@ -81,6 +81,9 @@
         'after',
         'max_age_ms',
         'is_relayed',
+        'customer',
+        'key_digest',
+        'version',
     )
 
     def __init__(
@@ -103,6 +106,9 @@
         after: Any = None,
         max_age_ms: Any = None,
         is_relayed: Any = None,
+        customer: Any = None,
+        key_digest: Any = None,
+        version: Any = None,
     ) -> None:
         """Leave out what is not given."""
         self.group = group
@@ -123,6 +129,9 @@
         self.after = after
         self.max_age_ms = max_age_ms
         self.is_relayed = is_relayed
+        self.customer = customer
+        self.key_digest = key_digest
+        self.version = version
 
 
 WireCall.thrift_spec = (
@@ -157,6 +166,9 @@
     (16, TType.STRUCT, 'after', [WirePlace, WirePlace.thrift_spec], None),
     (17, TType.I32, 'max_age_ms', None, None),
     (18, TType.BOOL, 'is_relayed', None, None),
+    (19, TType.STRING, 'customer', 'UTF8', None),
+    (20, TType.STRING, 'key_digest', 'UTF8', None),
+    (21, TType.I64, 'version', None, None),
 )
 
 
@@ -363,6 +375,7 @@
         'store_revision',
         'reaches_store',
         'released',
+        'is_packed',
     )
 
     def __init__(
@@ -376,6 +389,7 @@
         store_revision: Any = None,
         reaches_store: Any = None,
         released: Any = None,
+        is_packed: Any = None,
     ) -> None:
         """Leave out what is not given."""
         self.stamp = stamp
@@ -387,6 +401,7 @@
         self.store_revision = store_revision
         self.reaches_store = reaches_store
         self.released = released
+        self.is_packed = is_packed
 
 
 WireBeatReply.thrift_spec = (
@@ -418,6 +433,7 @@
         (TType.STRING, 'UTF8', TType.I64, None, False),
         None,
     ),
+    (10, TType.BOOL, 'is_packed', None, None),
 )
 
 
@@ -429,6 +445,7 @@
         'document',
         'revision',
         'created',
+        'is_packed',
     )
 
     def __init__(
@@ -437,12 +454,14 @@
         document: Any = None,
         revision: Any = None,
         created: Any = None,
+        is_packed: Any = None,
     ) -> None:
         """Leave out what is not given."""
         self.key = key
         self.document = document
         self.revision = revision
         self.created = created
+        self.is_packed = is_packed
 
 
 WireChange.thrift_spec = (
@@ -451,6 +470,7 @@
     (2, TType.STRING, 'document', 'BINARY', None),
     (3, TType.I64, 'revision', None, None),
     (4, TType.I64, 'created', None, None),
+    (5, TType.BOOL, 'is_packed', None, None),
 )
 
 
@@ -493,6 +513,64 @@
 )
 
 
+class WireSpend(TBase):
+    """Hold a message of the kind Spend."""
+
+    __slots__ = (
+        'customer',
+        'wanted',
+        'is_borrowed',
+    )
+
+    def __init__(
+        self,
+        customer: Any = None,
+        wanted: Any = None,
+        is_borrowed: Any = None,
+    ) -> None:
+        """Leave out what is not given."""
+        self.customer = customer
+        self.wanted = wanted
+        self.is_borrowed = is_borrowed
+
+
+WireSpend.thrift_spec = (
+    None,
+    (1, TType.STRING, 'customer', 'UTF8', None),
+    (2, TType.I32, 'wanted', None, None),
+    (3, TType.BOOL, 'is_borrowed', None, None),
+)
+
+
+class WireSpent(TBase):
+    """Hold a message of the kind Spent."""
+
+    __slots__ = (
+        'granted',
+        'wait_ms',
+        'is_elsewhere',
+    )
+
+    def __init__(
+        self,
+        granted: Any = None,
+        wait_ms: Any = None,
+        is_elsewhere: Any = None,
+    ) -> None:
+        """Leave out what is not given."""
+        self.granted = granted
+        self.wait_ms = wait_ms
+        self.is_elsewhere = is_elsewhere
+
+
+WireSpent.thrift_spec = (
+    None,
+    (1, TType.I32, 'granted', None, None),
+    (2, TType.I32, 'wait_ms', None, None),
+    (3, TType.BOOL, 'is_elsewhere', None, None),
+)
+
+
 class WireFrame(TBase):
     """Hold a message of the kind Frame."""
 
@@ -509,6 +587,8 @@
         'is_reached',
         'followed_from',
         'changes',
+        'spend',
+        'spent',
     )
 
     def __init__(
@@ -525,6 +605,8 @@
         is_reached: Any = None,
         followed_from: Any = None,
         changes: Any = None,
+        spend: Any = None,
+        spent: Any = None,
     ) -> None:
         """Leave out what is not given."""
         self.number = number
@@ -539,6 +621,8 @@
         self.is_reached = is_reached
         self.followed_from = followed_from
         self.changes = changes
+        self.spend = spend
+        self.spent = spent
 
 
 WireFrame.thrift_spec = (
@@ -561,4 +645,6 @@
     (10, TType.BOOL, 'is_reached', None, None),
     (11, TType.I64, 'followed_from', None, None),
     (12, TType.STRUCT, 'changes', [WireChanges, WireChanges.thrift_spec], None),
+    (13, TType.STRUCT, 'spend', [WireSpend, WireSpend.thrift_spec], None),
+    (14, TType.STRUCT, 'spent', [WireSpent, WireSpent.thrift_spec], None),
 )
--- a/src/sedgeshunt/configuration/objects.py
+++ b/src/sedgeshunt/configuration/objects.py
@@ -99,6 +99,8 @@
     objective_ms: int = 0
     # Routes with a lower number go first where targets are short.
     priority: int = 1
+    # Callers need no customer's key.
+    allows_anonymous: bool = False
     labels: dict[str, str] = field(default_factory=dict)
 
 
--- a/src/sedgeshunt/connections/session_pool.py
+++ b/src/sedgeshunt/connections/session_pool.py
@@ -23,9 +23,10 @@
     TargetSessionConnector,
 )
 from sedgeshunt.connections.turns import TurnQueue
+from sedgeshunt.customers.directory import NOBODY
 from sedgeshunt.exceptions import TargetBusy, TargetUnreachable
 from sedgeshunt.groups.points import Point
-from sedgeshunt.identifiers import Monotonic, Seconds
+from sedgeshunt.identifiers import CustomerId, Monotonic, Seconds
 from sedgeshunt.limits.average import MovingAverage
 from sedgeshunt.requests.outcome import Cause, NotRun
 from sedgeshunt.statements.statement import PreparedStatement
@@ -49,9 +50,15 @@
 class PooledSession:
     """Hold a session with what is set and prepared on it."""
 
-    def __init__(self, connection: TargetSession) -> None:
+    def __init__(
+        self,
+        connection: TargetSession,
+        customer: CustomerId,
+    ) -> None:
         """Start as a fresh connection: nothing is set."""
         self.connection = connection
+        # In whose name it was opened; it serves nobody else.
+        self.customer = customer
         self.values: dict[str, str] = {}
         self.prepared: set[PreparedStatement] = set()
         # Cleared while an answer is under way: lent again, the next caller
@@ -145,6 +152,8 @@
         self._idle: list[PooledSession] = []
         self._open = 0
         self._turns = TurnQueue()
+        # Connections that were opened, since the pool was made.
+        self.opened = 0
         self._opening: set[Task[TargetSession]] = set()
         self._is_closed = False
 
@@ -178,10 +187,11 @@
         values: Mapping[str, str],
         deadline: Monotonic,
         *,
+        customer: CustomerId = NOBODY,
         is_transaction: bool = False,
         due: Monotonic | None = None,
     ) -> Result[SessionLoan, NotRun]:
-        """Lend a session, best one with `values`, until `deadline` at most.
+        """Lend a customer's session, best one with `values`.
 
         Refuse at once where the answer could not be there when it is `due`.
         """
@@ -192,7 +202,7 @@
             return Err(self._refuse(Cause.OVERLOAD, reason, wait))
         try:
             async with timeout_at(deadline):
-                return Ok(await self._lend(values, is_transaction))
+                return Ok(await self._lend(values, customer, is_transaction))
         except TimeoutError:
             return Err(self._refuse(Cause.DEADLINE, 'no connection was free'))
         except TargetBusy as busy:
@@ -270,6 +280,7 @@
     async def _lend(
         self,
         values: Mapping[str, str],
+        customer: CustomerId,
         is_transaction: bool,
     ) -> SessionLoan:
         while True:
@@ -278,7 +289,7 @@
             # both see room for one, and the target's limit be overrun.
             self._in_transactions += is_transaction
             try:
-                session = await self._take(values)
+                session = await self._take(values, customer)
             except TargetBusy:
                 self._in_transactions -= is_transaction
                 if not self._open:
@@ -300,12 +311,26 @@
         if self._is_closed:
             raise self._describe_end()
 
-    async def _take(self, values: Mapping[str, str]) -> PooledSession:
-        if not self._idle:
-            return await self._connect()
-        session = self._take_idle(values)
-        self._turns.wake_one()
-        return session
+    async def _take(
+        self,
+        values: Mapping[str, str],
+        customer: CustomerId,
+    ) -> PooledSession:
+        session = self._take_idle(values, customer)
+        if session is not None:
+            self._turns.wake_one()
+            return session
+        if self._open >= self._most_open:
+            await self._close_longest_idle()
+        return await self._connect(customer)
+
+    async def _close_longest_idle(self) -> None:
+        # Closed before its successor is opened, on the same way: the target
+        # never has more than the share of them.
+        if self._idle:
+            session = self._idle.pop(0)
+            self._open -= 1
+            await session.connection.close()
 
     @property
     def _most_open(self) -> int:
@@ -321,18 +346,25 @@
         self._crowded_until = Monotonic(read_clock() + CROWDED_TIME)
         get_running_loop().call_later(CROWDED_TIME, self._turns.wake_one)
 
-    def _take_idle(self, values: Mapping[str, str]) -> PooledSession:
+    def _take_idle(
+        self,
+        values: Mapping[str, str],
+        customer: CustomerId,
+    ) -> PooledSession | None:
+        own = [one for one in self._idle if one.customer == customer]
+        if not own:
+            return None
         # The latest one that already has the caller's values saves a round
         # trip; so does one without any, against one that needs a reset.
-        for place in range(len(self._idle) - 1, -1, -1):
-            if self._idle[place].values == values:
-                return self._idle.pop(place)
-        for place in range(len(self._idle) - 1, -1, -1):
-            if not self._idle[place].values:
-                return self._idle.pop(place)
-        return self._idle.pop()
-
-    async def _connect(self) -> PooledSession:
+        session = max(
+            reversed(own),
+            key=lambda one: (one.values == values, not one.values),
+        )
+        self._idle.remove(session)
+        return session
+
+    async def _connect(self, customer: CustomerId) -> PooledSession:
+        self.opened += 1
         self._open += 1
         # Room that came for several at once, as at the end of a crowd, is told
         # to one; without passing it on, the rest would wait for returns, and
@@ -343,6 +375,7 @@
                 self.target,
                 self.target.group,
                 CONNECT_LIMIT,
+                customer,
             ),
         )
         self._opening.add(opening)
@@ -352,7 +385,7 @@
             if not self._life.check_life(seen, connection):
                 await connection.close()
                 raise TargetUnreachable(self.target.name, 'it has lost its log')
-            return PooledSession(connection)
+            return PooledSession(connection, customer)
         except BaseException as failure:
             self._open -= 1
             self._turns.wake_one()
--- a/src/sedgeshunt/connections/target_session.py
+++ b/src/sedgeshunt/connections/target_session.py
@@ -6,8 +6,15 @@
 from msgspec import Struct
 
 from sedgeshunt.configuration.objects import Target
+from sedgeshunt.customers.directory import NOBODY
 from sedgeshunt.groups.points import Point
-from sedgeshunt.identifiers import GroupId, Seconds, StatementId, Term
+from sedgeshunt.identifiers import (
+    CustomerId,
+    GroupId,
+    Seconds,
+    StatementId,
+    Term,
+)
 from sedgeshunt.statements.statement import PreparedStatement
 
 
@@ -165,5 +172,9 @@
         target: Target,
         group: GroupId,
         limit: Seconds,
+        customer: CustomerId = NOBODY,
     ) -> TargetSession:
-        """Open a session; raise TargetUnreachable or TargetBusy."""
+        """Open a session in a customer's name.
+
+        Raise TargetUnreachable or TargetBusy.
+        """
--- /dev/null
+++ b/src/sedgeshunt/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Tell who calls, and how much each customer may ask."""
--- /dev/null
+++ b/src/sedgeshunt/customers/counting.py
@@ -0,0 +1,53 @@
+"""Say how proxies ask each other to count what customers begin."""
+
+from abc import ABC, abstractmethod
+
+from msgspec import Struct
+
+from sedgeshunt.identifiers import CustomerId, ProxyId, Seconds
+
+
+class Spend(Struct, frozen=True):
+    """Ask for room for operations of a customer."""
+
+    customer: CustomerId
+    wanted: int = 1
+    # Another counter asks, for its own part of the limit.
+    is_borrowed: bool = False
+
+
+class Spent(Struct, frozen=True):
+    """Tell how many operations may begin."""
+
+    granted: int
+    # Until there is room for one more.
+    wait: Seconds = Seconds(0)
+    # The answering proxy does not count for this customer.
+    is_elsewhere: bool = False
+
+
+class CounterPlan(Struct, frozen=True):
+    """Hold who counts for the callers of one proxy."""
+
+    # Of the own availability zone, the one to ask first at the beginning.
+    near: tuple[ProxyId, ...]
+    far: tuple[ProxyId, ...]
+    # How much of each limit each counter of the own zone has.
+    part: float
+
+
+class CounterLinks(ABC):
+    """Reach the proxies that count."""
+
+    @abstractmethod
+    def plan(self) -> CounterPlan:
+        """Tell who counts, by the instances that are known now."""
+
+    @abstractmethod
+    async def ask(
+        self,
+        counter: ProxyId,
+        spend: Spend,
+        limit: Seconds,
+    ) -> Spent | None:
+        """Ask a counter; None when it gives no answer within `limit`."""
--- /dev/null
+++ b/src/sedgeshunt/customers/parts.py
@@ -0,0 +1,98 @@
+"""Count what customers begin against this proxy's part of their limits."""
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.customers.borrowing import Borrower
+from sedgeshunt.customers.bucket import TokenBucket
+from sedgeshunt.customers.counting import (
+    CounterLinks,
+    CounterPlan,
+    Spend,
+    Spent,
+)
+from sedgeshunt.customers.directory import CustomerLimit
+from sedgeshunt.identifiers import CustomerId, Monotonic, ProxyId, Seconds
+
+# A part holds at least one operation, or customers of few would never begin.
+SMALLEST_PART = 1
+# Share of the operations over a limit that are allowed, which the parts hold
+# together so that none of them is soon dry; the rest is for changes of who
+# counts.
+SHARE_FOR_PARTS = 0.5
+
+
+class PartCounter:
+    """Keep this proxy's part of each customer's limit."""
+
+    # The parts of all counters sum up to the limit, and a part is spent by its
+    # counter alone; so the limit holds however the network falls apart, and no
+    # two have to agree.
+
+    def __init__(
+        self,
+        own: ProxyId,
+        links: CounterLinks,
+        borrow_limit: Seconds,
+        slack: float = 0,
+    ) -> None:
+        """Count for nobody yet; wait `borrow_limit` for what others lend.
+
+        All proxies together may let `slack` operations more begin than a limit
+        allows.
+        """
+        self._own = own
+        self._links = links
+        self._borrower = Borrower(own, links, borrow_limit)
+        self._slack = slack * SHARE_FOR_PARTS
+        self._counts_since = Monotonic(0)
+        self._is_counter = False
+        self._buckets: dict[CustomerId, TokenBucket] = {}
+
+    async def spend(self, spend: Spend, limit: CustomerLimit | None) -> Spent:
+        """Grant operations of a customer that may ask as much as `limit`."""
+        if limit is None:
+            return Spent(spend.wanted)
+        plan = self.follow()
+        if not self._is_counter:
+            return Spent(0, is_elsewhere=True)
+        bucket = self._find_bucket(spend.customer, limit, plan.part)
+        if spend.is_borrowed:
+            return _lend(bucket, spend)
+        granted = bucket.take(spend.wanted, read_clock())
+        if granted:
+            return Spent(granted)
+        wait = await self._borrower.fill(spend.customer, bucket, plan)
+        granted = bucket.take(spend.wanted, read_clock())
+        return Spent(granted, Seconds(0) if granted else wait)
+
+    def follow(self) -> CounterPlan:
+        """Begin or end counting as the instances change; tell who counts."""
+        plan = self._links.plan()
+        is_counter = self._own in plan.near
+        if is_counter and not self._is_counter:
+            # Whoever counted before may have spent all of this part: a full
+            # bucket would let the same customer begin as much once more.
+            self._buckets.clear()
+            self._counts_since = read_clock()
+        self._is_counter = is_counter
+        return plan
+
+    def _find_bucket(
+        self,
+        customer: CustomerId,
+        limit: CustomerLimit,
+        part: float,
+    ) -> TokenBucket:
+        rate = limit.per_second * part
+        spare = max(SMALLEST_PART, self._slack * part)
+        bucket = self._buckets.get(customer)
+        if bucket is None:
+            # As it would be now, had it been there since this proxy counts.
+            bucket = TokenBucket(rate, spare, self._counts_since)
+            self._buckets[customer] = bucket
+        bucket.resize(rate, limit.burst * part + spare, read_clock())
+        return bucket
+
+
+def _lend(bucket: TokenBucket, spend: Spend) -> Spent:
+    now = read_clock()
+    return Spent(bucket.lend(spend.wanted, now), bucket.find_wait(now))
--- a/src/sedgeshunt/execution/group_table.py
+++ b/src/sedgeshunt/execution/group_table.py
@@ -10,10 +10,17 @@
 from sedgeshunt.execution.group_access import GroupAccess
 from sedgeshunt.execution.keeper_parts import KeeperParts
 from sedgeshunt.execution.primary_probe import PrimaryProbe
-from sedgeshunt.execution.replica_reader import ReplicaReader
+from sedgeshunt.execution.replica_reader import ReplicaReader, list_replicas
 from sedgeshunt.groups.points import Point
-from sedgeshunt.identifiers import Boottime, GroupId, ProxyId, ZoneId
-from sedgeshunt.membership.circle import ReaderPlan, plan_readers
+from sedgeshunt.identifiers import (
+    Boottime,
+    CustomerId,
+    GroupId,
+    ProxyId,
+    ZoneId,
+)
+from sedgeshunt.membership.gathering import count_homes, rank_readers
+from sedgeshunt.membership.readers import ReaderPlan, plan_readers
 from sedgeshunt.ownership.claims import ClaimContext, GroupClaim
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.registry.entries import InstanceEntry
@@ -28,9 +35,16 @@
     limit: int
     plan: ReaderPlan
 
-    def is_for(self, instances: Sequence[InstanceEntry], limit: int) -> bool:
+    def is_for(
+        self,
+        instances: Sequence[InstanceEntry],
+        limit: int,
+        *,
+        gathers: bool,
+    ) -> bool:
         """Tell whether the plan still holds."""
-        return self.instances is instances and self.limit == limit
+        is_same = self.limit == limit and self.plan.gathers == gathers
+        return is_same and self.instances is instances
 
 
 class GroupTable:
@@ -124,29 +138,47 @@
         await self._view.loaded.wait()
         await access.run()
 
-    def _find_share(self, group: Group) -> int:
+    def _find_share(self, group: Group, zone: ZoneId) -> int:
         plan = self._plan_readers(group)
-        return plan.share if self._own.name in plan.readers else 0
+        if self._own.name not in plan.readers.get(self._own.zone, ()):
+            return 0
+        return plan.find_share(self._own.zone, zone)
 
-    def list_readers(self, name: GroupId) -> list[ProxyId]:
+    def list_readers(self, name: GroupId) -> Sequence[ProxyId]:
         """List the instances of the own zone that read a group's replicas."""
         members = self._configuration.find_members(name)
         if members is None:
-            return []
-        plan = self._plan_readers(members.group)
-        return [
-            entry.name
-            for entry in self._claims.list_instances()
-            if entry.zone == self._own.zone and entry.name in plan.readers
-        ]
+            return ()
+        return self._plan_readers(members.group).readers.get(self._own.zone, ())
+
+    def list_homes(
+        self,
+        name: GroupId,
+        customer: CustomerId,
+    ) -> tuple[Sequence[ProxyId], int]:
+        """List where a customer's reads gather, and how many share them."""
+        members = self._configuration.find_members(name)
+        if members is None:
+            return (), 0
+        zones = [known.target.zone for known in list_replicas(members)]
+        readers = self._plan_readers(members.group).readers
+        ranked = rank_readers(name, customer, zones, readers)
+        share = self._configuration.find_part(customer)
+        return ranked, count_homes(share, len(ranked))
 
     def _plan_readers(self, group: Group) -> ReaderPlan:
         # Each read asks; the answer changes with the list of instances.
         instances = self._claims.list_instances()
         limit = group.connection_limit
         known = self._plans.get(group.name)
-        if known is None or not known.is_for(instances, limit):
-            plan = plan_readers(group.name, instances, limit)
+        gathers = self._configuration.has_customers()
+        if known is None or not known.is_for(instances, limit, gathers=gathers):
+            plan = plan_readers(
+                group.name,
+                instances,
+                limit,
+                gathers=gathers,
+            )
             known = _KnownPlan(instances, limit, plan)
             self._plans[group.name] = known
         return known.plan
--- a/src/sedgeshunt/execution/replica_reader.py
+++ b/src/sedgeshunt/execution/replica_reader.py
@@ -90,7 +90,7 @@
         configuration: LiveConfiguration,
         connector: TargetSessionConnector,
         freshness: FreshnessProof,
-        find_share: Callable[[Group], int],
+        find_share: Callable[[Group, ZoneId], int],
     ) -> None:
         """Connect to nothing before the first read."""
         self.group = group
@@ -105,12 +105,27 @@
     async def follow(self) -> None:
         """Take in a new list of targets."""
         members = self._configuration.find_members(self.group)
-        share = 0 if members is None else self._find_share(members.group)
-        listed = _list_replicas(members) if members and share else {}
-        await self._drop_others(listed)
-        for known in listed.values():
+        shares = {} if members is None else self._find_shares(members)
+        await self._drop_others(
+            {known.target.name: known for known, share in shares.values()},
+        )
+        for known, share in shares.values():
             self._keep(known, share)
 
+    def _find_shares(
+        self,
+        members: GroupMembers,
+    ) -> dict[TargetId, tuple[KnownTarget, int]]:
+        shares = (
+            (known, self._find_share(members.group, known.target.zone))
+            for known in list_replicas(members)
+        )
+        return {
+            known.target.name: (known, share)
+            for known, share in shares
+            if share
+        }
+
     async def _drop_others(
         self,
         listed: Mapping[TargetId, KnownTarget],
@@ -186,14 +201,26 @@
     def _keep(self, known: KnownTarget, share: int) -> None:
         name = known.target.name
         if name in self._replicas:
-            self._replicas[name].executor.resize(share)
+            at_once = self._find_concurrency(known, share)
+            self._replicas[name].executor.resize(share, at_once)
         else:
             self._replicas[name] = self._make(known, share)
 
     def _make(self, known: KnownTarget, share: int) -> Replica:
-        executor = TargetExecutor(known.target, self._connector, share, share)
+        executor = TargetExecutor(
+            known.target,
+            self._connector,
+            share,
+            self._find_concurrency(known, share),
+        )
         return Replica(known, executor)
 
+    def _find_concurrency(self, known: KnownTarget, share: int) -> int:
+        # A connection for each customer is more than a target runs at once.
+        if self._configuration.has_customers():
+            return min(share, known.slots)
+        return share
+
     def _refuse(self, reason: str) -> NotRun:
         return NotRun(
             Cause.TOO_STALE,
@@ -202,12 +229,13 @@
         )
 
 
-def _list_replicas(members: GroupMembers) -> dict[TargetId, KnownTarget]:
-    return {
-        known.target.name: known
+def list_replicas(members: GroupMembers) -> list[KnownTarget]:
+    """List the targets that may be read from without being the primary."""
+    return [
+        known
         for known in members.targets
         if not known.leads and not known.target.is_leaving()
-    }
+    ]
 
 
 async def _run_at(
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -146,6 +146,7 @@
         lent = await self.pool.lend(
             call.values,
             deadline,
+            customer=call.identity.customer,
             is_transaction=is_transaction,
             due=self._find_due(call, deadline, came_at),
         )
@@ -335,10 +336,10 @@
         self.failed.set()
         return False
 
-    def resize(self, share: int) -> None:
-        """Change how many connections may be open."""
+    def resize(self, share: int, at_once: int) -> None:
+        """Change how many connections may be open, and statements run."""
         self.pool.resize(share)
-        self.admission.resize(share)
+        self.admission.resize(at_once)
 
     def is_busy(self) -> bool:
         """Tell whether anything is under way at the target."""
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -18,6 +18,7 @@
 from result import Err, Result
 
 from sedgeshunt.clocks import read_boottime, read_clock
+from sedgeshunt.customers.counting import Spend, Spent
 from sedgeshunt.exceptions import PeerUnreachable
 from sedgeshunt.forwarding.channel import FrameChannel, FrameConnector
 from sedgeshunt.forwarding.messages import (
@@ -232,29 +233,31 @@
         limit: Seconds,
     ) -> bool:
         """Ask whether the peer reaches a target that leads its group."""
-        return await self._ask(
-            Frame(0, reach=ReachQuestion(group, target)),
-            limit,
-        )
+        asked = Frame(0, reach=ReachQuestion(group, target))
+        return _is_yes(await self._ask(asked, limit))
 
     async def keep_lease(self, lease: int, limit: Seconds) -> bool:
         """Have the peer renew a lease in the store."""
-        return await self._ask(Frame(0, kept_lease=lease), limit)
+        return _is_yes(await self._ask(Frame(0, kept_lease=lease), limit))
+
+    async def spend(self, spend: Spend, limit: Seconds) -> Spent | None:
+        """Have the peer count operations; None without an answer."""
+        answer = await self._ask(Frame(0, spend=spend), limit)
+        return None if answer is None else answer.spent
 
-    async def _ask(self, question: Frame, limit: Seconds) -> bool:
+    async def _ask(self, question: Frame, limit: Seconds) -> Frame | None:
         channel = self._channel
         if channel is None:
-            return False
+            return None
         number, reply = self._expect()
         channel.send(replace(question, number=number))
         try:
             async with timeout_at(read_clock() + limit):
-                frame = await reply
+                return await reply
         except (TimeoutError, PeerUnreachable):
-            return False
+            return None
         finally:
             self._waiting.pop(number, None)
-        return bool(frame.is_reached)
 
     async def follow_changes(
         self,
@@ -414,3 +417,7 @@
         if call.kind is CallKind.READ:
             return NotRun(cause, text, RETRY_AFTER)
         return Unknown(cause, text)
+
+
+def _is_yes(answer: Frame | None) -> bool:
+    return answer is not None and bool(answer.is_reached)
--- a/src/sedgeshunt/forwarding/messages.py
+++ b/src/sedgeshunt/forwarding/messages.py
@@ -3,6 +3,7 @@
 from msgspec import Struct
 from result import Result
 
+from sedgeshunt.customers.counting import Spend, Spent
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import (
     Boottime,
@@ -90,3 +91,6 @@
     followed_from: Revision | None = None
     # What it hands on, under the number of that frame.
     changes: StoreChanges | None = None
+    # Operations that a customer wants to begin, and the answer to it.
+    spend: Spend | None = None
+    spent: Spent | None = None
--- a/src/sedgeshunt/forwarding/server.py
+++ b/src/sedgeshunt/forwarding/server.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from sedgeshunt.clocks import read_clock
+from sedgeshunt.customers.counting import Spend, Spent
 from sedgeshunt.execution.transactions import TransactionBook
 from sedgeshunt.forwarding.channel import FrameChannel
 from sedgeshunt.forwarding.messages import (
@@ -64,6 +65,10 @@
     async def keep_lease(self, lease: int) -> bool:
         """Renew a peer's lease in the store; tell whether it goes on."""
 
+    @abstractmethod
+    async def count(self, spend: Spend) -> Spent:
+        """Count what a customer wants to begin at a peer."""
+
     @abstractmethod
     def answer_beat(self, beat: Beat) -> BeatReply:
         """Answer a heartbeat."""
@@ -124,6 +129,8 @@
             tasks.create_task(self._answer_reach(number, frame.reach))
         if frame.kept_lease is not None:
             tasks.create_task(self._answer_keep(number, frame.kept_lease))
+        if frame.spend is not None:
+            tasks.create_task(self._answer_spend(number, frame.spend))
         if frame.undone is not None:
             tasks.create_task(
                 self._desk.end_transaction(frame.undone, self._book),
@@ -160,6 +167,10 @@
         is_kept = await self._desk.keep_lease(lease)
         self._channel.send(Frame(number, is_reached=is_kept))
 
+    async def _answer_spend(self, number: int, spend: Spend) -> None:
+        spent = await self._desk.count(spend)
+        self._channel.send(Frame(number, spent=spent))
+
     async def _run(self, number: int, call: StatementCall) -> None:
         try:
             deadline = Monotonic(read_clock() + call.time_left)
--- a/src/sedgeshunt/identifiers.py
+++ b/src/sedgeshunt/identifiers.py
@@ -10,6 +10,9 @@
 RequestId = NewType('RequestId', str)
 TraceId = NewType('TraceId', str)
 ChangeId = NewType('ChangeId', str)
+CustomerId = NewType('CustomerId', str)
+# What is kept of a customer's key: enough to compare, of no use to call with.
+KeyDigest = NewType('KeyDigest', str)
 
 Term = NewType('Term', int)
 Position = NewType('Position', int)
--- a/src/sedgeshunt/membership/neighbours.py
+++ b/src/sedgeshunt/membership/neighbours.py
@@ -51,6 +51,11 @@
         self._events = events
         self._known: dict[ProxyId, _Neighbour] = {}
 
+    @property
+    def own_name(self) -> ProxyId:
+        """Return the name of this instance."""
+        return self._own.name
+
     def list_instances(self) -> list[InstanceEntry]:
         """List the instances that hold a lease, this one included."""
         # Read once for each change: a large fleet's list takes milliseconds.
--- /dev/null
+++ b/src/sedgeshunt/membership/readers.py
@@ -0,0 +1,82 @@
+"""Choose who reads a group's replicas, with how many connections."""
+
+from collections.abc import Mapping, Sequence
+from functools import partial
+from itertools import chain
+
+from msgspec import Struct
+
+from sedgeshunt.identifiers import GroupId, ProxyId, ZoneId
+from sedgeshunt.membership.drawing import rank_instances, sort_by_zone
+from sedgeshunt.registry.entries import InstanceEntry
+
+# Instances of each zone that read a group's replicas at the most: one may be
+# gone and another be stopping.
+READERS_PER_ZONE = 3
+# Where each connection serves one customer alone, more hands would each need
+# one for the same customer; one of two may be gone.
+GATHERING_READERS = 2
+# Connections that a reader needs to each replica: an open transaction keeps one
+# for hundreds of milliseconds, and reads behind it wait.
+SMALLEST_SHARE = 3
+# Connections to each target that are left for its owner's questions and for
+# instances that have just come.
+RESERVED_CONNECTIONS = 4
+# Connections of a reader to a replica of another zone, for when those of that
+# zone are not reached: one for a transaction, one for single statements.
+AWAY_SHARE = 2
+
+
+class ReaderPlan(Struct, frozen=True):
+    """Hold who reads a group's replicas, with how many connections each."""
+
+    readers: Mapping[ZoneId, tuple[ProxyId, ...]]
+    # Connections to each replica for all readers together.
+    open_to_all: int
+    # Most connections to a replica belong to the readers of its own zone.
+    gathers: bool = False
+
+    def list_names(self) -> tuple[ProxyId, ...]:
+        """List the readers of all zones."""
+        return tuple(chain.from_iterable(self.readers.values()))
+
+    def find_share(self, reader: ZoneId, target: ZoneId) -> int:
+        """Return a reader's connections to a replica, by their zones."""
+        near = len(self.readers.get(target, ()))
+        count = len(self.list_names())
+        away = count - near
+        for_near = self.open_to_all - away * AWAY_SHARE
+        if not (self.gathers and near and for_near > near * AWAY_SHARE):
+            return max(1, self.open_to_all // max(1, count))
+        return for_near // near if reader == target else AWAY_SHARE
+
+
+def plan_readers(
+    group: GroupId,
+    instances: Sequence[InstanceEntry],
+    limit: int,
+    *,
+    gathers: bool = False,
+) -> ReaderPlan:
+    """Choose who reads replicas that take `limit` connections each.
+
+    Each instance finds the same by itself; one that comes or goes changes the
+    readers of its own zone only.
+    """
+    open_to_all = max(1, limit - RESERVED_CONNECTIONS)
+    zones = sort_by_zone(instances)
+    per_zone = GATHERING_READERS if gathers else READERS_PER_ZONE
+    if zones:
+        most = open_to_all // SMALLEST_SHARE // len(zones)
+        per_zone = min(per_zone, max(1, most))
+    chosen = map(partial(_choose_readers, group, per_zone), zones.values())
+    return ReaderPlan(dict(zip(zones, chosen)), open_to_all, gathers)
+
+
+def _choose_readers(
+    group: GroupId,
+    per_zone: int,
+    members: Sequence[InstanceEntry],
+) -> tuple[ProxyId, ...]:
+    ranked = rank_instances(f'readers of {group}', members)
+    return tuple(entry.name for entry in ranked[:per_zone])
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -4,8 +4,13 @@
 from contextlib import suppress
 from secrets import token_hex
 
+from result import Err, Ok, Result
+
 from sedgeshunt.clocks import PROCESS_STARTED_AT, read_clock
 from sedgeshunt.connections.target_session import TargetSessionConnector
+from sedgeshunt.customers.directory import NO_KEY
+from sedgeshunt.customers.gate import CountedGate
+from sedgeshunt.customers.parts import PartCounter
 from sedgeshunt.decisions import DecisionLog
 from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
 from sedgeshunt.execution.group_access import GroupAccess
@@ -19,6 +24,7 @@
     Boottime,
     GroupId,
     Incarnation,
+    KeyDigest,
     Monotonic,
     ProxyId,
     Seconds,
@@ -26,6 +32,7 @@
     ZoneId,
 )
 from sedgeshunt.membership.circle import Circle
+from sedgeshunt.membership.counters import BORROW_LIMIT, LinkedCounters
 from sedgeshunt.membership.feed_desk import FeedDesk
 from sedgeshunt.membership.heartbeats import Heartbeats
 from sedgeshunt.membership.isolation import Isolation
@@ -49,7 +56,12 @@
 from sedgeshunt.statements.owners import OwnerDirectory
 from sedgeshunt.statements.peer_desk import HeardOpinions, LocalDesk
 from sedgeshunt.statements.records import StatementRecorder
-from sedgeshunt.statements.session import StatementSession
+from sedgeshunt.requests.outcome import Rejected
+from sedgeshunt.statements.session import (
+    NO_CUSTOMER,
+    NO_DATABASE,
+    StatementSession,
+)
 
 # How long a stopping proxy waits for others to claim its groups.
 HANDOVER_LIMIT = Seconds(1)
@@ -175,6 +187,23 @@
             decisions,
         )
         self._dispatcher = Dispatcher(owners)
+        self._counters = LinkedCounters(
+            self.entry,
+            settings.list_zones(),
+            self._neighbours,
+        )
+        self._counter = PartCounter(
+            self.entry.name,
+            self._counters,
+            BORROW_LIMIT,
+            settings.bounds.customer_slack,
+        )
+        self._gate = CountedGate(
+            self.entry.name,
+            self._counters,
+            self._counter,
+            self._configuration.find_limit,
+        )
         self._desk = LocalDesk(
             self._groups,
             owners,
@@ -183,6 +212,7 @@
             connector,
             store,
             self._feeds,
+            self._gate,
         )
         self._lease.bind(
             self._opinions,
@@ -218,18 +248,28 @@
     async def open_session(
         self,
         database: TrafficClass,
-    ) -> StatementSession | None:
-        """Open a caller's session, None when no route leads there."""
+        key: KeyDigest = NO_KEY,
+    ) -> Result[StatementSession, Rejected]:
+        """Open a caller's session if a route leads there and its key does."""
         await self._configuration.wait_loaded()
-        if self._configuration.find_route(database) is None:
-            return None
+        route = self._configuration.find_route(database)
+        if route is None:
+            reason = f'no route leads to {database}'
+            return Err(Rejected(0, NO_DATABASE, reason))
+        if self._configuration.identify(key, route) is None:
+            reason = f"the key {key} is no customer's; use one that is"
+            return Err(Rejected(0, NO_CUSTOMER, reason))
         self._sessions += 1
-        return StatementSession(
-            database,
-            f'{self.entry.name}-{self.entry.incarnation}-{self._sessions}',
-            self._configuration,
-            self._dispatcher,
-            self._recorder,
+        return Ok(
+            StatementSession(
+                database,
+                key,
+                f'{self.entry.name}-{self.entry.incarnation}-{self._sessions}',
+                self._configuration,
+                self._dispatcher,
+                self._gate,
+                self._recorder,
+            ),
         )
 
     def find_access(self, group: GroupId) -> GroupAccess | None:
@@ -331,6 +371,7 @@
         return link is not None and link.reaches_store
 
     def _note_change(self, key: str) -> None:
+        self._counter.follow()
         self._groups.changed.set()
         self._heartbeats.owners_changed.notify()
         if key.startswith(OWNERS_PREFIX):
--- a/src/sedgeshunt/node_settings.py
+++ b/src/sedgeshunt/node_settings.py
@@ -75,6 +75,8 @@
 
     drain_ms: Span = 7000
     configuration_ms: Span = 3000
+    # Operations over a customer's limit that all proxies together may begin.
+    customer_slack: Span = 0
 
 
 class NodeSettings(Struct, frozen=True):
@@ -92,6 +94,8 @@
     # Where metrics are read; they are not served without it.
     metrics: Listener | None = None
     grace_seconds: Span = 6
+    # All availability zones of the deployment, whether up or not.
+    zones: list[Name] = []
 
     @property
     def proxy(self) -> ProxyId:
@@ -103,6 +107,10 @@
         """Return the availability zone as an identifier."""
         return ZoneId(self.zone)
 
+    def list_zones(self) -> list[ZoneId]:
+        """Return the availability zones as identifiers."""
+        return [ZoneId(zone) for zone in self.zones]
+
     @property
     def grace(self) -> Seconds:
         """Return how long a graceful stop may take."""
--- a/src/sedgeshunt/platform/callers.py
+++ b/src/sedgeshunt/platform/callers.py
@@ -14,11 +14,17 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from sedgeshunt.adapters.sockets import watch_silence
 from sedgeshunt.connections.target_session import SessionPhase
-from sedgeshunt.identifiers import Seconds, StatementId, TrafficClass
+from sedgeshunt.customers.directory import digest_key
+from sedgeshunt.identifiers import (
+    KeyDigest,
+    Seconds,
+    StatementId,
+    TrafficClass,
+)
 from sedgeshunt.platform.lines import (
     LONGEST_MESSAGE,
     MessageMalformed,
@@ -31,7 +37,7 @@
 from sedgeshunt.platform.refusals import name_refusal
 from sedgeshunt.platform.statements import read_statement
 from sedgeshunt.ports import Address
-from sedgeshunt.requests.outcome import Answer, Refusal
+from sedgeshunt.requests.outcome import Answer, Refusal, Rejected
 from sedgeshunt.statements.session import StatementSession
 
 NO_SIGNATURE = '-'
@@ -50,8 +56,10 @@
     SessionPhase.FAILED: 'E',
 }
 
-# Returns None when no route leads to the database.
-OpenSession = Callable[[TrafficClass], Awaitable[StatementSession | None]]
+OpenSession = Callable[
+    [TrafficClass, KeyDigest],
+    Awaitable[Result[StatementSession, Rejected]],
+]
 
 
 class CallerServer:
@@ -225,6 +233,8 @@
             if word != 'QUERY':
                 raise MessageMalformed(f'"{word[:20]}" is no message')
             await self._answer(session, rest)
+            if session.is_shut_out:
+                return
 
     async def _read_next(self) -> str | None:
         if self._must_end():
@@ -242,11 +252,11 @@
         line = await read_line(self._reader)
         if line is None:
             return None
-        database = _read_start(line)
-        session = await self._open_session(database)
-        if session is None:
-            self._say_error('NODB', f'no route leads to {database}')
+        opened = await self._open_session(*_read_start(line))
+        if isinstance(opened, Err):
+            self._say_error(*name_refusal(opened.err_value))
             return None
+        session = opened.ok_value
         self._session = session
         await self._send(make_line('READY', 'I', NO_POINT))
         return session
@@ -279,11 +289,11 @@
             self._writer.write(make_line('ERROR', code, reason))
 
 
-def _read_start(line: str) -> TrafficClass:
-    word, database, _ = split_line(line, 2)
+def _read_start(line: str) -> tuple[TrafficClass, KeyDigest]:
+    word, database, key = split_line(line, 2)
     if word != 'START' or not database:
         raise MessageMalformed('a session begins with START')
-    return TrafficClass(database)
+    return TrafficClass(database), digest_key(key)
 
 
 def _make_messages(
--- a/src/sedgeshunt/platform/documents.py
+++ b/src/sedgeshunt/platform/documents.py
@@ -15,8 +15,17 @@
     Route,
     Target,
 )
+from sedgeshunt.customers.directory import (
+    Customer,
+    CustomerDirectory,
+    CustomerInvalid,
+    CustomerLimit,
+    digest_key,
+    make_directory,
+)
 from sedgeshunt.exceptions import SedgeshuntError
 from sedgeshunt.identifiers import (
+    CustomerId,
     GroupId,
     TargetId,
     TargetLife,
@@ -72,6 +81,7 @@
     target_latency_ms: int = 0
     priority: int = 1
     max_staleness_ms: int = 0
+    allow_anonymous: bool = False
 
 
 class _Service(Struct):
@@ -84,11 +94,20 @@
     tx_idle_ms: int = 0
 
 
+class _Tenant(Struct):
+    name: str
+    api_keys: list[str] = field(default_factory=list)
+    rate_per_s: float | None = None
+    burst: float | None = None
+
+
 class _Configuration(Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = field(default_factory=_Limits)
+    # Left out where the platform knows no customers.
+    tenants: list[_Tenant] | None = None
 
 
 class _Server(Struct):
@@ -120,6 +139,7 @@
             read.version,
             {group.name: group for group in groups},
             {route.traffic_class: route for route in _make_routes(read.routes)},
+            _make_customers(pair.key, read.tenants),
         )
 
     def read_target(self, pair: KeyValue) -> KnownTarget:
@@ -191,4 +211,34 @@
             consistency=consistency,
             objective_ms=route.target_latency_ms,
             priority=route.priority,
+            allows_anonymous=route.allow_anonymous,
         )
+
+
+def _make_customers(
+    key: str,
+    tenants: Iterable[_Tenant] | None,
+) -> CustomerDirectory | None:
+    if tenants is None:
+        return None
+    try:
+        return make_directory(map(_make_customer, tenants))
+    except CustomerInvalid as invalid:
+        raise DocumentUnreadable(key, invalid.format_message()) from invalid
+
+
+def _make_customer(tenant: _Tenant) -> Customer:
+    return Customer(
+        CustomerId(tenant.name),
+        tuple(map(digest_key, tenant.api_keys)),
+        _make_limit(tenant),
+    )
+
+
+def _make_limit(tenant: _Tenant) -> CustomerLimit | None:
+    rate, burst = tenant.rate_per_s, tenant.burst
+    if rate is None and burst is None:
+        return None
+    if rate is None or burst is None:
+        raise CustomerInvalid(tenant.name, 'give it a rate and a burst')
+    return CustomerLimit(rate, burst)
--- a/src/sedgeshunt/platform/refusals.py
+++ b/src/sedgeshunt/platform/refusals.py
@@ -8,6 +8,7 @@
     Cause.TOO_STALE: 'LAGGING',
     Cause.SUPERSEDED: 'READONLY',
     Cause.NO_PRIMARY: 'READONLY',
+    Cause.CUSTOMER_LIMIT: 'TOOMANY',
 }
 OTHER_PROMISE = 'BUSY'
 UNKNOWN = 'UNKNOWN'
@@ -17,6 +18,7 @@
     'malformed': 'MALFORMED',
     'no-statement': 'NOSTMT',
     'no-database': 'NODB',
+    'no-customer': 'NOAUTH',
 }
 
 
--- a/src/sedgeshunt/platform/targets.py
+++ b/src/sedgeshunt/platform/targets.py
@@ -15,6 +15,7 @@
     TargetSession,
     TargetSessionConnector,
 )
+from sedgeshunt.customers.directory import NOBODY
 from sedgeshunt.exceptions import (
     TargetBusy,
     TargetGone,
@@ -22,7 +23,13 @@
     TargetUnreachable,
 )
 from sedgeshunt.groups.points import ORIGIN, Point
-from sedgeshunt.identifiers import GroupId, Seconds, StatementId, Term
+from sedgeshunt.identifiers import (
+    CustomerId,
+    GroupId,
+    Seconds,
+    StatementId,
+    Term,
+)
 from sedgeshunt.platform.lines import (
     BLANK,
     LONGEST_MESSAGE,
@@ -41,7 +48,7 @@
 )
 from sedgeshunt.statements.statement import PreparedStatement
 
-# Who connects; the databases take any word.
+# Who connects where no customer does.
 CALLER = 'sedgeshunt'
 PRIMARY_ROLE = 'primary'
 
@@ -107,10 +114,12 @@
         self._reader = reader
         self._writer = writer
 
-    async def start(self, group: GroupId) -> None:
-        """Say who is meant; raise TargetBusy, TargetUnreachable."""
+    async def start(self, group: GroupId, customer: CustomerId) -> None:
+        """Say who is meant and for whom; raise as connect() does."""
         target = self._target.name
-        self._writer.write(make_line('START', group, CALLER, target))
+        self._writer.write(
+            make_line('START', group, customer or CALLER, target)
+        )
         try:
             reply = await self._read_reply()
         except TargetLost as lost:
@@ -240,16 +249,22 @@
         target: Target,
         group: GroupId,
         limit: Seconds,
+        customer: CustomerId = NOBODY,
     ) -> TargetSession:
         """Open a session; raise TargetUnreachable or TargetBusy."""
         try:
             async with timeout(limit):
-                return await self._connect(target, group)
+                return await self._connect(target, group, customer)
         except (OSError, TimeoutError) as failure:
             reason = str(failure) or f'no answer in {limit} s'
             raise TargetUnreachable(target.name, reason) from failure
 
-    async def _connect(self, target: Target, group: GroupId) -> TargetSession:
+    async def _connect(
+        self,
+        target: Target,
+        group: GroupId,
+        customer: CustomerId,
+    ) -> TargetSession:
         reader, writer = await open_connection(
             target.host,
             target.port,
@@ -258,7 +273,7 @@
         watch_silence(writer)
         session = WireTargetSession(target, reader, writer)
         try:
-            await session.start(group)
+            await session.start(group, customer)
         except BaseException:
             with suppress(OSError):
                 writer.transport.abort()
--- a/src/sedgeshunt/registry/changes.py
+++ b/src/sedgeshunt/registry/changes.py
@@ -46,6 +46,11 @@
         while len(self._events) > MOST_CHANGES:
             self._begins_after = self._events.popleft().revision
 
+    def measure_latest(self) -> int:
+        """Return how many bytes the latest change brought."""
+        latest = self._events[-1].value if self._events else None
+        return 0 if latest is None else len(latest)
+
     def list_since(
         self,
         revision: Revision,
--- a/src/sedgeshunt/registry/configuration.py
+++ b/src/sedgeshunt/registry/configuration.py
@@ -3,10 +3,23 @@
 from asyncio import Event
 from collections.abc import Callable
 
+from sedgeshunt.clocks import read_boottime
 from sedgeshunt.configuration.objects import Group, Route
+from sedgeshunt.customers.directory import (
+    NOBODY,
+    CustomerLimit,
+    Identity,
+)
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
 from sedgeshunt.exceptions import SedgeshuntError
-from sedgeshunt.identifiers import GroupId, Revision, TrafficClass
+from sedgeshunt.identifiers import (
+    Boottime,
+    CustomerId,
+    GroupId,
+    KeyDigest,
+    Revision,
+    TrafficClass,
+)
 from sedgeshunt.ports import KeyValue
 from sedgeshunt.registry.directory import (
     Declared,
@@ -14,6 +27,7 @@
     KnownTarget,
     PlatformDocuments,
 )
+from sedgeshunt.registry.feeds import LONGEST_SPREAD
 from sedgeshunt.registry.store_view import StoreView
 
 NAME_SELECTOR = 'name='
@@ -32,6 +46,7 @@
         self.declared = Declared()
         # The item that is in force, for peers that the store does not serve.
         self.source: KeyValue | None = None
+        self._taken_at = Boottime(0)
         self._view = view
         self._documents = documents
         self._decisions = decisions
@@ -56,9 +71,13 @@
         return Revision(0) if self.source is None else self.source.revision
 
     def copy_newer(self, known: Revision) -> bytes | None:
-        """Return the document in force if it is newer than `known`."""
+        """Return the document in force if a peer that has `known` lacks it."""
         if self.source is None or self.source.revision <= known:
             return None
+        # Followers are handed it one after the other; each of their peers
+        # would else send it to them meanwhile.
+        if known and read_boottime() - self._taken_at < LONGEST_SPREAD:
+            return None
         return self.source.value
 
     async def wait_loaded(self) -> None:
@@ -73,6 +92,44 @@
         """Return the group that a route leads to."""
         return GroupId(route.groups.removeprefix(NAME_SELECTOR))
 
+    def identify(self, key: KeyDigest, route: Route) -> Identity | None:
+        """Tell who calls with a key, None for one whom the route shuts out."""
+        declared = self.declared
+        customers = declared.customers
+        if customers is None:
+            return Identity(version=declared.version)
+        holder = customers.find_holder(key)
+        if holder is not None:
+            return Identity(holder, key, declared.version)
+        if route.allows_anonymous:
+            return Identity(version=declared.version)
+        return None
+
+    def may_still_call(self, identity: Identity) -> bool:
+        """Tell whether what is known here leaves a caller its key."""
+        declared = self.declared
+        customers = declared.customers
+        if customers is None or identity.customer == NOBODY:
+            return True
+        # Who let it in may know a newer version than this proxy.
+        if identity.version > declared.version:
+            return True
+        return customers.find_holder(identity.key) == identity.customer
+
+    def find_limit(self, customer: CustomerId) -> CustomerLimit | None:
+        """Return how much a customer may ask, None for all it likes."""
+        customers = self.declared.customers
+        return None if customers is None else customers.find_limit(customer)
+
+    def find_part(self, customer: CustomerId) -> float:
+        """Return a customer's part of all that customers may ask."""
+        customers = self.declared.customers
+        return 0 if customers is None else customers.find_part(customer)
+
+    def has_customers(self) -> bool:
+        """Tell whether callers are told apart by customer."""
+        return self.declared.customers is not None
+
     def list_groups(self) -> list[Group]:
         """List the declared groups."""
         return list(self.declared.groups.values())
@@ -104,6 +161,7 @@
             )
             return
         self.source = pair
+        self._taken_at = read_boottime()
         self._loaded.set()
         self.declared = declared
         self._decisions.record(
--- a/src/sedgeshunt/registry/directory.py
+++ b/src/sedgeshunt/registry/directory.py
@@ -6,6 +6,7 @@
 from msgspec import Struct, field
 
 from sedgeshunt.configuration.objects import Group, Route, Target
+from sedgeshunt.customers.directory import CustomerDirectory
 from sedgeshunt.identifiers import (
     CopyPlace,
     GroupId,
@@ -34,6 +35,8 @@
     version: int = 0
     groups: dict[GroupId, Group] = field(default_factory=dict)
     routes: dict[TrafficClass, Route] = field(default_factory=dict)
+    # None where nothing is said of customers: anybody may call.
+    customers: CustomerDirectory | None = None
 
 
 class PlatformDocuments(ABC):
--- a/src/sedgeshunt/requests/outcome.py
+++ b/src/sedgeshunt/requests/outcome.py
@@ -50,6 +50,7 @@
     STATEMENT = 'statement'
     TRANSACTION_LOST = 'transaction-lost'
     INVARIANT = 'invariant'
+    CUSTOMER_LIMIT = 'customer-limit'
 
 
 class NotRun(Struct, frozen=True):
--- a/src/sedgeshunt/statements/call.py
+++ b/src/sedgeshunt/statements/call.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct, field
 
+from sedgeshunt.customers.directory import Identity
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import (
     GroupId,
@@ -62,6 +63,8 @@
     max_age: Seconds = Seconds(0)
     # A peer passes it on to the owner; nobody passes it on again.
     is_relayed: bool = False
+    # In whose name it is made.
+    identity: Identity = Identity()
 
     @property
     def is_final(self) -> bool:
--- a/src/sedgeshunt/statements/dispatch.py
+++ b/src/sedgeshunt/statements/dispatch.py
@@ -8,7 +8,7 @@
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.execution.transactions import TransactionBook
-from sedgeshunt.identifiers import GroupId, Monotonic, Seconds
+from sedgeshunt.identifiers import CustomerId, GroupId, Monotonic, Seconds
 from sedgeshunt.limits.holding import find_retry, is_worth_holding
 from sedgeshunt.requests.outcome import Answer, Cause, NotRun, Refusal
 from sedgeshunt.statements.call import Access, StatementCall
@@ -28,8 +28,12 @@
         """Return the place that uses the primary, None when unknown."""
 
     @abstractmethod
-    def find_reader(self, group: GroupId) -> CallSite | None:
-        """Return a place that reads the replicas."""
+    def find_reader(
+        self,
+        group: GroupId,
+        customer: CustomerId,
+    ) -> CallSite | None:
+        """Return a place that reads the replicas for a customer."""
 
     @abstractmethod
     def expect_owner(self, group: GroupId) -> Monotonic | None:
@@ -62,7 +66,8 @@
     ) -> Dispatched:
         """Run a call that is not bound to a place yet."""
         if call.access is Access.REPLICA:
-            site = self._sites.find_reader(call.group)
+            customer = call.identity.customer
+            site = self._sites.find_reader(call.group, customer)
             if site is not None:
                 outcome = await site.run_call(call, book, deadline)
                 if not isinstance(outcome.err(), NotRun):
--- a/src/sedgeshunt/statements/owners.py
+++ b/src/sedgeshunt/statements/owners.py
@@ -1,12 +1,22 @@
 """Find the place that uses a group's primary at this moment."""
 
-from random import random
+from functools import partial
+from itertools import islice
+from random import choice, random
 
 from sedgeshunt.clocks import read_clock
+from sedgeshunt.customers.directory import NOBODY
+from sedgeshunt.execution.group_access import GroupAccess
 from sedgeshunt.execution.group_table import GroupTable
 from sedgeshunt.forwarding.link import PeerLink
 from sedgeshunt.groups.waiters import ChangeSignal
-from sedgeshunt.identifiers import GroupId, Monotonic, Seconds
+from sedgeshunt.identifiers import (
+    CustomerId,
+    GroupId,
+    Monotonic,
+    ProxyId,
+    Seconds,
+)
 from sedgeshunt.membership.neighbours import Neighbours
 from sedgeshunt.ownership.lease import InstanceLease
 from sedgeshunt.ownership.records import GroupRecords
@@ -57,11 +67,19 @@
         link = self._find_newest(group)
         return None if link is None else PeerSite(link)
 
-    def find_reader(self, group: GroupId) -> CallSite | None:
-        """Return a place that reads the replicas."""
+    def find_reader(
+        self,
+        group: GroupId,
+        customer: CustomerId,
+    ) -> CallSite | None:
+        """Return a place that reads the replicas for a customer."""
         access = self._groups.get(group)
         if access is None:
             return None
+        if customer != NOBODY:
+            home = self._find_home(access, customer)
+            if home is not None:
+                return home
         if access.reader.is_able():
             return LocalSite(access)
         link = self._find_reader_link(group)
@@ -98,6 +116,28 @@
             heard.append((self._records.find_token(group), stored))
         return max(heard, key=lambda known: known[0])[1] if heard else None
 
+    def _find_home(
+        self,
+        access: GroupAccess,
+        customer: CustomerId,
+    ) -> CallSite | None:
+        ranked, homes = self._groups.list_homes(access.group, customer)
+        reached = (
+            site
+            for site in map(partial(self._reach, access), ranked)
+            if site is not None
+        )
+        first = list(islice(reached, max(1, homes)))
+        return choice(first) if first else None
+
+    def _reach(self, access: GroupAccess, reader: ProxyId) -> CallSite | None:
+        if reader == self._neighbours.own_name:
+            return LocalSite(access) if access.reader.is_able() else None
+        link = self._neighbours.find_link(reader)
+        if link is None or link.is_stopping:
+            return None
+        return PeerSite(link)
+
     def _find_reader_link(self, group: GroupId) -> PeerLink | None:
         readers = self._groups.list_readers(group)
         links = [
--- a/src/sedgeshunt/statements/peer_desk.py
+++ b/src/sedgeshunt/statements/peer_desk.py
@@ -10,6 +10,8 @@
     LogRole,
     TargetSessionConnector,
 )
+from sedgeshunt.customers.counting import Spend, Spent
+from sedgeshunt.customers.gate import CountedGate
 from sedgeshunt.exceptions import PlatformUnavailable
 from sedgeshunt.execution.group_access import GroupAccess
 from sedgeshunt.execution.group_table import GroupTable
@@ -39,9 +41,16 @@
 from sedgeshunt.ports import KeyValueService
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.registry.feeds import ChangeReceiver
-from sedgeshunt.requests.outcome import Answer, Cause, NotRun, Refusal
+from sedgeshunt.requests.outcome import (
+    Answer,
+    Cause,
+    NotRun,
+    Refusal,
+    Rejected,
+)
 from sedgeshunt.statements.call import Access, StatementCall
 from sedgeshunt.statements.owners import OwnerDirectory
+from sedgeshunt.statements.session import NO_CUSTOMER
 from sedgeshunt.statements.sites import LocalSite
 
 NOT_SERVED_RETRY = Seconds(0.2)
@@ -61,9 +70,11 @@
         connector: TargetSessionConnector,
         store: KeyValueService,
         feeds: FeedDesk,
+        gate: CountedGate,
     ) -> None:
         """Work with what this proxy has."""
         self._feeds = feeds
+        self._gate = gate
         self._groups = groups
         self._owners = owners
         self._heartbeats = heartbeats
@@ -87,6 +98,10 @@
                     NOT_SERVED_RETRY,
                 ),
             )
+        is_begun = call.transaction is not None and not call.begins
+        if not (is_begun or self._configuration.may_still_call(call.identity)):
+            reason = f'the key {call.identity.key} was taken away'
+            return Err(Rejected(0, NO_CUSTOMER, reason))
         if call.is_relayed or not _must_relay(access, call, book):
             return await access.run_call(call, book, deadline)
         return await self._relay(call, book, deadline)
@@ -119,6 +134,10 @@
         except PlatformUnavailable:
             return False
 
+    async def count(self, spend: Spend) -> Spent:
+        """Count what a customer wants to begin at a peer."""
+        return await self._gate.answer(spend)
+
     def read_tip(self, group: GroupId) -> Point | None:
         """Return the log end of a group that is owned here."""
         return self._groups.read_tip(group)
--- a/src/sedgeshunt/statements/session.py
+++ b/src/sedgeshunt/statements/session.py
@@ -9,10 +9,13 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.configuration.objects import Consistency, Route
 from sedgeshunt.connections.target_session import SessionPhase
+from sedgeshunt.customers.directory import Identity
+from sedgeshunt.customers.gate import CustomerGate
 from sedgeshunt.execution.transactions import TransactionBook
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import (
     GroupId,
+    KeyDigest,
     Monotonic,
     Seconds,
     TrafficClass,
@@ -44,6 +47,7 @@
 UNKNOWN_STATEMENT = 'no-statement'
 MALFORMED = 'malformed'
 NO_DATABASE = 'no-database'
+NO_CUSTOMER = 'no-customer'
 
 _Outcome = Result[Answer, Refusal]
 _DONE: _Outcome = Ok(Answer())
@@ -56,11 +60,14 @@
         self,
         transaction: TransactionId,
         route: Route,
+        identity: Identity,
         *,
         is_read_only: bool,
     ) -> None:
         """Begin nowhere before the first statement."""
         self.id = transaction
+        # A key that is taken away meanwhile lets it go on to its end.
+        self.identity = identity
         # A change of the route applies from the next transaction on.
         self.route = route
         self.is_read_only = is_read_only
@@ -74,16 +81,22 @@
     def __init__(
         self,
         database: TrafficClass,
+        key: KeyDigest,
         name: str,
         configuration: LiveConfiguration,
         dispatcher: Dispatcher,
+        gate: CustomerGate,
         recorder: StatementRecorder,
     ) -> None:
         """Open with no values, no statements and no transaction."""
         self.database = database
+        # Its key is nobody's any more: nothing is run for it again.
+        self.is_shut_out = False
+        self._key = key
         self._name = name
         self._configuration = configuration
         self._dispatcher = dispatcher
+        self._gate = gate
         self._recorder = recorder
         self._values: dict[str, str] = {}
         self._prepared: dict[str, PreparedStatement] = {}
@@ -128,9 +141,13 @@
         route = self._find_route()
         if route is None:
             return _reject(NO_DATABASE, f'no route leads to {self.database}')
+        identity = self._configuration.identify(self._key, route)
+        if identity is None:
+            return self._shut_out()
         self._transaction = CallerTransaction(
             TransactionId(f'{self._name}.{next(self._numbers)}'),
             route,
+            identity,
             is_read_only=statement.is_read_only,
         )
         return _DONE
@@ -156,6 +173,7 @@
         call = self._make_call(
             statement,
             transaction.route,
+            transaction.identity,
             CallKind.COMMIT,
             None,
         )
@@ -166,9 +184,10 @@
         return outcome
 
     async def _run(self, statement: Statement) -> _Outcome:
-        is_prepared = statement.kind is StatementKind.EXECUTE
-        prepared = self._prepared.get(statement.name) if is_prepared else None
-        if is_prepared and prepared is None:
+        prepared = self._prepared.get(statement.name)
+        if statement.kind is not StatementKind.EXECUTE:
+            prepared = None
+        elif prepared is None:
             return _reject(
                 UNKNOWN_STATEMENT,
                 f'no statement is named {statement.name}',
@@ -176,8 +195,16 @@
         route = self._find_route()
         if route is None:
             return _reject(NO_DATABASE, f'no route leads to {self.database}')
-        kind = _find_kind(statement, prepared)
-        call = self._make_call(statement, route, kind, prepared)
+        identity = self._find_identity(route)
+        if identity is None:
+            return self._shut_out()
+        call = self._make_call(
+            statement,
+            route,
+            identity,
+            _find_kind(statement, prepared),
+            prepared,
+        )
         if self._transaction is not None:
             return await self._run_inside(self._transaction, call)
         return await self._run_single(call, route)
@@ -187,10 +214,20 @@
             return self._transaction.route
         return self._configuration.find_route(self.database)
 
+    def _find_identity(self, route: Route) -> Identity | None:
+        if self._transaction is not None:
+            return self._transaction.identity
+        return self._configuration.identify(self._key, route)
+
+    def _shut_out(self) -> _Outcome:
+        self.is_shut_out = True
+        reason = f"the key {self._key} is no customer's; use one that is"
+        return _reject(NO_CUSTOMER, reason)
+
     async def _run_single(self, call: StatementCall, route: Route) -> _Outcome:
         began = read_clock()
         deadline = _find_deadline(route)
-        ran = await self._dispatcher.run(call, self._book, deadline)
+        ran = await self._begin_run(call, deadline)
         outcome = ran.outcome
         self._record(call, ran, began)
         if call.kind is CallKind.WRITE and isinstance(outcome, Ok):
@@ -219,7 +256,7 @@
         deadline = _find_deadline(transaction.route)
         if transaction.site is None:
             call = replace(call, begins=True)
-            ran = await self._dispatcher.run(call, self._book, deadline)
+            ran = await self._begin_run(call, deadline)
             transaction.site = ran.site
         else:
             ran = Dispatched(
@@ -229,6 +266,17 @@
         self._record(call, ran, began)
         return ran.outcome
 
+    async def _begin_run(
+        self,
+        call: StatementCall,
+        deadline: Monotonic,
+    ) -> Dispatched:
+        """Run an operation's first statement if its customer may begin it."""
+        refusal = await self._gate.admit(call.identity)
+        if refusal is not None:
+            return Dispatched(Err(refusal))
+        return await self._dispatcher.run(call, self._book, deadline)
+
     def _record(
         self,
         call: StatementCall,
@@ -256,6 +304,7 @@
         self,
         statement: Statement,
         route: Route,
+        identity: Identity,
         kind: CallKind,
         prepared: PreparedStatement | None,
     ) -> StatementCall:
@@ -279,6 +328,7 @@
             arguments=statement.rest,
             after=self._find_commit(route, group),
             max_age=Seconds(route.accepted_age_ms / MILLISECONDS),
+            identity=identity,
         )
 
     def _copy_values(self) -> Mapping[str, str]:
@@ -339,6 +389,8 @@
 
 
 def _describe_end(refusal: Refusal) -> Refusal:
+    if isinstance(refusal, NotRun) and refusal.cause is Cause.CUSTOMER_LIMIT:
+        return refusal
     if isinstance(refusal, Unknown | NotRun):
         return NotRun(
             Cause.TRANSACTION_LOST,
--- a/tests/features/node_bench.py
+++ b/tests/features/node_bench.py
@@ -20,6 +20,7 @@
     Target,
 )
 from sedgeshunt.connections.target_session import LogRole
+from sedgeshunt.customers.directory import NO_KEY, Customer
 from sedgeshunt.decisions import (
     Decision,
     DecisionKind,
@@ -27,13 +28,19 @@
 )
 from sedgeshunt.identifiers import (
     GroupId,
+    KeyDigest,
     StatementId,
     TargetId,
     TrafficClass,
     ZoneId,
 )
 from sedgeshunt.node_service import NodeService
-from sedgeshunt.node_settings import Listener, NodeSettings, StoreSettings
+from sedgeshunt.node_settings import (
+    BoundsSettings,
+    Listener,
+    NodeSettings,
+    StoreSettings,
+)
 from sedgeshunt.platform.statements import read_statement
 from sedgeshunt.ports import Address, Delete, Put
 from sedgeshunt.requests.outcome import Answer, Refusal
@@ -62,6 +69,8 @@
 GROUP = GroupId('songbook')
 ZONES = ('east', 'north', 'west')
 FIRST_PORT = 5000
+# Operations over a limit that all proxies together may begin.
+CUSTOMER_SLACK = 20
 HOST = '127.0.0.1'
 # Time for all proxies to register, claim and find the primary.
 START_TIME = 2.5
@@ -122,6 +131,8 @@
                 Listener(at),
                 StoreSettings(at),
                 Listener(at),
+                bounds=BoundsSettings(customer_slack=CUSTOMER_SLACK),
+                zones=list(ZONES),
             ),
             ImpatientKeyValue(bench.store, self.place),
             StandInDocuments(),
@@ -164,6 +175,8 @@
         self._ports = count(FIRST_PORT)
         self._ids = count(1)
         self._version = 0
+        # None: nothing is said of customers.
+        self.customers: list[Customer] | None = None
         # Processes that were replaced by new ones.
         self._ended: list[Node] = []
         self._published: dict[TargetId, TargetDocument | None] = {}
@@ -199,12 +212,16 @@
         """Run until `work` is done."""
         return self.time.run(work)
 
-    def open(self, node: str, database: str) -> StatementSession:
+    def open(
+        self,
+        node: str,
+        database: str,
+        key: KeyDigest = NO_KEY,
+    ) -> StatementSession:
         """Open a caller's session at a proxy."""
         service = self.nodes[node].service
-        opened = self.run(service.open_session(TrafficClass(database)))
-        assert opened is not None, f'no route leads to {database}'
-        session: StatementSession = opened
+        opened = self.run(service.open_session(TrafficClass(database), key))
+        session: StatementSession = opened.unwrap()
         return session
 
     async def answer(self, session: StatementSession, text: str) -> Outcome:
@@ -226,7 +243,12 @@
             synchronous_replicas=self.group.synchronous,
             transaction_idle_ms=3000,
         )
-        document = DeclaredDocument(self._version, [group], list(routes))
+        document = DeclaredDocument(
+            self._version,
+            [group],
+            list(routes),
+            self.customers,
+        )
         self.put(CONFIGURATION_KEY, make_document(document))
 
     def declare_again(self) -> None:
--- a/tests/features/steps/fleets_steps.py
+++ b/tests/features/steps/fleets_steps.py
@@ -10,7 +10,7 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.forwarding.messages import Beat, BeatReply
 from sedgeshunt.identifiers import GroupId, Incarnation, ProxyId, ZoneId
-from sedgeshunt.membership.circle import (
+from sedgeshunt.membership.readers import (
     RESERVED_CONNECTIONS,
     SMALLEST_SHARE,
     ReaderPlan,
@@ -47,7 +47,7 @@
 
 @when('an instance leaves')
 def leave(context: Any) -> None:
-    name = min(context.plan.readers)
+    name = min(context.plan.list_names())
     context.left = next(one for one in context.instances if one.name == name)
     rest = [one for one in context.instances if one.name != name]
     context.later = plan_readers(GROUP, rest, context.limit)
@@ -64,8 +64,9 @@
 @then("the readers' shares sum up to at most {limit:d} less 4, or to 1 each")
 def check_sum(context: Any, limit: int) -> None:
     found: ReaderPlan = context.plan
-    total = found.share * len(found.readers)
-    assert total <= limit - RESERVED_CONNECTIONS or found.share == 1, found
+    share = _find_share(found)
+    total = share * len(found.list_names())
+    assert total <= limit - RESERVED_CONNECTIONS or share == 1, found
 
 
 @then('each zone has a reader')
@@ -74,7 +75,7 @@
     reading = {
         one.zone
         for one in context.instances
-        if one.name in context.plan.readers
+        if one.name in context.plan.list_names()
     }
     assert reading == zones
 
@@ -83,21 +84,25 @@
 def check_hands(context: Any) -> None:
     found: ReaderPlan = context.plan
     zones = Counter(
-        one.zone for one in context.instances if one.name in found.readers
+        one.zone for one in context.instances if one.name in found.list_names()
     )
-    assert found.share >= SMALLEST_SHARE or max(zones.values()) == 1, found
+    share = _find_share(found)
+    assert share >= SMALLEST_SHARE or max(zones.values()) == 1, found
 
 
 @then('readers changed in its zone only')
 def check_moved(context: Any) -> None:
-    moved = context.plan.readers ^ context.later.readers
+    before = set(context.plan.list_names())
+    moved = before ^ set(context.later.list_names())
     zones = {one.zone for one in context.instances if one.name in moved}
     assert zones == {context.left.zone}, zones
 
 
 @then('the fast ones are readers {least:d} to {most:d} times as often')
 def check_fast(context: Any, least: int, most: int) -> None:
-    counts = Counter(name for plan in context.plans for name in plan.readers)
+    counts = Counter(
+        name for plan in context.plans for name in plan.list_names()
+    )
     fast = [one.name for one in context.instances if one.capacity > 1]
     slow = [one.name for one in context.instances if one.capacity <= 1]
     fast_mean = sum(counts[name] for name in fast) / len(fast)
@@ -271,6 +276,12 @@
     return bench.time.read_now()
 
 
+def _find_share(found: ReaderPlan) -> int:
+    # Without customers the zones make no difference.
+    zone = next(iter(found.readers))
+    return found.find_share(zone, zone)
+
+
 def _find_reader(node: Any) -> Any:
     return node.service.find_access(GROUP).reader
 
--- a/tests/features/steps/load_and_faults_steps.py
+++ b/tests/features/steps/load_and_faults_steps.py
@@ -35,8 +35,8 @@
     async def run(self, number: int) -> None:
         """Run one transaction after the other."""
         service = next(iter(self._bench.nodes.values())).service
-        session = await service.open_session(TrafficClass(self._database))
-        assert session is not None
+        opened = await service.open_session(TrafficClass(self._database))
+        session = opened.unwrap()
         while not self.is_over:
             await self._bench.answer(session, 'BEGIN')
             for step in range(STATEMENTS):
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -277,7 +277,7 @@
 def check_closed(context: Any, database: str) -> None:
     for name, node in context.nodes.nodes.items():
         opened = context.nodes.run(node.service.open_session(database))
-        assert opened is None, name
+        assert opened.is_err(), name
 
 
 @then('it is done')
--- a/tests/features/steps/statement_steps.py
+++ b/tests/features/steps/statement_steps.py
@@ -314,7 +314,8 @@
 async def open_session(bench: NodeBench, database: str) -> Any:
     """Open a session at the first proxy."""
     first = next(iter(bench.nodes.values()))
-    return await first.service.open_session(TrafficClass(database))
+    opened = await first.service.open_session(TrafficClass(database))
+    return opened.unwrap()
 
 
 def run_all(bench: NodeBench, works: list[Coroutine[Any, Any, Any]]) -> None:
--- a/tests/features/steps/store_changes_steps.py
+++ b/tests/features/steps/store_changes_steps.py
@@ -274,7 +274,7 @@
 def _lets_in(context: Any, name: str, database: str) -> bool:
     service = context.nodes.nodes[name].service
     opened = context.nodes.run(service.open_session(TrafficClass(database)))
-    return opened is not None
+    return bool(opened.is_ok())
 
 
 def _list_ready(context: Any, zone: str) -> list[tuple[str, bool]]:
--- a/tests/standins/documents.py
+++ b/tests/standins/documents.py
@@ -4,6 +4,7 @@
 from msgspec.json import decode, encode
 
 from sedgeshunt.configuration.objects import Group, Route, Target
+from sedgeshunt.customers.directory import Customer, make_directory
 from sedgeshunt.identifiers import TargetLife
 from sedgeshunt.ports import KeyValue
 from sedgeshunt.registry.directory import (
@@ -22,6 +23,7 @@
     version: int
     groups: list[Group]
     routes: list[Route]
+    customers: list[Customer] | None = None
 
 
 class TargetDocument(Struct):
@@ -46,6 +48,7 @@
             read.version,
             {group.name: group for group in read.groups},
             {route.traffic_class: route for route in read.routes},
+            None if read.customers is None else make_directory(read.customers),
         )
 
     def read_target(self, pair: KeyValue) -> KnownTarget:
--- a/tests/standins/frames.py
+++ b/tests/standins/frames.py
@@ -21,6 +21,7 @@
     def __init__(self, network: Network, here: Place, there: Place) -> None:
         """Stand at `here`."""
         self.other: MemoryChannel | None = None
+        self.sent: list[bytes] = []
         self._network = network
         self._here = here
         self._there = there
@@ -36,7 +37,9 @@
     def send(self, frame: Frame) -> None:
         """Send a frame without waiting."""
         # As bytes, so that what the codec can't carry shows in tests.
-        self._sending.put_nowait(encode_frame(frame)[LENGTH_BYTES:])
+        message = encode_frame(frame)[LENGTH_BYTES:]
+        self.sent.append(message)
+        self._sending.put_nowait(message)
 
     def close(self) -> None:
         """Drop the connection; the other side learns it if it is reached."""
@@ -69,6 +72,8 @@
         self._tasks: set[Task[None]] = set()
         # The ends of connections that others opened to this proxy.
         self.served: list[MemoryChannel] = []
+        # What was sent on connections that this proxy opened.
+        self.sent: list[bytes] = []
 
     def listen(self, address: Address, handle: Handler) -> None:
         """Take connections at `address`."""
@@ -96,6 +101,7 @@
             raise PeerUnreachable(str(address), 'no answer')
         near = MemoryChannel(self._network, self._here, there)
         far = MemoryChannel(self._network, there, self._here)
+        near.sent = self.sent
         near.other = far
         far.other = near
         task = create_task(_serve(handle, far))
--- a/tests/standins/statement_group.py
+++ b/tests/standins/statement_group.py
@@ -7,6 +7,7 @@
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.connections.target_session import LogRole, LogStatus
+from sedgeshunt.customers.directory import NOBODY
 from sedgeshunt.groups.orders import (
     PromotionAnswer,
     PromotionOrder,
@@ -14,6 +15,7 @@
 )
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import (
+    CustomerId,
     Position,
     Seconds,
     TargetId,
@@ -52,6 +54,8 @@
     values: dict[str, str]
     # The connection was inside a transaction.
     is_inside: bool
+    # In whose name the connection was opened.
+    customer: CustomerId = NOBODY
 
 
 @dataclass(eq=False)
@@ -77,6 +81,8 @@
     # Statements that are run and never answered.
     answers_to_lose: int = 0
     connections: int = 0
+    # Connections that were opened in all.
+    opened: int = 0
     slots: Semaphore = field(default_factory=lambda: Semaphore(SLOTS))
     # Held back while cleared: the target has frozen.
     thawed: Event = field(default_factory=Event)
--- a/tests/standins/statement_sessions.py
+++ b/tests/standins/statement_sessions.py
@@ -22,6 +22,7 @@
     TargetSession,
     TargetSessionConnector,
 )
+from sedgeshunt.customers.directory import NOBODY
 from sedgeshunt.exceptions import (
     TargetBusy,
     TargetGone,
@@ -29,7 +30,13 @@
     TargetUnreachable,
 )
 from sedgeshunt.groups.points import Point
-from sedgeshunt.identifiers import GroupId, Seconds, StatementId, Term
+from sedgeshunt.identifiers import (
+    CustomerId,
+    GroupId,
+    Seconds,
+    StatementId,
+    Term,
+)
 from sedgeshunt.statements.statement import PreparedStatement
 from tests.standins.network import Network, Place
 from tests.standins.statement_group import (
@@ -51,6 +58,7 @@
         group: StatementGroup,
         target: StatementTarget,
         client: Place,
+        customer: CustomerId = NOBODY,
     ) -> None:
         """Hold one of the database's connections."""
         self.point: Point | None = target.applied_end
@@ -58,6 +66,7 @@
         self._group = group
         self._target = target
         self._client = client
+        self._customer = customer
         self._values: dict[str, str] = {}
         self._phase = SessionPhase.IDLE
         self._writes: list[tuple[str, str]] = []
@@ -238,6 +247,7 @@
                 self.number,
                 dict(self._values),
                 self._phase is SessionPhase.OPEN,
+                self._customer,
             ),
         )
 
@@ -279,15 +289,20 @@
         target: Target,
         group: GroupId,
         limit: Seconds,
+        customer: CustomerId = NOBODY,
     ) -> TargetSession:
         """Open a session; raise TargetUnreachable or TargetBusy."""
         try:
             async with timeout(limit):
-                return await self._connect(target)
+                return await self._connect(target, customer)
         except TimeoutError as failure:
             raise TargetUnreachable(target.name, 'no answer') from failure
 
-    async def _connect(self, target: Target) -> TargetSession:
+    async def _connect(
+        self,
+        target: Target,
+        customer: CustomerId,
+    ) -> TargetSession:
         known = self._group.targets[target.name]
         await self._group.network.cross(self._client, known.place)
         if known.is_down:
@@ -297,4 +312,5 @@
             raise TargetBusy(0, '', 'TOOMANY')
         await sleep(HANDSHAKE)
         await self._group.network.cross(known.place, self._client)
-        return LosingSession(self._group, known, self._client)
+        known.opened += 1
+        return LosingSession(self._group, known, self._client, customer)
