Leave a reader that falls silent, wait for one that is slow, and reach all counters

Change: the next reader is asked only once the first misses a heartbeat. Only long configurations are kept from heartbeats while feeds hand them on: ownership.feature:225 failed else.

--- a/src/sedgeshunt/customers/gate.py
+++ b/src/sedgeshunt/customers/gate.py
@@ -16,7 +16,7 @@
 
 # A counter answers within two ways and its own work; one that is silent for so
 # long is passed over.
-ASK_LIMIT = Seconds(0.15)
+ASK_LIMIT = Seconds(0.1)
 # A customer that was refused is refused here for so long at the most before
 # its counter is asked again: others may have left room for it.
 LONGEST_REST = Seconds(0.2)
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -243,7 +243,11 @@
     async def spend(self, spend: Spend, limit: Seconds) -> Spent | None:
         """Have the peer count operations; None without an answer."""
         answer = await self._ask(Frame(0, spend=spend), limit)
-        return None if answer is None else answer.spent
+        if answer is None:
+            # A heartbeat tells whether it is there, before others ask it too.
+            self.wake()
+            return None
+        return answer.spent
 
     async def _ask(self, question: Frame, limit: Seconds) -> Frame | None:
         channel = self._channel
--- a/src/sedgeshunt/membership/circle.py
+++ b/src/sedgeshunt/membership/circle.py
@@ -95,10 +95,9 @@
         self,
         instances: Sequence[InstanceEntry],
     ) -> Iterator[ProxyId]:
-        # Those who count what customers ask lend each other what is left.
-        if not self._configuration.has_customers():
-            return
-        if self._own.name in self.list_watchers(instances):
+        # Whoever may be cut off from the counters of its own zone asks those of
+        # others; and counters lend each other what is left.
+        if self._configuration.has_customers():
             for zone in sort_by_zone(instances):
                 yield from choose_watchers(zone, instances)
 
--- a/src/sedgeshunt/membership/counters.py
+++ b/src/sedgeshunt/membership/counters.py
@@ -60,7 +60,9 @@
     ) -> Spent | None:
         """Ask a counter; None when it gives no answer within `limit`."""
         link = self._neighbours.find_link(counter)
-        return None if link is None else await link.spend(spend, limit)
+        if link is None or not link.is_answering():
+            return None
+        return await link.spend(spend, limit)
 
 
 def plan_counters(
--- a/src/sedgeshunt/registry/configuration.py
+++ b/src/sedgeshunt/registry/configuration.py
@@ -27,7 +27,7 @@
     KnownTarget,
     PlatformDocuments,
 )
-from sedgeshunt.registry.feeds import LONGEST_SPREAD
+from sedgeshunt.registry.feeds import LONG_DOCUMENT, LONGEST_SPREAD
 from sedgeshunt.registry.store_view import StoreView
 
 NAME_SELECTOR = 'name='
@@ -74,11 +74,13 @@
         """Return the document in force if a peer that has `known` lacks it."""
         if self.source is None or self.source.revision <= known:
             return None
-        # Followers are handed it one after the other; each of their peers
-        # would else send it to them meanwhile.
-        if known and read_boottime() - self._taken_at < LONGEST_SPREAD:
+        # Followers are handed a long one in turn; each of their peers would else
+        # send it to them meanwhile.
+        document = self.source.value
+        is_handed = read_boottime() - self._taken_at < LONGEST_SPREAD
+        if known and is_handed and len(document) >= LONG_DOCUMENT:
             return None
-        return self.source.value
+        return document
 
     async def wait_loaded(self) -> None:
         """Wait until a configuration is in force."""
--- a/src/sedgeshunt/statements/dispatch.py
+++ b/src/sedgeshunt/statements/dispatch.py
@@ -1,15 +1,15 @@
 """Choose where a call runs: here, or at the peer that can run it."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
-from functools import partial
+from asyncio import CancelledError, Task, create_task, wait
+from collections.abc import Coroutine, Sequence
+from typing import Any
 
 from msgspec import Struct
 from msgspec.structs import replace
 from result import Err, Result
 
 from sedgeshunt.clocks import read_clock
-from sedgeshunt.execution.hedging import Hedger
 from sedgeshunt.execution.transactions import TransactionBook
 from sedgeshunt.identifiers import CustomerId, GroupId, Monotonic, Seconds
 from sedgeshunt.limits.holding import find_retry, is_worth_holding
@@ -19,6 +19,10 @@
 
 # A call that found no owner looks again at each change, and after so long.
 LOOK_EVERY = Seconds(0.02)
+# How often the peer that reads is looked at while its answer is awaited.
+LOOK_AT_READER = Seconds(0.05)
+SILENT_RETRY = Seconds(0.1)
+_Outcome = Result[Answer, Refusal]
 # What ended an attempt that another one may mend.
 _PASSING = frozenset((Cause.SUPERSEDED, Cause.CONNECTION_LOST))
 
@@ -60,7 +64,8 @@
     def __init__(self, sites: SiteFinder) -> None:
         """Look places up in `sites`."""
         self._sites = sites
-        self._hedger = Hedger(is_last_resort=True)
+        # Reads at peers that have fallen silent.
+        self._left: set[Task[_Outcome]] = set()
 
     async def run(
         self,
@@ -87,33 +92,42 @@
     ) -> Dispatched:
         sites = self._sites.find_readers(call.group, call.identity.customer)
         ran = Dispatched(Err(_refuse_reading(call.group)))
-        if call.transaction is None and len(sites) > 1:
-            return await self._hedge(sites, call, book, deadline) or ran
         for site in sites:
-            ran = Dispatched(await site.run_call(call, book, deadline), site)
-            if not _may_read_elsewhere(ran.outcome.err()):
+            reading = site.run_call(call, book, deadline)
+            outcome = await self._wait_reading(site, call, reading)
+            ran = Dispatched(outcome, site)
+            if not _may_read_elsewhere(outcome.err()):
                 break
         return ran
 
-    async def _hedge(
+    async def _wait_reading(
         self,
-        sites: Sequence[CallSite],
+        site: CallSite,
         call: StatementCall,
-        book: TransactionBook,
-        deadline: Monotonic,
-    ) -> Dispatched | None:
-        # Safeguard: a reader that was cut off says nothing, and its silence is
-        # certain only after most objectives. A read that waits is asked at the
-        # next one as well, in time for its caller.
-        asked: list[CallSite] = []
-
-        async def ask(site: CallSite) -> Result[Answer, Refusal]:
-            asked.append(site)
-            return await site.run_call(call, book, deadline)
-
-        attempts = (partial(ask, site) for site in sites)
-        outcome = await self._hedger.run(call, attempts, deadline)
-        return None if outcome is None else Dispatched(outcome, asked[-1])
+        reading: Coroutine[Any, Any, _Outcome],
+    ) -> _Outcome:
+        """Return a reader's outcome, or leave a reader that falls silent."""
+        # Safeguard: a reader that was cut off says nothing, and that it is gone
+        # is certain only after most objectives. A read is harmless twice, so it
+        # is asked elsewhere as soon as the reader misses a heartbeat. One that
+        # is only slow is waited for: asked elsewhere too, reads would make an
+        # overload last that they are slow from.
+        if call.transaction is not None:
+            return await reading
+        task = create_task(reading)
+        try:
+            while not (await wait((task,), timeout=LOOK_AT_READER))[0]:
+                if not site.is_answering():
+                    self._leave(task)
+                    return Err(_refuse_silent(site))
+        except CancelledError:
+            task.cancel()
+            raise
+        return task.result()
+
+    def _leave(self, task: Task[_Outcome]) -> None:
+        self._left.add(task)
+        task.add_done_callback(self._left.discard)
 
     async def _run_at_owner(
         self,
@@ -156,6 +170,11 @@
     return NotRun(Cause.NO_TARGET, f'nobody reads group {group} here')
 
 
+def _refuse_silent(site: CallSite) -> NotRun:
+    reason = f'proxy {site.name} has fallen silent'
+    return NotRun(Cause.CONNECTION_LOST, reason, SILENT_RETRY)
+
+
 def _may_repeat(refusal: Refusal | None) -> bool:
     return isinstance(refusal, NotRun) and refusal.cause in _PASSING
 
--- a/src/sedgeshunt/statements/sites.py
+++ b/src/sedgeshunt/statements/sites.py
@@ -29,6 +29,10 @@
     ) -> Result[Answer, Refusal]:
         """Run a call; `book` keeps transactions that are run here."""
 
+    @abstractmethod
+    def is_answering(self) -> bool:
+        """Tell whether the place has answered the latest heartbeats."""
+
 
 class LocalSite(CallSite):
     """Run calls at this instance."""
@@ -47,6 +51,10 @@
         """Run a call here."""
         return await self._access.run_call(call, book, deadline)
 
+    def is_answering(self) -> bool:
+        """Tell that it is here."""
+        return True
+
     async def end_transaction(
         self,
         transaction: TransactionId,
@@ -76,6 +84,10 @@
         sent = replace(call, time_left=left, is_relayed=not self._is_relay)
         return await self._link.call(sent, deadline)
 
+    def is_answering(self) -> bool:
+        """Tell whether the peer has answered the latest heartbeats."""
+        return self._link.is_answering()
+
     async def end_transaction(
         self,
         transaction: TransactionId,
