--- a/src/sedgeshunt/connections/session_pool.py
+++ b/src/sedgeshunt/connections/session_pool.py
@@ -154,6 +154,8 @@
         self._turns = TurnQueue()
         # Connections that were opened, since the pool was made.
         self.opened = 0
+        # How long callers usually wait for one.
+        self.wait = MovingAverage(HOLDING_WEIGHT)
         self._opening: set[Task[TargetSession]] = set()
         self._is_closed = False
 
@@ -200,9 +202,12 @@
         if wait > left * SHARE_FOR_WAIT:
             reason = f'its connections are lent out for about {wait:.3f} s'
             return Err(self._refuse(Cause.OVERLOAD, reason, wait))
+        came_at = read_clock()
         try:
             async with timeout_at(deadline):
-                return Ok(await self._lend(values, customer, is_transaction))
+                loan = await self._lend(values, customer, is_transaction)
+            self.wait.add(read_clock() - came_at)
+            return Ok(loan)
         except TimeoutError:
             return Err(self._refuse(Cause.DEADLINE, 'no connection was free'))
         except TargetBusy as busy:
--- a/src/sedgeshunt/customers/counting.py
+++ b/src/sedgeshunt/customers/counting.py
@@ -24,6 +24,8 @@
     wait: Seconds = Seconds(0)
     # The answering proxy does not count for this customer.
     is_elsewhere: bool = False
+    # Who has counted, as the asking proxy notes it.
+    counter: ProxyId = ProxyId('')
 
 
 class CounterPlan(Struct, frozen=True):
--- a/src/sedgeshunt/customers/gate.py
+++ b/src/sedgeshunt/customers/gate.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
+from msgspec.structs import replace
+
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.customers.counting import (
     CounterLinks,
@@ -67,7 +69,7 @@
             return None
         rest = self._find_rest(identity.customer)
         if rest is not None:
-            return _refuse(identity, limit, rest)
+            return _refuse(identity, limit, rest, self._own)
         spent = await self._spend(Spend(identity.customer), limit)
         if spent is None:
             return _refuse_uncounted(identity)
@@ -75,7 +77,7 @@
             return None
         rest = min(LONGEST_REST, spent.wait)
         self._resting[identity.customer] = Monotonic(read_clock() + rest)
-        return _refuse(identity, limit, spent.wait)
+        return _refuse(identity, limit, spent.wait, spent.counter)
 
     async def answer(self, spend: Spend) -> Spent:
         """Answer another proxy's question."""
@@ -100,7 +102,7 @@
             else:
                 spent = await self._links.ask(name, spend, ASK_LIMIT)
             if spent is not None and not spent.is_elsewhere:
-                return spent
+                return replace(spent, counter=name)
         return None
 
 
@@ -108,12 +110,13 @@
     identity: Identity,
     limit: CustomerLimit,
     wait: Seconds,
+    counter: ProxyId,
 ) -> NotRun:
     return NotRun(
         Cause.CUSTOMER_LIMIT,
         f'customer {identity.customer} (key {identity.key}, version '
         + f'{identity.version}) has begun {limit.per_second:g} operations a '
-        + f'second and its burst of {limit.burst:g}',
+        + f'second and its burst of {limit.burst:g}, by {counter}',
         Seconds(max(SHORTEST_RETRY, wait)),
     )
 
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -65,6 +65,7 @@
 
 # How long a stopping proxy waits for others to claim its groups.
 HANDOVER_LIMIT = Seconds(1)
+MILLISECONDS = 1000
 # Two processes of one instance draw the same once in 2.8e14.
 INCARNATION_BYTES = 6
 
@@ -310,6 +311,16 @@
             'statements.queued': sum(
                 executor.admission.queued for executor in executors
             ),
+            'connections.opened': sum(
+                executor.pool.opened for executor in executors
+            ),
+            'connections.wait_ms': max(
+                (
+                    executor.pool.wait.value * MILLISECONDS
+                    for executor in executors
+                ),
+                default=0,
+            ),
             'connections.open': sum(
                 executor.pool.open_count for executor in executors
             ),
--- a/src/sedgeshunt/registry/configuration.py
+++ b/src/sedgeshunt/registry/configuration.py
@@ -74,8 +74,8 @@
         """Return the document in force if a peer that has `known` lacks it."""
         if self.source is None or self.source.revision <= known:
             return None
-        # Followers are handed a long one in turn; each of their peers would else
-        # send it to them meanwhile.
+        # Followers are handed a long one in turn; each of their peers would
+        # else send it to them meanwhile.
         document = self.source.value
         is_handed = read_boottime() - self._taken_at < LONGEST_SPREAD
         if known and is_handed and len(document) >= LONG_DOCUMENT:
--- a/src/sedgeshunt/statement_lines.py
+++ b/src/sedgeshunt/statement_lines.py
@@ -52,6 +52,8 @@
             version=end.version,
             site=end.site,
             target=end.target,
+            customer=end.identity.customer or None,
+            key=end.identity.key or None,
             dropped=self._dropped.pop(outcome, None),
             **_describe(end.refusal),
         )
--- a/src/sedgeshunt/statements/records.py
+++ b/src/sedgeshunt/statements/records.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from sedgeshunt.customers.directory import Identity
 from sedgeshunt.identifiers import (
     GroupId,
     Seconds,
@@ -31,6 +32,7 @@
     site: str
     target: TargetId | None = None
     transaction: TransactionId | None = None
+    identity: Identity = Identity()
 
 
 class StatementRecorder(ABC):
--- a/src/sedgeshunt/statements/session.py
+++ b/src/sedgeshunt/statements/session.py
@@ -297,6 +297,7 @@
                 NOWHERE if ran.site is None else ran.site.name,
                 None if answer is None else answer.served_by,
                 call.transaction,
+                call.identity,
             ),
         )
 
