--- a/benchmarks/main.py
+++ b/benchmarks/main.py
@@ -6,6 +6,7 @@
 
 from benchmarks import (
     configuration,
+    customers,
     drain,
     failover,
     goodput,
@@ -21,6 +22,7 @@
     'start': start.run,
     'goodput': goodput.run,
     'configuration': configuration.run,
+    'customers': customers.run,
     'drain': drain.run,
     'failover': failover.run,
     'overload': overload.main,
--- a/src/sedgeshunt/platform/callers.py
+++ b/src/sedgeshunt/platform/callers.py
@@ -252,7 +252,7 @@
         line = await read_line(self._reader)
         if line is None:
             return None
-        opened = await self._open_session(*_read_start(line))
+        opened = await self._open_session(*read_start(line))
         if isinstance(opened, Err):
             self._say_error(*name_refusal(opened.err_value))
             return None
@@ -289,7 +289,8 @@
             self._writer.write(make_line('ERROR', code, reason))
 
 
-def _read_start(line: str) -> tuple[TrafficClass, KeyDigest]:
+def read_start(line: str) -> tuple[TrafficClass, KeyDigest]:
+    """Return the database and the key; raise MessageMalformed."""
     word, database, key = split_line(line, 2)
     if word != 'START' or not database:
         raise MessageMalformed('a session begins with START')
--- a/tests/features/entries.feature
+++ b/tests/features/entries.feature
@@ -13,3 +13,14 @@
     And the foreign entry is written again
     Then "db-1" is the only target
     And 2 refusals were taken down
+
+  Scenario: Whatever is written of customers, it is read whole or refused
+    An operator's document may hold anything. One that is read has a name and a
+    limit above 0 for each customer, and each key belongs to one of them; a refusal
+    names no key.
+    Given documents with customers of any fields
+    Then each one is refused without naming a key, or its customers are whole
+
+  Scenario: Whatever a caller begins with, it is let in by a digest or refused
+    Given first lines of any text
+    Then each one is refused as malformed or gives a database and a digest
--- a/tests/features/steps/entries_steps.py
+++ b/tests/features/steps/entries_steps.py
@@ -12,11 +12,14 @@
 from sedgeshunt.decisions import DecisionKind, MemoryDecisionLog
 from sedgeshunt.exceptions import SedgeshuntError
 from sedgeshunt.identifiers import GroupId, Revision
+from sedgeshunt.customers.directory import DIGEST_BYTES
+from sedgeshunt.platform.callers import read_start
 from sedgeshunt.platform.documents import (
     CONFIGURATION_KEY,
     TARGETS_PREFIX,
     StoreDocuments,
 )
+from sedgeshunt.platform.lines import MessageMalformed
 from sedgeshunt.ports import KeyValue
 from sedgeshunt.registry.configuration import LiveConfiguration
 from sedgeshunt.registry.store_view import Listener
@@ -148,3 +151,64 @@
         DecisionKind.CONFIGURATION_REFUSED,
     )
     assert len(refused) == count, refused
+
+
+_KEY = 'a-key-that-nobody-may-see'
+_CUSTOMER = st.fixed_dictionaries(
+    {'name': st.sampled_from(['bar', 'hotel', '', 'b ar', 'x' * 300])},
+    optional={
+        'api_keys': st.lists(st.sampled_from([_KEY, 'other', '']) | st.text()),
+        'rate_per_s': st.integers(-1, 3) | st.floats() | st.none() | st.text(),
+        'burst': st.integers(-1, 3) | st.floats() | st.none(),
+        'odd': _LEAVES,
+    },
+)
+
+
+@given('documents with customers of any fields')
+def draw_customers(context: Any) -> None:
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @draw(st.lists(_CUSTOMER, max_size=3))
+    def check(customers: list[dict[str, Any]]) -> None:
+        document = dumps(DECLARED | {'tenants': customers}).encode()
+        pair = KeyValue(CONFIGURATION_KEY, document, Revision(1))
+        try:
+            read = StoreDocuments().read_declared(pair).customers
+        except SedgeshuntError as refusal:
+            assert _KEY not in refusal.format_message()
+            return
+        assert read is not None
+        assert len(read.customers) == len(customers)
+        for customer in read.customers.values():
+            limit = customer.limit
+            assert limit is None or min(limit.per_second, limit.burst) > 0
+            holders = {read.find_holder(key) for key in customer.keys}
+            assert holders <= {customer.name}
+        assert _KEY not in repr(read)
+
+    context.check = check
+
+
+@then('each one is refused without naming a key, or its customers are whole')
+def check_customers(context: Any) -> None:
+    context.check()
+
+
+@given('first lines of any text')
+def draw_starts(context: Any) -> None:
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @draw(st.text() | st.text().map(lambda text: f'START {text}'))
+    def check(line: str) -> None:
+        try:
+            database, digest = read_start(line)
+        except MessageMalformed:
+            return
+        assert database
+        assert not digest or len(digest) == 2 * DIGEST_BYTES
+
+    context.check = check
+
+
+@then('each one is refused as malformed or gives a database and a digest')
+def check_starts(context: Any) -> None:
+    context.check()
