--- a/src/sedgeshunt/adapters/forwarding.py
+++ b/src/sedgeshunt/adapters/forwarding.py
@@ -9,11 +9,8 @@
 from collections.abc import Awaitable, Callable
 
 from sedgeshunt.adapters.channel import ProtocolBroken
-from sedgeshunt.adapters.forwarding_codec import (
-    LONGEST_FRAME,
-    encode_frame,
-    read_frame,
-)
+from sedgeshunt.adapters.forwarding_codec import encode_frame, read_frame
+from sedgeshunt.adapters.frame_values import LONGEST_FRAME
 from sedgeshunt.adapters.listener import StreamListener
 from sedgeshunt.exceptions import PeerUnreachable
 from sedgeshunt.forwarding.channel import FrameChannel, FrameConnector
