Bring each proxy's part of a limit to the counter that it asks

Virtual time: four proxies of nine with one counter are allowed what they ask for. Counters borrow from all of a zone at once. A third reader a zone, as fewer are left in a part that is cut off.

--- a/src/sedgeshunt/adapters/forwarding.thrift
+++ b/src/sedgeshunt/adapters/forwarding.thrift
@@ -88,6 +88,8 @@
   // The newest configuration that the sender has.
   5: i64 revision
   6: i64 store_revision
+  // The receiver counts the sender's part of customers' limits.
+  7: optional bool gives_part
 }
 
 struct BeatReply {
--- a/src/sedgeshunt/adapters/forwarding_frames.py
+++ b/src/sedgeshunt/adapters/forwarding_frames.py
@@ -337,6 +337,7 @@
         'echo',
         'revision',
         'store_revision',
+        'gives_part',
     )
 
     def __init__(
@@ -346,6 +347,7 @@
         echo: Any = None,
         revision: Any = None,
         store_revision: Any = None,
+        gives_part: Any = None,
     ) -> None:
         """Leave out what is not given."""
         self.sender = sender
@@ -353,6 +355,7 @@
         self.echo = echo
         self.revision = revision
         self.store_revision = store_revision
+        self.gives_part = gives_part
 
 
 WireBeat.thrift_spec = (
@@ -363,6 +366,7 @@
     (4, TType.DOUBLE, 'echo', None, None),
     (5, TType.I64, 'revision', None, None),
     (6, TType.I64, 'store_revision', None, None),
+    (7, TType.BOOL, 'gives_part', None, None),
 )
 
 
--- a/src/sedgeshunt/adapters/frame_beats.py
+++ b/src/sedgeshunt/adapters/frame_beats.py
@@ -58,6 +58,7 @@
         echo=beat.echo,
         revision=beat.revision,
         store_revision=beat.store_revision,
+        gives_part=beat.gives_part or None,
     )
 
 
@@ -69,6 +70,7 @@
         Boottime(raw.echo),
         Revision(raw.revision),
         Revision(raw.store_revision),
+        bool(raw.gives_part),
     )
 
 
--- a/src/sedgeshunt/customers/borrowing.py
+++ b/src/sedgeshunt/customers/borrowing.py
@@ -1,17 +1,23 @@
 """Fill a part of a limit that has run dry with what other parts have left."""
 
-from asyncio import Task, create_task, shield
+from asyncio import Task, create_task, gather, shield
+from collections.abc import Sequence
 from functools import partial
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.customers.bucket import TokenBucket
-from sedgeshunt.customers.counting import CounterLinks, CounterPlan, Spend
+from sedgeshunt.customers.counting import (
+    CounterLinks,
+    CounterPlan,
+    Spend,
+    Spent,
+)
 from sedgeshunt.identifiers import CustomerId, Monotonic, ProxyId, Seconds
 
 # How much is asked for at once: what the part itself gains in so long.
 BORROWED_TIME = Seconds(0.5)
 # After all others had nothing to lend, they are asked again after so long.
-DRY_TIME = Seconds(0.1)
+DRY_TIME = Seconds(0.3)
 
 
 class Borrower:
@@ -62,23 +68,42 @@
         bucket: TokenBucket,
         plan: CounterPlan,
     ) -> Seconds:
-        spend = _make_spend(customer, bucket)
-        wait = bucket.find_wait(read_clock())
-        for counter in (*plan.near, *plan.far):
-            if counter == self._own:
-                continue
-            spent = await self._links.ask(counter, spend, self._limit)
-            if spent is None or spent.is_elsewhere:
-                continue
-            if spent.granted:
+        waits = [bucket.find_wait(read_clock())]
+        # Those of other zones only once the own one has nothing left.
+        for counters in (plan.near, plan.far):
+            answers = await self._ask_at_once(customer, bucket, counters)
+            for spent in answers:
                 bucket.add(spent.granted, read_clock())
+                waits.append(spent.wait)
+            if any(answer.granted for answer in answers):
                 return Seconds(0)
-            wait = min(wait, spent.wait)
         self._dry_until[customer] = Monotonic(read_clock() + DRY_TIME)
-        return wait
+        return min(waits)
+
+    async def _ask_at_once(
+        self,
+        customer: CustomerId,
+        bucket: TokenBucket,
+        counters: Sequence[ProxyId],
+    ) -> list[Spent]:
+        others = [name for name in counters if name != self._own]
+        spend = _make_spend(customer, bucket, len(others))
+        answers = await gather(
+            *(self._links.ask(name, spend, self._limit) for name in others),
+        )
+        return [
+            spent
+            for spent in answers
+            if spent is not None and not spent.is_elsewhere
+        ]
 
 
-def _make_spend(customer: CustomerId, bucket: TokenBucket) -> Spend:
+def _make_spend(
+    customer: CustomerId,
+    bucket: TokenBucket,
+    lenders: int,
+) -> Spend:
     room = bucket.find_room(read_clock())
     wanted = min(room, int(bucket.rate * BORROWED_TIME))
-    return Spend(customer, max(1, wanted), is_borrowed=True)
+    each = wanted // max(1, lenders)
+    return Spend(customer, max(1, each), is_borrowed=True)
--- a/src/sedgeshunt/customers/counting.py
+++ b/src/sedgeshunt/customers/counting.py
@@ -34,8 +34,8 @@
     # Of the own availability zone, the one to ask first at the beginning.
     near: tuple[ProxyId, ...]
     far: tuple[ProxyId, ...]
-    # How much of each limit each counter of the own zone has.
-    part: float
+    # Proxies among which limits are shared out.
+    fleet: int
 
 
 class CounterLinks(ABC):
@@ -45,6 +45,10 @@
     def plan(self) -> CounterPlan:
         """Tell who counts, by the instances that are known now."""
 
+    @abstractmethod
+    def holds_own(self) -> bool:
+        """Tell whether this proxy counts its own part of limits itself."""
+
     @abstractmethod
     async def ask(
         self,
--- a/src/sedgeshunt/customers/parts.py
+++ b/src/sedgeshunt/customers/parts.py
@@ -1,15 +1,15 @@
 """Count what customers begin against this proxy's part of their limits."""
 
-from sedgeshunt.clocks import read_clock
+from sedgeshunt.clocks import read_boottime, read_clock
 from sedgeshunt.customers.borrowing import Borrower
 from sedgeshunt.customers.bucket import TokenBucket
 from sedgeshunt.customers.counting import (
     CounterLinks,
-    CounterPlan,
     Spend,
     Spent,
 )
 from sedgeshunt.customers.directory import CustomerLimit
+from sedgeshunt.customers.rights import PartsHeld
 from sedgeshunt.identifiers import CustomerId, Monotonic, ProxyId, Seconds
 
 # A part holds at least one operation, or customers of few would never begin.
@@ -25,12 +25,13 @@
 
     # The parts of all counters sum up to the limit, and a part is spent by its
     # counter alone; so the limit holds however the network falls apart, and no
-    # two have to agree.
+    # two have to agree. What a part has is in customers/rights.py.
 
     def __init__(
         self,
         own: ProxyId,
         links: CounterLinks,
+        held: PartsHeld,
         borrow_limit: Seconds,
         slack: float = 0,
     ) -> None:
@@ -41,6 +42,7 @@
         """
         self._own = own
         self._links = links
+        self._held = held
         self._borrower = Borrower(own, links, borrow_limit)
         self._slack = slack * SHARE_FOR_PARTS
         self._counts_since = Monotonic(0)
@@ -51,10 +53,11 @@
         """Grant operations of a customer that may ask as much as `limit`."""
         if limit is None:
             return Spent(spend.wanted)
-        plan = self.follow()
-        if not self._is_counter:
+        plan = self._links.plan()
+        part = self.follow() / plan.fleet
+        if not part:
             return Spent(0, is_elsewhere=True)
-        bucket = self._find_bucket(spend.customer, limit, plan.part)
+        bucket = self._find_bucket(spend.customer, limit, part)
         if spend.is_borrowed:
             return _lend(bucket, spend)
         granted = bucket.take(spend.wanted, read_clock())
@@ -64,17 +67,18 @@
         granted = bucket.take(spend.wanted, read_clock())
         return Spent(granted, Seconds(0) if granted else wait)
 
-    def follow(self) -> CounterPlan:
-        """Begin or end counting as the instances change; tell who counts."""
-        plan = self._links.plan()
-        is_counter = self._own in plan.near
-        if is_counter and not self._is_counter:
+    def follow(self) -> int:
+        """Begin or end counting as parts come and go; count them."""
+        if self._links.holds_own():
+            self._held.note(self._own, read_boottime())
+        count = self._held.count()
+        if count and not self._is_counter:
             # Whoever counted before may have spent all of this part: a full
             # bucket would let the same customer begin as much once more.
             self._buckets.clear()
             self._counts_since = read_clock()
-        self._is_counter = is_counter
-        return plan
+        self._is_counter = count > 0
+        return count
 
     def _find_bucket(
         self,
--- a/src/sedgeshunt/forwarding/messages.py
+++ b/src/sedgeshunt/forwarding/messages.py
@@ -48,6 +48,8 @@
     revision: Revision
     # How far the sender has followed the store.
     store_revision: Revision = Revision(0)
+    # The receiver counts the sender's part of customers' limits.
+    gives_part: bool = False
 
 
 class BeatReply(Struct, frozen=True):
--- a/src/sedgeshunt/membership/circle.py
+++ b/src/sedgeshunt/membership/circle.py
@@ -8,6 +8,7 @@
 from sedgeshunt.configuration.objects import Group
 from sedgeshunt.identifiers import GroupId, ProxyId, ZoneId
 from sedgeshunt.membership.drawing import (
+    choose_counters,
     choose_watchers,
     rank_instances,
     sort_by_zone,
@@ -99,7 +100,7 @@
         # others; and counters lend each other what is left.
         if self._configuration.has_customers():
             for zone in sort_by_zone(instances):
-                yield from choose_watchers(zone, instances)
+                yield from choose_counters(zone, instances)
 
     def _list_partners(
         self,
--- a/src/sedgeshunt/membership/counters.py
+++ b/src/sedgeshunt/membership/counters.py
@@ -4,20 +4,24 @@
 
 from msgspec import Struct
 
+from sedgeshunt.clocks import read_boottime
 from sedgeshunt.customers.counting import (
     CounterLinks,
     CounterPlan,
     Spend,
     Spent,
 )
+from sedgeshunt.customers.rights import PartGiven
 from sedgeshunt.groups.ranks import weigh
-from sedgeshunt.identifiers import ProxyId, Seconds, ZoneId
-from sedgeshunt.membership.drawing import choose_watchers, sort_by_zone
+from sedgeshunt.identifiers import Boottime, ProxyId, Seconds
+from sedgeshunt.membership.drawing import choose_counters, sort_by_zone
 from sedgeshunt.membership.neighbours import Neighbours
 from sedgeshunt.registry.entries import InstanceEntry
 
 # A counter that lends answers within two ways and its own work.
 BORROW_LIMIT = Seconds(0.05)
+# Instances that the store has lost may be cut off for so long.
+LONGEST_CUT = Seconds(60)
 
 
 class _KnownPlan(Struct, frozen=True):
@@ -30,28 +34,46 @@
 class LinkedCounters(CounterLinks):
     """Reach the counters over the links that exist anyway."""
 
-    def __init__(
-        self,
-        own: InstanceEntry,
-        zones: Sequence[ZoneId],
-        neighbours: Neighbours,
-    ) -> None:
-        """Count in each of `zones`, whoever is listed there."""
+    def __init__(self, own: InstanceEntry, neighbours: Neighbours) -> None:
+        """Ask as the instance `own`."""
         self._own = own
-        self._zones = zones
         self._neighbours = neighbours
         self._known: _KnownPlan | None = None
+        self._given = PartGiven()
+        # The largest fleet of late, and when it was seen.
+        self._fleet = 1
+        self._fleet_at = Boottime(0)
 
     def plan(self) -> CounterPlan:
         """Tell who counts, by the instances that are known now."""
         instances = self._neighbours.list_instances()
         known = self._known
         if known is None or known.instances is not instances:
-            plan = plan_counters(self._own, self._zones, instances)
+            plan = plan_counters(
+                self._own,
+                instances,
+                self._measure_fleet(len(instances)),
+            )
             known = _KnownPlan(instances, plan)
             self._known = known
         return known.plan
 
+    def gives_part(self, peer: ProxyId) -> bool:
+        """Tell whether a heartbeat to a peer is to bring the own part."""
+        return self._given.give(peer, self.find_home())
+
+    def holds_own(self) -> bool:
+        """Tell whether this proxy counts its own part of limits itself."""
+        return self._given.give(self._own.name, self.find_home())
+
+    def find_home(self) -> ProxyId | None:
+        """Return the counter to ask first, None when none is reached."""
+        plan = self.plan()
+        for name in (*plan.near, *plan.far):
+            if name == self._own.name or self._is_answering(name):
+                return name
+        return None
+
     async def ask(
         self,
         counter: ProxyId,
@@ -64,28 +86,33 @@
             return None
         return await link.spend(spend, limit)
 
+    def _is_answering(self, name: ProxyId) -> bool:
+        link = self._neighbours.find_link(name)
+        return link is not None and link.is_answering()
+
+    def _measure_fleet(self, listed: int) -> int:
+        # Those that are cut off are listed no more after a while, and spend
+        # their parts all the same.
+        now = read_boottime()
+        if listed >= self._fleet or now - self._fleet_at > LONGEST_CUT:
+            self._fleet = max(1, listed)
+            self._fleet_at = now
+        return self._fleet
+
 
 def plan_counters(
     own: InstanceEntry,
-    zones: Sequence[ZoneId],
     instances: Sequence[InstanceEntry],
+    fleet: int,
 ) -> CounterPlan:
-    """Choose who counts for the callers of one instance.
-
-    Each zone has the same part of a limit, whether or not it is listed.
-    """
-    # A zone that is cut off goes on with its part. If the others took it over
-    # when the store forgets the zone, both would spend it.
-    near = choose_watchers(own.zone, instances)
-    listed = sort_by_zone(instances)
+    """Choose who counts for the callers of one instance."""
+    near = choose_counters(own.zone, instances)
     far = [
         name
-        for zone in sorted(listed.keys() - {own.zone})
-        for name in choose_watchers(zone, instances)
+        for zone in sorted(sort_by_zone(instances).keys() - {own.zone})
+        for name in choose_counters(zone, instances)
     ]
-    known = {*zones, *listed}
-    part = 1 / max(1, len(known)) / max(1, len(near))
-    return CounterPlan(_spread(own.name, near), _spread(own.name, far), part)
+    return CounterPlan(_spread(own.name, near), _spread(own.name, far), fleet)
 
 
 def _spread(own: ProxyId, counters: Sequence[ProxyId]) -> tuple[ProxyId, ...]:
--- a/src/sedgeshunt/membership/drawing.py
+++ b/src/sedgeshunt/membership/drawing.py
@@ -12,6 +12,8 @@
 # Instances of each zone that watch the store for all of it, beside those who
 # may own a group: one may be lost while the other takes over its followers.
 WATCHERS_PER_ZONE = 2
+# Instances of each zone that count what customers begin: one may be lost.
+COUNTERS_PER_ZONE = 2
 LARGEST_WEIGHT = 2**64
 
 
@@ -35,6 +37,16 @@
     return zones
 
 
+def choose_counters(
+    zone: ZoneId,
+    instances: Iterable[InstanceEntry],
+) -> tuple[ProxyId, ...]:
+    """Choose who counts in a zone; all find the same."""
+    members = [entry for entry in instances if entry.zone == zone]
+    ranked = rank_instances(f'counters of {zone}', members)
+    return tuple(entry.name for entry in ranked[:COUNTERS_PER_ZONE])
+
+
 def rank_instances(
     place: str,
     instances: Iterable[InstanceEntry],
--- a/src/sedgeshunt/membership/heartbeats.py
+++ b/src/sedgeshunt/membership/heartbeats.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Mapping
 
 from sedgeshunt.clocks import read_boottime
+from sedgeshunt.customers.rights import PartsHeld
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
 from sedgeshunt.execution.group_table import GroupTable
 from sedgeshunt.forwarding.link import (
@@ -16,6 +17,7 @@
 from sedgeshunt.groups.waiters import ChangeSignal
 from sedgeshunt.identifiers import Boottime, GroupId, ProxyId, Seconds
 from sedgeshunt.membership.circle import Circle
+from sedgeshunt.membership.counters import LinkedCounters
 from sedgeshunt.membership.neighbours import Neighbours
 from sedgeshunt.membership.zone_feed import ZoneFeed
 from sedgeshunt.ownership.lease import InstanceLease
@@ -74,8 +76,12 @@
         neighbours: Neighbours,
         groups: GroupTable,
         feed: ZoneFeed,
+        counters: LinkedCounters,
+        parts: PartsHeld,
     ) -> None:
         """Speak for `groups` and of `neighbours`."""
+        self._counters = counters
+        self._parts = parts
         self._neighbours = neighbours
         self._groups = groups
         self._feed = feed
@@ -94,6 +100,7 @@
             echo,
             self._configuration.revision,
             self._view.revision,
+            self._counters.gives_part(peer),
         )
 
     def answer(self, beat: Beat) -> BeatReply:
@@ -102,6 +109,8 @@
             self._meet(beat.sender)
             if beat.promised:
                 self._held.note(beat.sender.name, beat.echo, beat.promised)
+            if beat.gives_part:
+                self._parts.note(beat.sender.name, beat.echo)
         self._view.note_newer(beat.store_revision)
         return BeatReply(
             read_boottime(),
@@ -134,6 +143,10 @@
         # a group's replicas.
         if self._feed.is_present(peer) or any(map(self._reads, groups)):
             return TIP_BEATS
+        # So is the part of limits that a peer counts for this instance.
+        if self._configuration.has_customers():
+            if peer == self._counters.find_home():
+                return TIP_BEATS
         return SLOW_BEATS
 
     def take_beat_reply(self, reply: BeatReply, asked_at: Boottime) -> None:
--- a/src/sedgeshunt/membership/readers.py
+++ b/src/sedgeshunt/membership/readers.py
@@ -15,7 +15,7 @@
 READERS_PER_ZONE = 3
 # Where each connection serves one customer alone, more hands would each need
 # one for the same customer; one of two may be gone.
-GATHERING_READERS = 2
+GATHERING_READERS = 3
 # Connections that a reader needs to each replica: an open transaction keeps one
 # for hundreds of milliseconds, and reads behind it wait.
 SMALLEST_SHARE = 3
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -11,6 +11,7 @@
 from sedgeshunt.customers.directory import NO_KEY
 from sedgeshunt.customers.gate import CountedGate
 from sedgeshunt.customers.parts import PartCounter
+from sedgeshunt.customers.rights import PartsHeld
 from sedgeshunt.decisions import DecisionLog
 from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
 from sedgeshunt.execution.group_access import GroupAccess
@@ -113,6 +114,7 @@
             self.entry.incarnation,
         )
         circle = Circle(self.entry, self._configuration, self._records)
+        self._parts = PartsHeld()
         made, held = PromisesMade(started_at), PromisesHeld()
         releases = Releases()
         self._heartbeats = Heartbeats(
@@ -171,7 +173,21 @@
         self._feed = ZoneFeed(self.entry, circle, self._neighbours)
         self._view.bind(self._feed)
         self._feeds = FeedDesk(self._view, self._lease)
-        self._heartbeats.bind(self._neighbours, self._groups, self._feed)
+        self._counters = LinkedCounters(self.entry, self._neighbours)
+        self._counter = PartCounter(
+            self.entry.name,
+            self._counters,
+            self._parts,
+            BORROW_LIMIT,
+            settings.bounds.customer_slack,
+        )
+        self._heartbeats.bind(
+            self._neighbours,
+            self._groups,
+            self._feed,
+            self._counters,
+            self._parts,
+        )
         owners = OwnerDirectory(
             self._groups,
             self._neighbours,
@@ -188,17 +204,6 @@
             decisions,
         )
         self._dispatcher = Dispatcher(owners)
-        self._counters = LinkedCounters(
-            self.entry,
-            settings.list_zones(),
-            self._neighbours,
-        )
-        self._counter = PartCounter(
-            self.entry.name,
-            self._counters,
-            BORROW_LIMIT,
-            settings.bounds.customer_slack,
-        )
         self._gate = CountedGate(
             self.entry.name,
             self._counters,
--- a/src/sedgeshunt/node_settings.py
+++ b/src/sedgeshunt/node_settings.py
@@ -94,8 +94,6 @@
     # Where metrics are read; they are not served without it.
     metrics: Listener | None = None
     grace_seconds: Span = 6
-    # All availability zones of the deployment, whether up or not.
-    zones: list[Name] = []
 
     @property
     def proxy(self) -> ProxyId:
@@ -107,10 +105,6 @@
         """Return the availability zone as an identifier."""
         return ZoneId(self.zone)
 
-    def list_zones(self) -> list[ZoneId]:
-        """Return the availability zones as identifiers."""
-        return [ZoneId(zone) for zone in self.zones]
-
     @property
     def grace(self) -> Seconds:
         """Return how long a graceful stop may take."""
--- a/tests/features/customers.feature
+++ b/tests/features/customers.feature
@@ -88,6 +88,17 @@
     Then in any 5 s at most 20 a second and the burst of "bar" were allowed
     And each of them allowed some
 
+  Scenario: Those that are cut off together have their part of a limit
+    Two proxies of each zone count; five of these six are cut off from the others.
+    Four proxies of nine are left with one counter. It has four ninths of a limit,
+    as many as bring it their part; by itself it would have a sixth.
+    Given customers "bar" of 45 operations a second each
+    And proxies "east-1, east-2, east-3, north-1, north-2, north-3, west-1, west-2, west-3"
+    When all counters but one are cut off from the other proxies
+    And "bar" asks for 16 operations a second at these for 8 s
+    Then at least 90 % of what "bar" asked for was allowed
+    And in any 5 s at most 20 a second and the burst of "bar" were allowed
+
   Scenario: The loss of a counter costs its zone nothing that is below the limit
     Two proxies of each zone count. One of them is killed; others have its part
     of the limit until it is back, and it comes back with an empty one.
--- a/tests/features/node_bench.py
+++ b/tests/features/node_bench.py
@@ -132,7 +132,6 @@
                 StoreSettings(at),
                 Listener(at),
                 bounds=BoundsSettings(customer_slack=CUSTOMER_SLACK),
-                zones=list(ZONES),
             ),
             ImpatientKeyValue(bench.store, self.place),
             StandInDocuments(),
--- a/tests/features/steps/customers_steps.py
+++ b/tests/features/steps/customers_steps.py
@@ -296,6 +296,24 @@
     bench.wait(1)
 
 
+@when('all counters but one are cut off from the other proxies')
+def cut_counters(context: Any) -> None:
+    bench: NodeBench = context.nodes
+    plan = bench.nodes['east-1'].service._counters.plan()
+    _, *gone = sorted((*plan.near, *plan.far))
+    context.rest = [name for name in bench.nodes if name not in gone]
+    for one, other in product(gone, context.rest):
+        bench.network.cut(one, other)
+    bench.wait(0.5)
+
+
+@when(
+    '"{name}" asks for {rate:g} operations a second at these for {time:g} s',
+)
+def ask_rest(context: Any, name: str, rate: float, time: float) -> None:
+    _ask_gates(context, name, rate, context.rest, time)
+
+
 @when(
     '"{name}" asks for {rate:g} operations a second at all of them for'
     + ' {time:g} s',
