--- a/tests/features/specs.feature
+++ b/tests/features/specs.feature
@@ -21,6 +21,7 @@
       | leaders                     | 16000  |
       | feeds                       | 1600   |
       | limits                      | 3400   |
+      | parts                       | 100000 |
 
   Scenario: Every accepted change can still come into force everywhere
     Then the specification "configuration" can always reach its goal
@@ -153,3 +154,15 @@
       | a part stays as it is when the others are not heard | 10    |
       | what is lent fills a part no further than it holds  | 16    |
       | what is lent is used once                           | 12    |
+
+  Scenario Outline: A part of all limits that is given without a safeguard
+    A proxy gives its part to one counter and then to another; what it sends is
+    late or lost, and it hears each counter's clock now and then.
+    When the giving of a part lacks "<safeguard>"
+    Then the search breaks "no two counters hold one part" in <steps> steps
+
+    Examples:
+      | safeguard                                                 | steps |
+      | a part is held from what was heard of the counter's clock | 6     |
+      | a part is given to nobody else while it may be held       | 4     |
+      | each time it is given, the wait begins anew               | 9     |
--- a/tests/features/steps/specs_steps.py
+++ b/tests/features/steps/specs_steps.py
@@ -11,6 +11,7 @@
     limits_spec,
     operators_spec,
     ownership_spec,
+    parts_spec,
     promotion_state,
     succession_spec,
 )
@@ -37,6 +38,7 @@
     'leaders': leaders_spec.specify_leaders(),
     'feeds': feeds_spec.specify_feeds(),
     'limits': limits_spec.specify_limits(),
+    'parts': parts_spec.specify_parts(),
 }
 
 
@@ -106,6 +108,12 @@
     context.finding = refute(limits_spec.specify_limits(removed))
 
 
+@when('the giving of a part lacks "{safeguard}"')
+def search_parts(context: Any, safeguard: str) -> None:
+    removed = parts_spec.Safeguard(safeguard)
+    context.finding = refute(parts_spec.specify_parts(removed))
+
+
 @then('the search visits all of at least {states:d} states')
 def check_exhaustive(context: Any, states: int) -> None:
     assert context.finding.is_exhaustive
