--- a/src/sedgeshunt/connections/session_pool.py
+++ b/src/sedgeshunt/connections/session_pool.py
@@ -17,8 +17,8 @@
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.configuration.objects import Target
+from sedgeshunt.connections.idle_sessions import IdleSessions, PooledSession
 from sedgeshunt.connections.target_session import (
-    SessionPhase,
     TargetSession,
     TargetSessionConnector,
 )
@@ -29,7 +29,6 @@
 from sedgeshunt.identifiers import CustomerId, Monotonic, Seconds
 from sedgeshunt.limits.average import MovingAverage
 from sedgeshunt.requests.outcome import Cause, NotRun
-from sedgeshunt.statements.statement import PreparedStatement
 
 # A new connection takes 12 ms and waits for a slot; more than this is a
 # target that does not answer.
@@ -47,34 +46,6 @@
 UNREACHABLE_RETRY = Seconds(0.2)
 
 
-class PooledSession:
-    """Hold a session with what is set and prepared on it."""
-
-    def __init__(
-        self,
-        connection: TargetSession,
-        customer: CustomerId,
-    ) -> None:
-        """Start as a fresh connection: nothing is set."""
-        self.connection = connection
-        # In whose name it was opened; it serves nobody else.
-        self.customer = customer
-        self.values: dict[str, str] = {}
-        self.prepared: set[PreparedStatement] = set()
-        # Cleared while an answer is under way: lent again, the next caller
-        # would read it as its own.
-        self.is_clean = True
-        # What the latest answer said. A session that is given back inside a
-        # transaction, as when its caller left while it waited for its turn,
-        # would run the next caller's statement in there.
-        self.phase = SessionPhase.IDLE
-
-    @property
-    def is_fit(self) -> bool:
-        """Tell whether another caller may use the session."""
-        return self.is_clean and self.phase is SessionPhase.IDLE
-
-
 class SessionLoan:
     """Give one holder the sole use of a session until it is returned."""
 
@@ -149,7 +120,7 @@
             for is_transaction in (False, True)
         }
         self._connector = connector
-        self._idle: list[PooledSession] = []
+        self._idle = IdleSessions()
         self._open = 0
         self._turns = TurnQueue()
         # Connections that were opened, since the pool was made.
@@ -233,7 +204,7 @@
             session.is_fit and not self._is_closed and self._open <= self.share
         )
         if keep:
-            self._idle.append(session)
+            self._idle.add(session)
         else:
             self._open -= 1
         self._turns.wake_one()
@@ -242,8 +213,7 @@
 
     async def drop_idle(self) -> None:
         """Close the idle sessions, whose target is gone or replaced."""
-        dropped = self._idle
-        self._idle = []
+        dropped = self._idle.take_all()
         self._open -= len(dropped)
         for session in dropped:
             await session.connection.close()
@@ -321,7 +291,7 @@
         values: Mapping[str, str],
         customer: CustomerId,
     ) -> PooledSession:
-        session = self._take_idle(values, customer)
+        session = self._idle.take(values, customer)
         if session is not None:
             self._turns.wake_one()
             return session
@@ -332,8 +302,8 @@
     async def _close_longest_idle(self) -> None:
         # Closed before its successor is opened, on the same way: the target
         # never has more than the share of them.
-        if self._idle:
-            session = self._idle.pop(0)
+        session = self._idle.take_longest()
+        if session is not None:
             self._open -= 1
             await session.connection.close()
 
@@ -351,23 +321,6 @@
         self._crowded_until = Monotonic(read_clock() + CROWDED_TIME)
         get_running_loop().call_later(CROWDED_TIME, self._turns.wake_one)
 
-    def _take_idle(
-        self,
-        values: Mapping[str, str],
-        customer: CustomerId,
-    ) -> PooledSession | None:
-        own = [one for one in self._idle if one.customer == customer]
-        if not own:
-            return None
-        # The latest one that already has the caller's values saves a round
-        # trip; so does one without any, against one that needs a reset.
-        session = max(
-            reversed(own),
-            key=lambda one: (one.values == values, not one.values),
-        )
-        self._idle.remove(session)
-        return session
-
     async def _connect(self, customer: CustomerId) -> PooledSession:
         self.opened += 1
         self._open += 1
--- a/src/sedgeshunt/execution/preparing.py
+++ b/src/sedgeshunt/execution/preparing.py
@@ -1,6 +1,6 @@
 """Give a pooled session what a caller's own session would have."""
 
-from sedgeshunt.connections.session_pool import PooledSession
+from sedgeshunt.connections.idle_sessions import PooledSession
 from sedgeshunt.connections.target_session import SessionPhase, TargetReply
 from sedgeshunt.statements.call import StatementCall
 
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -7,9 +7,9 @@
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.configuration.objects import Target
+from sedgeshunt.connections.idle_sessions import PooledSession
 from sedgeshunt.connections.session_pool import (
     LifeCheck,
-    PooledSession,
     SessionLoan,
     SessionPool,
 )
