Give customers turns in the queues before a target

Cause: one customer's calls, all within its limit, had the connections of the primary and the places before it; another one's writes waited behind all of them (1 of 16 within 150 ms in virtual time). Callers without customers wait as before.

--- a/src/sedgeshunt/connections/session_pool.py
+++ b/src/sedgeshunt/connections/session_pool.py
@@ -9,6 +9,7 @@
     timeout_at,
 )
 from abc import ABC, abstractmethod
+from collections import Counter
 from collections.abc import Mapping
 from functools import partial
 from types import TracebackType
@@ -123,6 +124,8 @@
         self._idle = IdleSessions()
         self._open = 0
         self._turns = TurnQueue()
+        # Connections that each customer's calls have now.
+        self._lent_to: Counter[CustomerId] = Counter()
         # Connections that were opened, since the pool was made.
         self.opened = 0
         # How long callers usually wait for one.
@@ -198,6 +201,7 @@
         """Keep a clean session within the share, close any other."""
         session = loan.session
         self._in_transactions -= loan.is_transaction
+        self._lent_to[session.customer] -= 1
         held = read_clock() - loan.lent_at
         self._holding[loan.is_transaction].add(held)
         keep = (
@@ -259,7 +263,7 @@
         is_transaction: bool,
     ) -> SessionLoan:
         while True:
-            await self._wait_room(is_transaction)
+            await self._wait_room(is_transaction, customer)
             # Counted before it is opened: two callers at once would otherwise
             # both see room for one, and the target's limit be overrun.
             self._in_transactions += is_transaction
@@ -274,15 +278,22 @@
                 self._in_transactions -= is_transaction
                 raise
             else:
+                self._lent_to[customer] += 1
                 return SessionLoan(self, session, is_transaction=is_transaction)
 
-    async def _wait_room(self, is_transaction: bool) -> None:
+    async def _wait_room(
+        self,
+        is_transaction: bool,
+        customer: CustomerId,
+    ) -> None:
         may_go = partial(self.has_room, is_transaction=is_transaction)
+        # One customer's storm would else have all others wait behind it.
+        measure = partial(self._lent_to.__getitem__, customer)
         if self._turns.has_ready():
             # Who comes now would overtake those who wait.
-            await self._turns.wait(may_go)
+            await self._turns.wait(may_go, measure)
         while not (self._is_closed or may_go()):
-            await self._turns.wait(may_go)
+            await self._turns.wait(may_go, measure)
         if self._is_closed:
             raise self._describe_end()
 
--- a/src/sedgeshunt/connections/turns.py
+++ b/src/sedgeshunt/connections/turns.py
@@ -1,4 +1,4 @@
-"""Let those who wait for a connection go on in the order of their coming."""
+"""Let those who wait for a connection go on, who has least first."""
 
 from asyncio import CancelledError, Future, get_running_loop
 from collections import deque
@@ -7,6 +7,8 @@
 from msgspec import Struct
 
 IsReady = Callable[[], bool]
+# Tells how much the one who waits has already: the less, the sooner its turn.
+Measure = Callable[[], int]
 
 
 class _Waiting(Struct, frozen=True, eq=False):
@@ -14,12 +16,17 @@
 
     turn: 'Future[None]'
     is_ready: IsReady
+    measure: Measure
 
 
 def _is_always_ready() -> bool:
     return True
 
 
+def _has_nothing() -> int:
+    return 0
+
+
 class TurnQueue:
     """Hold those who wait, and wake one at a time."""
 
@@ -39,10 +46,14 @@
         """Tell whether anybody waits who could go on now."""
         return any(waiting.is_ready() for waiting in self._waiters)
 
-    async def wait(self, is_ready: IsReady = _is_always_ready) -> None:
+    async def wait(
+        self,
+        is_ready: IsReady = _is_always_ready,
+        measure: Measure = _has_nothing,
+    ) -> None:
         """Wait until woken, which happens only while `is_ready`."""
         turn: Future[None] = get_running_loop().create_future()
-        waiting = _Waiting(turn, is_ready)
+        waiting = _Waiting(turn, is_ready, measure)
         self._waiters.append(waiting)
         try:
             await turn
@@ -56,14 +67,16 @@
             raise
 
     def wake_one(self) -> None:
-        """Wake the first who still waits and can go on."""
-        for waiting in tuple(self._waiters):
-            if waiting.turn.done():
-                self._forget(waiting)
-            elif waiting.is_ready():
-                self._forget(waiting)
-                waiting.turn.set_result(None)
-                return
+        """Wake who has least of those who can go on, the first of several."""
+        ready = (
+            one
+            for one in self._waiters
+            if not one.turn.done() and one.is_ready()
+        )
+        chosen = min(ready, key=_measure, default=None)
+        if chosen is not None:
+            self._forget(chosen)
+            chosen.turn.set_result(None)
 
     def wake_all(self) -> None:
         """Wake everybody."""
@@ -75,3 +88,7 @@
     def _forget(self, waiting: _Waiting) -> None:
         if waiting in self._waiters:
             self._waiters.remove(waiting)
+
+
+def _measure(waiting: _Waiting) -> int:
+    return waiting.measure()
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -187,6 +187,7 @@
             call.traffic_class,
             weigh_priority(call.priority),
             deadline,
+            customer=call.identity.customer,
             is_begun=is_begun,
             due=self._find_due(call, deadline, came_at),
         )
--- a/src/sedgeshunt/limits/admission.py
+++ b/src/sedgeshunt/limits/admission.py
@@ -6,7 +6,9 @@
 from result import Err, Ok, Result
 
 from sedgeshunt.clocks import read_clock
+from sedgeshunt.customers.directory import NOBODY
 from sedgeshunt.identifiers import (
+    CustomerId,
     Monotonic,
     Seconds,
     TargetId,
@@ -94,6 +96,7 @@
         weight: int,
         deadline: Monotonic,
         *,
+        customer: CustomerId = NOBODY,
         is_begun: bool = False,
         due: Monotonic | None = None,
     ) -> Result[Permit, NotRun]:
@@ -110,7 +113,7 @@
         if self.has_room():
             return Ok(self._start(now))
         self.limit.note_full()
-        ahead = self._queue.count_ahead(traffic_class, weight, now)
+        ahead = self._queue.count_ahead(traffic_class, weight, now, customer)
         wait = self._estimate_wait(ahead, now)
         left = (due or deadline) - now
         if self._is_too_long(wait, left) and not is_begun:
@@ -118,7 +121,7 @@
             return Err(self._refuse_overload(wait))
         turn = get_running_loop().create_future()
         return await self._wait_turn(
-            Waiter(traffic_class, weight, deadline, turn),
+            Waiter(traffic_class, weight, deadline, turn, customer),
         )
 
     def close(self) -> None:
--- a/tests/features/customers.feature
+++ b/tests/features/customers.feature
@@ -146,3 +146,13 @@
     When "bar" reads every 0.1 s at a proxy for 2 s as the reader where it gathers is cut off
     Then at least 100 % of the reads were done within 450 ms
     And at least 80 % of the reads were done within 100 ms
+
+  Scenario: A customer's storm within its limit leaves the others their turns
+    One customer has more calls under way than the primary can run for a while,
+    all allowed. Another one's writes wait for a turn each, not behind all of it.
+    Given customers "bar, hotel" of 1000 operations a second each
+    And proxies "east-1, north-1, west-1"
+    And a statement takes the targets 0.03 s
+    When 30 callers of "bar" write all the time at all of them for 4 s
+    And "hotel" writes 4 times a second at all of them meanwhile
+    Then 100 % of the writes of "hotel" were done within 150 ms
--- a/tests/features/steps/customers_steps.py
+++ b/tests/features/steps/customers_steps.py
@@ -22,7 +22,12 @@
 from sedgeshunt.platform.refusals import name_refusal
 from sedgeshunt.statements.session import StatementSession
 from tests.features.node_bench import GROUP, ROUTES, NodeBench
-from tests.features.node_callers import Callers, Told, open_bench
+from tests.features.node_callers import (
+    WATCH_EVERY,
+    Callers,
+    Told,
+    open_bench,
+)
 from tests.standins.network import PLATFORM
 from tests.standins.statement_group import CONNECTION_LIMIT
 
@@ -237,6 +242,19 @@
     context.storm_time = time
 
 
+@when(
+    '{count:d} callers of "{name}" write all the time at all of them for'
+    + ' {time:g} s',
+)
+def press(context: Any, count: int, name: str, time: float) -> None:
+    bench: NodeBench = context.nodes
+    context.told = {name: Callers(bench)}
+    context.storm_time = time
+    for _, node in zip(range(count), cycle(bench.nodes), strict=False):
+        session = bench.open(node, 'settle', find_key(name))
+        bench.time.watch(context.told[name].write_on(session, WATCH_EVERY))
+
+
 @when('"{name}" writes {rate:g} times a second at all of them meanwhile')
 def write_meanwhile(context: Any, name: str, rate: float) -> None:
     bench: NodeBench = context.nodes
