--- a/src/sedgeshunt/customers/gate.py
+++ b/src/sedgeshunt/customers/gate.py
@@ -36,14 +36,6 @@
         """Count one operation; return why it may not begin."""
 
 
-class OpenGate(CustomerGate):
-    """Let everybody begin everything."""
-
-    async def admit(self, identity: Identity) -> NotRun | None:
-        """Count nothing."""
-        return None
-
-
 class CountedGate(CustomerGate):
     """Ask the proxies that count a customer's operations."""
 
