--- a/src/sedgeshunt/customers/borrowing.py
+++ b/src/sedgeshunt/customers/borrowing.py
@@ -17,7 +17,7 @@
 # How much is asked for at once: what the part itself gains in so long.
 BORROWED_TIME = Seconds(0.5)
 # After all others had nothing to lend, they are asked again after so long.
-DRY_TIME = Seconds(0.3)
+DRY_TIME = Seconds(0.1)
 
 
 class Borrower:
