--- a/src/sedgeshunt/membership/drawing.py
+++ b/src/sedgeshunt/membership/drawing.py
@@ -22,9 +22,15 @@
     instances: Iterable[InstanceEntry],
 ) -> tuple[ProxyId, ...]:
     """Choose who watches the store for a zone; all find the same."""
-    members = [entry for entry in instances if entry.zone == zone]
-    ranked = rank_instances(f'watchers of {zone}', members)
-    return tuple(entry.name for entry in ranked[:WATCHERS_PER_ZONE])
+    return _choose('watchers', zone, instances)[:WATCHERS_PER_ZONE]
+
+
+def choose_counters(
+    zone: ZoneId,
+    instances: Iterable[InstanceEntry],
+) -> tuple[ProxyId, ...]:
+    """Choose who counts in a zone; all find the same."""
+    return _choose('counters', zone, instances)[:COUNTERS_PER_ZONE]
 
 
 def sort_by_zone(
@@ -37,16 +43,6 @@
     return zones
 
 
-def choose_counters(
-    zone: ZoneId,
-    instances: Iterable[InstanceEntry],
-) -> tuple[ProxyId, ...]:
-    """Choose who counts in a zone; all find the same."""
-    members = [entry for entry in instances if entry.zone == zone]
-    ranked = rank_instances(f'counters of {zone}', members)
-    return tuple(entry.name for entry in ranked[:COUNTERS_PER_ZONE])
-
-
 def rank_instances(
     place: str,
     instances: Iterable[InstanceEntry],
@@ -55,6 +51,16 @@
     return sorted(instances, key=partial(_weigh, place), reverse=True)
 
 
+def _choose(
+    purpose: str,
+    zone: ZoneId,
+    instances: Iterable[InstanceEntry],
+) -> tuple[ProxyId, ...]:
+    members = [entry for entry in instances if entry.zone == zone]
+    ranked = rank_instances(f'{purpose} of {zone}', members)
+    return tuple(entry.name for entry in ranked)
+
+
 def _weigh(place: str, entry: InstanceEntry) -> float:
     """Return a weight that is the largest as often as the instance is fast.
 
--- a/src/sedgeshunt/membership/readers.py
+++ b/src/sedgeshunt/membership/readers.py
@@ -13,9 +13,6 @@
 # Instances of each zone that read a group's replicas at the most: one may be
 # gone and another be stopping.
 READERS_PER_ZONE = 3
-# Where each connection serves one customer alone, more hands would each need
-# one for the same customer; one of two may be gone.
-GATHERING_READERS = 3
 # Connections that a reader needs to each replica: an open transaction keeps one
 # for hundreds of milliseconds, and reads behind it wait.
 SMALLEST_SHARE = 3
@@ -74,7 +71,7 @@
     """
     open_to_all = max(1, limit - RESERVED_CONNECTIONS)
     zones = sort_by_zone(instances)
-    per_zone = GATHERING_READERS if gathers else READERS_PER_ZONE
+    per_zone = READERS_PER_ZONE
     if zones:
         most = open_to_all // SMALLEST_SHARE // len(zones)
         per_zone = min(per_zone, max(1, most))
