Tell the store's era, refused watches and documents turned down

One line store-returned when the era of the store's answers rises, one configuration- refused for each document that is turned down as older, levels store_era, store_refused_watches and configuration_version. No decision changes.

The stand-ins of the store can go back to what they were some seconds ago: revisions and lease ids are given out again, a watch after what they lack is refused, and the era rises.

--- a/src/sedgeshunt/adapters/http_connection.py
+++ b/src/sedgeshunt/adapters/http_connection.py
@@ -55,6 +55,8 @@
 
     status: int
     body: bytes
+    # By their names in lower case.
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 class HttpConnection:
@@ -79,10 +81,14 @@
     async def exchange(self, host: str, request: HttpRequest) -> HttpReply:
         """Send a request and return the whole answer; raise HttpBroken."""
         self.send_request(host, request)
-        status = await self.read_status()
+        head = await self._read_head()
         body = b''.join([chunk async for chunk in self.read_body()])
         self._finish()
-        return HttpReply(status, body)
+        headers = {
+            name.decode(): content.decode('latin-1')
+            for name, content in head.headers
+        }
+        return HttpReply(head.status_code, body, headers)
 
     def send_request(self, host: str, request: HttpRequest) -> None:
         """Send a request."""
@@ -103,12 +109,8 @@
 
     async def read_status(self) -> int:
         """Return the status of the answer that begins; raise HttpBroken."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, Response):
-                return event.status_code
-            if isinstance(event, ConnectionClosed):
-                raise HttpBroken('the connection was closed')
+        head = await self._read_head()
+        return head.status_code
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of a body to its end; raise HttpBroken."""
@@ -162,6 +164,14 @@
             raise HttpBroken('the connection was closed')
         self._writer.write(b''.join(parts))
 
+    async def _read_head(self) -> Response:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, Response):
+                return event
+            if isinstance(event, ConnectionClosed):
+                raise HttpBroken('the connection was closed')
+
     async def _next_event(self) -> Event | type:
         try:
             while (event := self._protocol.next_event()) is NEED_DATA:
--- a/src/sedgeshunt/adapters/json_client.py
+++ b/src/sedgeshunt/adapters/json_client.py
@@ -6,7 +6,7 @@
 from json import dumps, loads
 from typing import Any
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from sedgeshunt.adapters.http_connection import (
     HttpBroken,
@@ -54,6 +54,8 @@
     status: int
     # None when the answer has no body.
     document: Any
+    # By their names in lower case.
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 class JsonClient:
@@ -97,9 +99,10 @@
             limit,
         )
         try:
-            return JsonReply(reply.status, _read_body(reply.body))
+            document = _read_body(reply.body)
         except ValueError as failure:
             raise CallFailed(_describe(failure)) from failure
+        return JsonReply(reply.status, document, reply.headers)
 
     @asynccontextmanager
     async def stream(
--- a/src/sedgeshunt/decisions.py
+++ b/src/sedgeshunt/decisions.py
@@ -33,6 +33,7 @@
     INVARIANT_BROKEN = 'invariant-broken'
     STORE_LOST = 'store-lost'
     STORE_REGAINED = 'store-regained'
+    STORE_RETURNED = 'store-returned'
     LEASE_LOST = 'lease-lost'
     GROUP_CLAIMED = 'group-claimed'
     GROUP_RELEASED = 'group-released'
--- a/src/sedgeshunt/identifiers.py
+++ b/src/sedgeshunt/identifiers.py
@@ -17,6 +17,8 @@
 Term = NewType('Term', int)
 Position = NewType('Position', int)
 Revision = NewType('Revision', int)
+# Counts how often a store has come back from an older copy of itself.
+Era = NewType('Era', int)
 
 # A reading of the event loop's monotonic clock, in seconds.
 Monotonic = NewType('Monotonic', float)
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -90,6 +90,7 @@
         self.entry = _make_entry(settings)
         self._sessions = 0
         self._recorder = recorder
+        self._store = store
         self._view = StoreView(
             store,
             (
@@ -309,6 +310,9 @@
             'store.watched': self._view.is_watching,
             'store.followers': len(self._view.followers),
             'store.revision': self._view.revision,
+            'store.era': self._store.era,
+            'store.refused_watches': self._view.refused_watches,
+            'configuration.version': self._configuration.declared.version,
             'zone.isolated': self.isolation.is_isolated(),
             'statements.running': sum(
                 executor.admission.running for executor in executors
--- a/src/sedgeshunt/platform/store.py
+++ b/src/sedgeshunt/platform/store.py
@@ -17,8 +17,9 @@
     LeaseLapsed,
     PlatformUnavailable,
 )
-from sedgeshunt.identifiers import Revision, Seconds
+from sedgeshunt.identifiers import Era, Revision, Seconds
 from sedgeshunt.ports import (
+    FIRST_ERA,
     Address,
     CommitResult,
     Compare,
@@ -46,6 +47,7 @@
 CONFLICT = 412
 MILLISECONDS = 1000
 STALE = '1'
+ERA_HEADER = 'store-era'
 
 
 class MetadataStore(KeyValueService):
@@ -54,6 +56,12 @@
     def __init__(self, address: Address) -> None:
         """Connect at the first call."""
         self._client = JsonClient([address], keeps_connections=True)
+        self._era = FIRST_ERA
+
+    @property
+    def era(self) -> Era:
+        """Return the newest era that an answer has told."""
+        return self._era
 
     def move(self, address: Address) -> None:
         """Call another address from the next call on."""
@@ -103,9 +111,7 @@
             'remove': [one.key for one in changes if isinstance(one, Delete)],
         }
         try:
-            reply = await self._client.exchange(
-                'POST', '/kv-txn', body, limit=CALL_TIMEOUT
-            )
+            reply = await self._exchange('POST', '/kv-txn', body)
         except ServiceAway as away:
             raise PlatformUnavailable(str(away)) from away
         except CallFailed as failure:
@@ -182,10 +188,26 @@
         limit: Seconds = CALL_TIMEOUT,
     ) -> JsonReply:
         try:
-            return await self._client.exchange(method, path, body, limit=limit)
+            return await self._exchange(method, path, body, limit)
         except CallFailed as failure:
             raise PlatformUnavailable(str(failure)) from failure
 
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: Any,
+        limit: Seconds = CALL_TIMEOUT,
+    ) -> JsonReply:
+        reply = await self._client.exchange(method, path, body, limit=limit)
+        self._era = max(self._era, _read_era(reply))
+        return reply
+
+
+def _read_era(reply: JsonReply) -> Era:
+    told = reply.headers.get(ERA_HEADER, '')
+    return Era(int(told)) if told.isdecimal() else FIRST_ERA
+
 
 def _check(reply: JsonReply) -> None:
     if reply.status != OK:
--- a/src/sedgeshunt/ports.py
+++ b/src/sedgeshunt/ports.py
@@ -8,6 +8,7 @@
 
 from sedgeshunt.groups.status import TargetStatus
 from sedgeshunt.identifiers import (
+    Era,
     GroupId,
     ProxyId,
     Revision,
@@ -18,6 +19,8 @@
 )
 from sedgeshunt.requests.outcome import Answer
 
+FIRST_ERA = Era(0)
+
 
 class Address(Struct, frozen=True):
     """Hold an IP number and a port."""
@@ -148,6 +151,14 @@
 class KeyValueService(ABC):
     """Keep what must last: compare-and-swap, leases and watches."""
 
+    @property
+    def era(self) -> Era:
+        """Return the newest era that an answer has told.
+
+        A service that never goes back stays in the first one.
+        """
+        return FIRST_ERA
+
     @abstractmethod
     async def list_prefix(
         self,
--- a/src/sedgeshunt/registry/configuration.py
+++ b/src/sedgeshunt/registry/configuration.py
@@ -46,6 +46,8 @@
         self.declared = Declared()
         # The item that is in force, for peers that the store does not serve.
         self.source: KeyValue | None = None
+        # The latest document that was turned down.
+        self._older = b''
         self._taken_at = Boottime(0)
         self._view = view
         self._documents = documents
@@ -153,6 +155,7 @@
     def take(self, pair: KeyValue) -> None:
         """Bring an item into force if it is newer than what is."""
         if self.source is not None and pair.revision <= self.source.revision:
+            self._note_older(pair, self.source)
             return
         try:
             declared = self._documents.read_declared(pair)
@@ -215,6 +218,19 @@
                 Decision(DecisionKind.CONFIGURATION_REFUSED, reasons=reasons),
             )
 
+    def _note_older(self, pair: KeyValue, source: KeyValue) -> None:
+        """Log a document that is turned down, once for each one."""
+        if pair.value in (source.value, self._older):
+            return
+        self._older = pair.value
+        why = f'its revision {pair.revision} is not above {source.revision}'
+        self._decisions.record(
+            Decision(
+                DecisionKind.CONFIGURATION_REFUSED,
+                reasons={'why': why, 'in_force': str(self.declared.version)},
+            ),
+        )
+
     def _tell(self) -> None:
         for listener in self._listeners:
             listener()
--- a/src/sedgeshunt/registry/store_view.py
+++ b/src/sedgeshunt/registry/store_view.py
@@ -78,6 +78,9 @@
         self.is_reached = False
         # Changes are brought by the store itself.
         self.is_watching = False
+        # Watches that the store refused, as it lacks what they begin after.
+        self.refused_watches = 0
+        self._era = store.era
         self._store = store
         self._prefixes = tuple(prefixes)
         self._decisions = decisions
@@ -152,6 +155,7 @@
                 await self._follow()
             except WatchCompacted:
                 # What happened since is unknown: list anew.
+                self.refused_watches += 1
                 self._note_reach(is_reached=True)
                 self.loaded.clear()
             except PlatformUnavailable as failure:
@@ -161,6 +165,7 @@
     async def refresh(self, *, may_be_old: bool = False) -> None:
         """List everything anew; raise PlatformUnavailable."""
         listing = await self._store.list_prefix(ALL_KEYS, may_be_old=may_be_old)
+        self._note_era()
         # The pages are no snapshot; the watch goes on from the first.
         self._replace(
             {
@@ -264,6 +269,7 @@
                 owned.push_async_callback(watch.aclose)
             async for events in watch:
                 self._note_reach(is_reached=True)
+                self._note_era()
                 newest = max((one.revision for one in events), default=0)
                 self._take(events, Revision(newest))
                 await sleep(self._gathering.find_pause(read_clock()))
@@ -314,6 +320,16 @@
         for listener in self._listeners:
             listener(key)
 
+    def _note_era(self) -> None:
+        before = self._era
+        self._era = self._store.era
+        # The first one that is heard of tells nothing.
+        if self.revision and self._era > before:
+            reasons = {'era': str(self._era), 'before': str(before)}
+            self._decisions.record(
+                Decision(DecisionKind.STORE_RETURNED, reasons=reasons),
+            )
+
     def _note_reach(self, *, is_reached: bool, why: str = '') -> None:
         if is_reached:
             self._backoff.reset()
--- a/tests/standins/keyvalues.py
+++ b/tests/standins/keyvalues.py
@@ -1,12 +1,14 @@
 """Keep revisions, leases and changes of the key-value stand-in."""
 
 from asyncio import TimerHandle, get_running_loop
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from sedgeshunt.exceptions import PlatformUnavailable
-from sedgeshunt.identifiers import Revision
+from sedgeshunt.identifiers import Era, Revision
 from sedgeshunt.ports import (
+    FIRST_ERA,
     CommitResult,
     Compare,
     Delete,
@@ -19,6 +21,8 @@
 from tests.standins.network import Signal
 
 Matcher = Callable[[str], bool]
+# Copies that are kept to come back from.
+MOST_COPIES = 500
 
 
 class LeaseNotFound(PlatformUnavailable):
@@ -34,6 +38,18 @@
     keys: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class Copy:
+    """Hold the store as it was at one moment."""
+
+    at: float
+    revision: Revision
+    pairs: dict[str, KeyValue]
+    # Time to live and keys of each lease.
+    leases: dict[int, tuple[float, frozenset[str]]]
+    last_lease: int
+
+
 class KeyValueStore:
     """Apply transactions to all keys, one revision each."""
 
@@ -42,6 +58,8 @@
         self.revision = Revision(1)
         self.compacted = Revision(0)
         self.changed = Signal()
+        self.era = FIRST_ERA
+        self._copies: deque[Copy] = deque(maxlen=MOST_COPIES)
         self._pairs: dict[str, KeyValue] = {}
         self._events: list[WatchEvent] = []
         self._leases: dict[int, Lease] = {}
@@ -78,7 +96,7 @@
         matches: Matcher,
     ) -> list[WatchEvent]:
         """List the changes past `after`; raise WatchCompacted."""
-        if after < self.compacted:
+        if after < self.compacted or after > self.revision:
             raise WatchCompacted
         return [
             event
@@ -96,6 +114,7 @@
         self._last_lease += 1
         lease = self._last_lease
         self._leases[lease] = Lease(ttl, self._start_timer(lease, ttl))
+        self._copy()
         return lease
 
     def keep_lease(self, lease: int) -> float:
@@ -121,6 +140,45 @@
         for lease in tuple(self._leases):
             self.revoke_lease(lease)
 
+    def go_back(self, age: float) -> None:
+        """Become what the store was `age` seconds ago, in the next era.
+
+        Revisions and the ids of leases are given out again from there.
+        """
+        at = get_running_loop().time() - age
+        copies = [copy for copy in self._copies if copy.at <= at]
+        copy = copies[-1] if copies else self._copies[0]
+        self.era = Era(self.era + 1)
+        self.revision = copy.revision
+        self._pairs = dict(copy.pairs)
+        self._events = [
+            event for event in self._events if event.revision <= copy.revision
+        ]
+        for lost in self._leases.values():
+            lost.timer.cancel()
+        self._leases = {
+            lease: Lease(ttl, self._start_timer(lease, ttl), set(keys))
+            for lease, (ttl, keys) in copy.leases.items()
+        }
+        self._last_lease = copy.last_lease
+        self._copies.clear()
+        self._copy()
+        self.changed.fire()
+
+    def _copy(self) -> None:
+        self._copies.append(
+            Copy(
+                get_running_loop().time(),
+                self.revision,
+                dict(self._pairs),
+                {
+                    lease: (held.ttl, frozenset(held.keys))
+                    for lease, held in self._leases.items()
+                },
+                self._last_lease,
+            ),
+        )
+
     def _start_timer(self, lease: int, ttl: float) -> TimerHandle:
         return get_running_loop().call_later(ttl, self.revoke_lease, lease)
 
@@ -137,6 +195,7 @@
         # Deleting what isn't there makes no revision.
         if len(self._events) > events:
             self.revision = revision
+            self._copy()
             self.changed.fire()
 
     def _apply_one(self, change: Put | Delete, revision: Revision) -> None:
--- a/tests/standins/metadata_front.py
+++ b/tests/standins/metadata_front.py
@@ -83,6 +83,11 @@
             await self._wait_silent()
         if self.refusal is not None:
             return Response(status=self.refusal, text='no')
+        response = await self._handle(handle, request)
+        response.headers['Store-Era'] = str(self.service.store.era)
+        return response
+
+    async def _handle(self, handle: Handler, request: Request) -> Response:
         try:
             return await handle(request)
         except LeaseNotFound:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -2,12 +2,14 @@
 
 from asyncio import timeout
 from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import aclosing
 from typing import TypeVar
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
-from sedgeshunt.identifiers import Revision, Seconds
+from sedgeshunt.identifiers import Era, Revision, Seconds
 from sedgeshunt.ports import (
+    FIRST_ERA,
     CommitResult,
     Compare,
     Delete,
@@ -42,6 +44,12 @@
         self._service = service
         self._store = service.store
         self._client = client
+        self._era = FIRST_ERA
+
+    @property
+    def era(self) -> Era:
+        """Return the newest era that an answer has told."""
+        return self._era
 
     async def list_prefix(
         self,
@@ -66,13 +74,18 @@
             lambda: self._store.commit(compares, changes),
         )
 
-    def watch(
+    async def watch(
         self,
         prefix: str,
         after: Revision,
     ) -> AsyncIterator[Sequence[WatchEvent]]:
         """Yield changes past `after`."""
-        return self._service.watch(self._client, _match_prefix(prefix), after)
+        matches = _match_prefix(prefix)
+        watch = self._service.watch(self._client, matches, after)
+        async with aclosing(watch):
+            async for events in watch:
+                self._era = max(self._era, self._store.era)
+                yield events
 
     async def grant_lease(self, ttl: Seconds) -> int:
         """Return a new lease's id."""
@@ -90,7 +103,13 @@
         await self._call('revoke', lambda: self._store.revoke_lease(lease))
 
     async def _call(self, name: str, action: Callable[[], Value]) -> Value:
-        return await self._service.answer(self._client, name, action)
+        era, found = await self._service.answer(
+            self._client,
+            name,
+            lambda: (self._store.era, action()),
+        )
+        self._era = max(self._era, era)
+        return found
 
 
 class ImpatientKeyValue(MemoryKeyValue):
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -2,7 +2,7 @@
 
 from asyncio import Task, create_task, shield, sleep
 from collections import Counter
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 from itertools import groupby
 from typing import TypeVar
 
@@ -85,7 +85,7 @@
         client: Place,
         matches: Matcher,
         after: Revision,
-    ) -> AsyncIterator[list[WatchEvent]]:
+    ) -> AsyncGenerator[list[WatchEvent], None]:
         """Yield changes past `after`, one list each or all together."""
         seen = after
         await self.answer(client, 'watch', lambda: None)
