Reproduce the incident: a configuration after a return of the store

Known red: callers of a dropped route are let in 3 s after the drop was written, as the store came back from an older copy before it.

--- a/tests/features/node_bench.py
+++ b/tests/features/node_bench.py
@@ -27,6 +27,7 @@
     MemoryDecisionLog,
 )
 from sedgeshunt.identifiers import (
+    Era,
     GroupId,
     KeyDigest,
     StatementId,
@@ -75,6 +76,8 @@
 # Time for all proxies to register, claim and find the primary.
 START_TIME = 2.5
 PUBLISH_EVERY = 0.02
+# The operator writes again what the store has lost, so long after its return.
+REWRITE_AFTER = 0.1
 
 Outcome = Result[Answer, Refusal]
 
@@ -178,7 +181,11 @@
         self.customers: list[Customer] | None = None
         # Processes that were replaced by new ones.
         self._ended: list[Node] = []
-        self._published: dict[TargetId, TargetDocument | None] = {}
+        # What each target has written, and in which era of the store.
+        self._published: dict[
+            TargetId,
+            tuple[Era, TargetDocument | None],
+        ] = {}
         for place, zone in enumerate(ZONES):
             self._add_target(zone, is_primary=place == 0)
         self.declare(ROUTES)
@@ -260,6 +267,17 @@
             lambda: self.store.store.commit((), (Put(key, document),)),
         )
 
+    def return_store(self, away: float, age: float) -> None:
+        """Have the store come back after `away` s as it was `age` s before."""
+        declared = self.read(CONFIGURATION_KEY)
+        self.time.act(self.store.outage)
+        self.wait(away)
+        self.time.act(lambda: self.store.store.go_back(away + age))
+        self.time.act(self.store.recover)
+        self.wait(REWRITE_AFTER)
+        if declared is not None and self.read(CONFIGURATION_KEY) != declared:
+            self.put(CONFIGURATION_KEY, declared)
+
     def read(self, key: str) -> bytes | None:
         """Return what the store holds under a key, None for nothing."""
         listing = self.store.store.list_matching(key.__eq__)
@@ -310,9 +328,11 @@
     def _publish_target(self, target: StatementTarget) -> None:
         key = f'{TARGETS_PREFIX}{target.name}'
         document = _describe(target) if target.is_listed else None
-        if self._published.get(target.name) == document:
+        if self._published.get(target.name) == (self.store.store.era, document):
+            return
+        self._published[target.name] = (self.store.store.era, document)
+        if self.read(key) == (document and make_document(document)):
             return
-        self._published[target.name] = document
         change = Put(key, make_document(document)) if document else Delete(key)
         self.store.store.commit((), (change,))
 
