Name a change of the store by era and count, and a configuration by its version

What callers saw: after the store had been away, changes of the configuration were not in force for up to 20 s; callers of a dropped route were let in (CONFIG).

Cause: the store came back from a copy, its revisions went back and were given out again. The view took a higher revision for a newer item: a listing left the old document in place, and the watch began after a revision that the store does not have. Behind it the configuration compared revisions as well.

Why this works: a revision is the pair of era and count, ordered as such, in one number made by the adapter from the header of the answer; nothing outside the adapter has a bare count. A view of an older era keeps nothing when it lists; a watch, a comparison or an answer of another era is refused in CurrentStore. The configuration in force is compared by the operator's own version, so neither a restored older document nor a peer's copy takes it back. Peers tell the era in their heartbeats.

--- a/src/sedgeshunt/adapters/forwarding.thrift
+++ b/src/sedgeshunt/adapters/forwarding.thrift
@@ -85,17 +85,17 @@
   3: i32 promised_ms
   // The receiver's clock as it stood in its last reply.
   4: double echo
-  // The newest configuration that the sender has.
-  5: i64 revision
+  // How far the sender has followed the store: its era, then its count.
   6: i64 store_revision
   // The receiver counts the sender's part of customers' limits.
   7: optional bool gives_part
+  // The operator's version of the configuration that the sender has.
+  8: i64 version
 }
 
 struct BeatReply {
   1: double stamp
   2: list<Owned> owned
-  3: i64 revision
   4: bool is_stopping
   // Sent when the asker's configuration is older.
   5: optional binary document
--- a/src/sedgeshunt/adapters/forwarding_frames.py
+++ b/src/sedgeshunt/adapters/forwarding_frames.py
@@ -335,9 +335,9 @@
         'sender',
         'promised_ms',
         'echo',
-        'revision',
         'store_revision',
         'gives_part',
+        'version',
     )
 
     def __init__(
@@ -345,17 +345,17 @@
         sender: Any = None,
         promised_ms: Any = None,
         echo: Any = None,
-        revision: Any = None,
         store_revision: Any = None,
         gives_part: Any = None,
+        version: Any = None,
     ) -> None:
         """Leave out what is not given."""
         self.sender = sender
         self.promised_ms = promised_ms
         self.echo = echo
-        self.revision = revision
         self.store_revision = store_revision
         self.gives_part = gives_part
+        self.version = version
 
 
 WireBeat.thrift_spec = (
@@ -364,9 +364,10 @@
     None,
     (3, TType.I32, 'promised_ms', None, None),
     (4, TType.DOUBLE, 'echo', None, None),
-    (5, TType.I64, 'revision', None, None),
+    None,
     (6, TType.I64, 'store_revision', None, None),
     (7, TType.BOOL, 'gives_part', None, None),
+    (8, TType.I64, 'version', None, None),
 )
 
 
@@ -376,7 +377,6 @@
     __slots__ = (
         'stamp',
         'owned',
-        'revision',
         'is_stopping',
         'document',
         'relayed',
@@ -390,7 +390,6 @@
         self,
         stamp: Any = None,
         owned: Any = None,
-        revision: Any = None,
         is_stopping: Any = None,
         document: Any = None,
         relayed: Any = None,
@@ -402,7 +401,6 @@
         """Leave out what is not given."""
         self.stamp = stamp
         self.owned = owned
-        self.revision = revision
         self.is_stopping = is_stopping
         self.document = document
         self.relayed = relayed
@@ -422,7 +420,7 @@
         (TType.STRUCT, [WireOwned, WireOwned.thrift_spec], False),
         None,
     ),
-    (3, TType.I64, 'revision', None, None),
+    None,
     (4, TType.BOOL, 'is_stopping', None, None),
     (5, TType.STRING, 'document', 'BINARY', None),
     (
--- a/src/sedgeshunt/adapters/frame_beats.py
+++ b/src/sedgeshunt/adapters/frame_beats.py
@@ -56,7 +56,7 @@
         ),
         promised_ms=count_ms(beat.promised),
         echo=beat.echo,
-        revision=beat.revision,
+        version=beat.version,
         store_revision=beat.store_revision,
         gives_part=beat.gives_part or None,
     )
@@ -68,7 +68,7 @@
         None if raw.sender is None else _read_instance(raw.sender),
         read_ms(raw.promised_ms),
         Boottime(raw.echo),
-        Revision(raw.revision),
+        raw.version or 0,
         Revision(raw.store_revision),
         bool(raw.gives_part),
     )
@@ -95,7 +95,6 @@
         store_revision=reply.store_revision,
         reaches_store=reply.reaches_store,
         released=dict(reply.released) or None,
-        revision=reply.revision,
         is_stopping=reply.is_stopping,
         document=document,
         is_packed=is_packed or None,
@@ -107,7 +106,6 @@
     return BeatReply(
         Boottime(raw.stamp),
         _read_owned(raw.owned),
-        Revision(raw.revision),
         bool(raw.is_stopping),
         None if raw.relayed is None else _read_owned(raw.relayed),
         Revision(raw.store_revision),
--- a/src/sedgeshunt/forwarding/messages.py
+++ b/src/sedgeshunt/forwarding/messages.py
@@ -44,8 +44,8 @@
     promised: Seconds
     # The receiver's clock as it stood in its last reply; 0 before the first.
     echo: Boottime
-    # The newest configuration that the sender has.
-    revision: Revision
+    # The operator's version of the configuration that the sender has.
+    version: int
     # How far the sender has followed the store.
     store_revision: Revision = Revision(0)
     # The receiver counts the sender's part of customers' limits.
@@ -58,7 +58,6 @@
     # The replying instance's clock.
     stamp: Boottime
     owned: tuple[OwnedGroup, ...]
-    revision: Revision
     is_stopping: bool
     # Groups whose owner the sender hears, and can pass calls on to; None
     # when these have not changed.
--- a/src/sedgeshunt/membership/heartbeats.py
+++ b/src/sedgeshunt/membership/heartbeats.py
@@ -98,8 +98,8 @@
             self._own,
             self._promise(peer, is_answering=is_answering),
             echo,
-            self._configuration.revision,
-            self._view.revision,
+            self._configuration.version,
+            self._view.newest,
             self._counters.gives_part(peer),
         )
 
@@ -115,14 +115,13 @@
         return BeatReply(
             read_boottime(),
             tuple(self._list_owned()),
-            self._configuration.revision,
             self.is_stopping,
             tuple(self._list_relayed()),
-            self._view.revision,
+            self._view.newest,
             # A peer that counts on it must hear at once that it is over.
             self._lease.has_own_answer(),
             tuple(self._releases.list_own()),
-            self._configuration.copy_newer(beat.revision),
+            self._configuration.copy_newer(beat.version),
         )
 
     def find_pace(
@@ -158,7 +157,7 @@
             self._releases.note_heard(group, claim)
         self._view.note_newer(reply.store_revision)
         if reply.document is not None:
-            self._configuration.take_copy(reply.document, reply.revision)
+            self._configuration.take_copy(reply.document)
         self.owners_changed.notify()
 
     def take_tip(self, group: GroupId, asked_at: Boottime, tip: Point) -> None:
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -49,6 +49,7 @@
 from sedgeshunt.ownership.releases import Releases
 from sedgeshunt.ports import KeyValueService
 from sedgeshunt.registry.configuration import LiveConfiguration
+from sedgeshunt.registry.current_store import CurrentStore
 from sedgeshunt.registry.directory import PlatformDocuments
 from sedgeshunt.registry.entries import InstanceEntry
 from sedgeshunt.registry.keys import OWN_PREFIX, OWNERS_PREFIX
@@ -58,6 +59,7 @@
 from sedgeshunt.statements.peer_desk import HeardOpinions, LocalDesk
 from sedgeshunt.statements.records import StatementRecorder
 from sedgeshunt.requests.outcome import Rejected
+from sedgeshunt.revisions import read_count
 from sedgeshunt.statements.session import (
     NO_CUSTOMER,
     NO_DATABASE,
@@ -90,9 +92,9 @@
         self.entry = _make_entry(settings)
         self._sessions = 0
         self._recorder = recorder
-        self._store = store
+        self._store = CurrentStore(store, decisions)
         self._view = StoreView(
-            store,
+            self._store,
             (
                 documents.configuration_key,
                 documents.targets_prefix,
@@ -106,9 +108,9 @@
             documents,
             decisions,
         )
-        self._lease = InstanceLease(store, self.entry, decisions)
+        self._lease = InstanceLease(self._store, self.entry, decisions)
         self._records = GroupRecords(
-            store,
+            self._store,
             self._view,
             self._lease,
             self.entry.name,
@@ -217,7 +219,7 @@
             self._heartbeats,
             self._configuration,
             connector,
-            store,
+            self._store,
             self._feeds,
             self._gate,
         )
@@ -309,7 +311,7 @@
             'store.reached': self._lease.reaches_store(),
             'store.watched': self._view.is_watching,
             'store.followers': len(self._view.followers),
-            'store.revision': self._view.revision,
+            'store.revision': read_count(self._view.revision),
             'store.era': self._store.era,
             'store.refused_watches': self._view.refused_watches,
             'configuration.version': self._configuration.declared.version,
--- a/src/sedgeshunt/platform/store.py
+++ b/src/sedgeshunt/platform/store.py
@@ -31,6 +31,7 @@
     WatchCompacted,
     WatchEvent,
 )
+from sedgeshunt.revisions import make_revision, read_count
 
 # An answer takes 4 ms, 350 ms where the store is at its slowest.
 CALL_TIMEOUT = Seconds(0.8)
@@ -81,19 +82,13 @@
         asked = {'prefix': prefix}
         if may_be_old:
             asked['is_stale'] = STALE
-        pairs: list[KeyValue] = []
-        revisions: list[Revision] = []
-        while True:
-            document = await self._read('/kv-range', asked, LIST_TIMEOUT)
-            page = [_read_item(item) for item in document['items']]
-            pairs += page
-            revisions.append(Revision(document['at_revision']))
-            if not (document['has_more'] and page):
-                break
-            asked['after'] = page[-1].key
+        pages = [page async for page in self._read_pages(asked)]
         # The pages are no snapshot: who follows the changes after the oldest
         # one hears of what changed between them.
-        return Listing(min(revisions), pairs)
+        return Listing(
+            min(page.revision for page in pages),
+            [pair for page in pages for pair in page.pairs],
+        )
 
     async def commit(
         self,
@@ -103,7 +98,8 @@
         """Apply all or nothing; raise PlatformUnavailable or AnswerLost."""
         body = {
             'expected': [
-                {'key': one.key, 'revision': one.revision} for one in compares
+                {'key': one.key, 'revision': read_count(one.revision)}
+                for one in compares
             ],
             'write': [
                 _make_put(one) for one in changes if isinstance(one, Put)
@@ -133,13 +129,15 @@
             wait = Seconds(WATCH_WAIT * uniform(SHORTEST_SHARE, 1))
             asked = {
                 'prefix': prefix,
-                'after': seen,
+                'after': read_count(seen),
                 'wait_timeout_ms': int(wait * MILLISECONDS),
             }
             limit = Seconds(wait + WATCH_SLACK)
-            document = await self._read('/kv-watch', asked, limit)
-            seen = Revision(max(seen, document['at_revision']))
-            yield [_read_event(event) for event in document['events']]
+            reply = await self._read('/kv-watch', asked, limit)
+            seen = max(seen, _read_revision(reply, 'at_revision'))
+            yield [
+                _read_event(event, reply) for event in reply.document['events']
+            ]
 
     async def grant_lease(self, ttl: Seconds) -> int:
         """Return a new lease's id; raise PlatformUnavailable."""
@@ -166,19 +164,33 @@
         """Close all connections."""
         await self._client.close()
 
+    async def _read_pages(
+        self,
+        asked: dict[str, Any],
+    ) -> AsyncIterator[Listing]:
+        has_more = True
+        while has_more:
+            reply = await self._read('/kv-range', asked, LIST_TIMEOUT)
+            items = reply.document['items']
+            pairs = [_read_item(item, reply) for item in items]
+            yield Listing(_read_revision(reply, 'at_revision'), pairs)
+            has_more = bool(reply.document['has_more'] and pairs)
+            if has_more:
+                asked['after'] = pairs[-1].key
+
     async def _read(
         self,
         path: str,
         asked: dict[str, Any],
         limit: Seconds,
-    ) -> Any:
+    ) -> JsonReply:
         reply = await self._call(
             'GET', f'{path}?{urlencode(asked)}', None, limit
         )
         if reply.status == GONE:
             raise WatchCompacted
         _check(reply)
-        return reply.document
+        return reply
 
     async def _call(
         self,
@@ -209,6 +221,10 @@
     return Era(int(told)) if told.isdecimal() else FIRST_ERA
 
 
+def _read_revision(reply: JsonReply, name: str) -> Revision:
+    return make_revision(_read_era(reply), reply.document[name])
+
+
 def _check(reply: JsonReply) -> None:
     if reply.status != OK:
         _refuse(reply)
@@ -223,10 +239,12 @@
         raise LeaseLapsed
     if reply.status == CONFLICT:
         items = reply.document['items']
-        current = [_read_item(item) for item in items if item.get('revision')]
+        current = [
+            _read_item(item, reply) for item in items if item.get('revision')
+        ]
         return CommitResult(False, Revision(0), current)
     _check(reply)
-    return CommitResult(True, Revision(reply.document['revision']))
+    return CommitResult(True, _read_revision(reply, 'revision'))
 
 
 def _make_put(put: Put) -> dict[str, Any]:
@@ -237,20 +255,22 @@
     }
 
 
-def _read_item(item: dict[str, Any]) -> KeyValue:
+def _read_item(item: dict[str, Any], reply: JsonReply) -> KeyValue:
+    era = _read_era(reply)
     return KeyValue(
         item['key'],
         b64decode(item.get('value') or ''),
-        Revision(item['revision']),
-        Revision(item.get('created', 0)),
+        make_revision(era, item['revision']),
+        make_revision(era, item.get('created', 0)),
     )
 
 
-def _read_event(event: dict[str, Any]) -> WatchEvent:
+def _read_event(event: dict[str, Any], reply: JsonReply) -> WatchEvent:
+    era = _read_era(reply)
     is_gone = bool(event.get('deleted'))
     return WatchEvent(
         event['key'],
         None if is_gone else b64decode(event['value']),
-        Revision(event['revision']),
-        Revision(event.get('created', 0)),
+        make_revision(era, event['revision']),
+        make_revision(era, event.get('created', 0)),
     )
--- a/src/sedgeshunt/registry/configuration.py
+++ b/src/sedgeshunt/registry/configuration.py
@@ -29,6 +29,7 @@
 )
 from sedgeshunt.registry.feeds import LONG_DOCUMENT, LONGEST_SPREAD
 from sedgeshunt.registry.store_view import StoreView
+from sedgeshunt.revisions import NOTHING, read_count, read_era
 
 NAME_SELECTOR = 'name='
 
@@ -68,13 +69,13 @@
         return self.declared.version > 0
 
     @property
-    def revision(self) -> Revision:
-        """Return the store's revision of what is in force, 0 for nothing."""
-        return Revision(0) if self.source is None else self.source.revision
+    def version(self) -> int:
+        """Return the operator's version of what is in force, 0 for nothing."""
+        return self.declared.version
 
-    def copy_newer(self, known: Revision) -> bytes | None:
-        """Return the document in force if a peer that has `known` lacks it."""
-        if self.source is None or self.source.revision <= known:
+    def copy_newer(self, known: int) -> bytes | None:
+        """Return the document in force if it is newer than version `known`."""
+        if self.source is None or self.version <= known:
             return None
         # Followers are handed a long one in turn; each of their peers would
         # else send it to them meanwhile.
@@ -154,8 +155,8 @@
 
     def take(self, pair: KeyValue) -> None:
         """Bring an item into force if it is newer than what is."""
-        if self.source is not None and pair.revision <= self.source.revision:
-            self._note_older(pair, self.source)
+        source = self.source
+        if source is not None and pair.value in (source.value, self._older):
             return
         try:
             declared = self._documents.read_declared(pair)
@@ -165,6 +166,10 @@
                 Decision(DecisionKind.CONFIGURATION_REFUSED, reasons=reasons),
             )
             return
+        # The operator's version, as revisions go back with the store.
+        if declared.version <= self.version:
+            self._note_older(pair, declared)
+            return
         self.source = pair
         self._taken_at = read_boottime()
         self._loaded.set()
@@ -174,16 +179,17 @@
                 DecisionKind.CONFIGURATION_APPLIED,
                 reasons={
                     'version': str(declared.version),
-                    'revision': str(pair.revision),
+                    'revision': str(read_count(pair.revision)),
+                    'era': str(read_era(pair.revision)),
                 },
             ),
         )
         self._tell()
 
-    def take_copy(self, document: bytes, revision: Revision) -> None:
+    def take_copy(self, document: bytes) -> None:
         """Bring a peer's copy into force if it is newer than what is."""
         key = self._documents.configuration_key
-        self.take(KeyValue(key, document, revision))
+        self.take(KeyValue(key, document, NOTHING))
 
     def _note_change(self, key: str) -> None:
         if key in ('', self._documents.configuration_key):
@@ -218,17 +224,11 @@
                 Decision(DecisionKind.CONFIGURATION_REFUSED, reasons=reasons),
             )
 
-    def _note_older(self, pair: KeyValue, source: KeyValue) -> None:
-        """Log a document that is turned down, once for each one."""
-        if pair.value in (source.value, self._older):
-            return
+    def _note_older(self, pair: KeyValue, declared: Declared) -> None:
         self._older = pair.value
-        why = f'its revision {pair.revision} is not above {source.revision}'
+        why = f'version {declared.version} is not newer than {self.version}'
         self._decisions.record(
-            Decision(
-                DecisionKind.CONFIGURATION_REFUSED,
-                reasons={'why': why, 'in_force': str(self.declared.version)},
-            ),
+            Decision(DecisionKind.CONFIGURATION_REFUSED, reasons={'why': why}),
         )
 
     def _tell(self) -> None:
--- /dev/null
+++ b/src/sedgeshunt/registry/current_store.py
@@ -0,0 +1,161 @@
+"""Use a store that may go back in its newest era only."""
+
+from collections.abc import (
+    AsyncGenerator,
+    AsyncIterator,
+    Callable,
+    Sequence,
+)
+from contextlib import AsyncExitStack
+
+from sedgeshunt.clocks import read_boottime
+from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
+from sedgeshunt.identifiers import Boottime, Era, Revision, Seconds
+from sedgeshunt.ports import (
+    FIRST_ERA,
+    CommitResult,
+    Compare,
+    Delete,
+    KeyValueService,
+    Listing,
+    Put,
+    WatchCompacted,
+    WatchEvent,
+)
+from sedgeshunt.revisions import NOTHING, read_era
+
+OLDER_ERA = 'it has come back from a copy since it was asked'
+
+
+class CurrentStore(KeyValueService):
+    """Refuse what a store answered in an era before its newest one.
+
+    The store gives revisions and the ids of leases out again: in another era
+    the same number names another change, or somebody else's lease.
+    """
+
+    def __init__(self, store: KeyValueService, decisions: DecisionLog) -> None:
+        """Use `store`; its first answer tells the era."""
+        self._store = store
+        self._decisions = decisions
+        self._era: Era | None = None
+        self._learned_at = Boottime(0)
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def era(self) -> Era:
+        """Return the newest era that is known."""
+        return FIRST_ERA if self._era is None else self._era
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when the store has come back from a copy."""
+        self._listeners.append(listener)
+
+    def measure_age(self) -> Seconds:
+        """Return for how long the newest era has been known."""
+        return Seconds(read_boottime() - self._learned_at)
+
+    def note_era(self, era: Era) -> None:
+        """Take in an era that the store or a peer has told."""
+        before = self._era
+        if before is not None and era <= before:
+            return
+        self._era = era
+        self._learned_at = read_boottime()
+        if before is None:
+            return
+        reasons = {'era': str(era), 'before': str(before)}
+        self._decisions.record(
+            Decision(DecisionKind.STORE_RETURNED, reasons=reasons),
+        )
+        for listener in self._listeners:
+            listener()
+
+    async def list_prefix(
+        self,
+        prefix: str,
+        *,
+        may_be_old: bool = False,
+    ) -> Listing:
+        """Read all pairs under `prefix`; raise PlatformUnavailable."""
+        listing = await self._store.list_prefix(prefix, may_be_old=may_be_old)
+        self._follow()
+        if read_era(listing.revision) != self.era:
+            raise PlatformUnavailable(OLDER_ERA)
+        return listing
+
+    async def commit(
+        self,
+        compares: Sequence[Compare],
+        changes: Sequence[Put | Delete],
+    ) -> CommitResult:
+        """Apply all or nothing; raise PlatformUnavailable or AnswerLost."""
+        asked_in = self._era
+        if not all(map(self._can_hold, compares)):
+            return CommitResult(succeeded=False, revision=NOTHING)
+        done = await self._store.commit(compares, changes)
+        self._follow()
+        if done.succeeded and not self._is_newest(asked_in, done.revision):
+            # Its conditions may have held for other changes than they name.
+            raise AnswerLost(changes[0].key)
+        current = [
+            pair for pair in done.current if read_era(pair.revision) == self.era
+        ]
+        return CommitResult(done.succeeded, done.revision, current)
+
+    async def watch(
+        self,
+        prefix: str,
+        after: Revision,
+    ) -> AsyncIterator[Sequence[WatchEvent]]:
+        """Yield changes past `after`; raise PlatformUnavailable at its end.
+
+        Raise WatchCompacted when `after` is no longer kept.
+        """
+        self._check_watch(after)
+        watch = self._store.watch(prefix, after)
+        async with AsyncExitStack() as owned:
+            if isinstance(watch, AsyncGenerator):
+                owned.push_async_callback(watch.aclose)
+            owned.callback(self._follow)
+            async for events in watch:
+                self._follow()
+                self._check_watch(after)
+                yield events
+
+    async def grant_lease(self, ttl: Seconds) -> int:
+        """Return a new lease's id; raise PlatformUnavailable."""
+        asked_in = self._era
+        lease = await self._store.grant_lease(ttl)
+        self._follow()
+        if asked_in not in {None, self._era}:
+            raise PlatformUnavailable(OLDER_ERA)
+        return lease
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease of the newest era; tell False when it has lapsed."""
+        asked_in = self._era
+        is_kept = await self._store.keep_lease(lease)
+        self._follow()
+        return is_kept and self._era == asked_in
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and remove the keys bound to it."""
+        await self._store.revoke_lease(lease)
+        self._follow()
+
+    def _follow(self) -> None:
+        self.note_era(self._store.era)
+
+    def _check_watch(self, after: Revision) -> None:
+        if read_era(after) != self.era:
+            raise WatchCompacted
+
+    def _can_hold(self, compare: Compare) -> bool:
+        """Tell whether the store can compare with the revision meant."""
+        revision = compare.revision
+        return revision == NOTHING or read_era(revision) == self.era
+
+    def _is_newest(self, asked_in: Era | None, revision: Revision) -> bool:
+        return asked_in in {None, self._era} and read_era(revision) == self._era
--- a/src/sedgeshunt/registry/store_view.py
+++ b/src/sedgeshunt/registry/store_view.py
@@ -26,13 +26,14 @@
 from sedgeshunt.identifiers import Monotonic, Revision, Seconds
 from sedgeshunt.ports import (
     KeyValue,
-    KeyValueService,
     WatchCompacted,
     WatchEvent,
 )
 from sedgeshunt.registry.changes import ChangeLog, StoreChanges
+from sedgeshunt.registry.current_store import CurrentStore
 from sedgeshunt.registry.feeds import ChangeFeed, Followers, NoFeed
 from sedgeshunt.registry.gathering import Gathering
+from sedgeshunt.revisions import NOTHING, begin_era, read_era
 
 # Times between attempts at a store that does not answer, in seconds; the
 # longest is short against the 3 s in which a configuration comes into force.
@@ -67,7 +68,7 @@
 
     def __init__(
         self,
-        store: KeyValueService,
+        store: CurrentStore,
         prefixes: Sequence[str],
         decisions: DecisionLog,
         is_checker: Callable[[], bool],
@@ -80,8 +81,8 @@
         self.is_watching = False
         # Watches that the store refused, as it lacks what they begin after.
         self.refused_watches = 0
-        self._era = store.era
         self._store = store
+        store.listen(self._end_watch)
         self._prefixes = tuple(prefixes)
         self._decisions = decisions
         # Tells whether it falls to this proxy to ask how far the store is.
@@ -117,8 +118,15 @@
             if key.startswith(prefix)
         ]
 
+    @property
+    def newest(self) -> Revision:
+        """Return the newest place of the store's history known here."""
+        return max(self.revision, begin_era(self._store.era))
+
     def note_newer(self, revision: Revision) -> None:
         """Take in that the store has reached a revision."""
+        if revision != NOTHING:
+            self._store.note_era(read_era(revision))
         # A watch can go silent while changes are made. What somebody else has
         # seen, and the watch does not bring soon, is listed anew.
         self._newest_elsewhere = Revision(max(self._newest_elsewhere, revision))
@@ -165,7 +173,6 @@
     async def refresh(self, *, may_be_old: bool = False) -> None:
         """List everything anew; raise PlatformUnavailable."""
         listing = await self._store.list_prefix(ALL_KEYS, may_be_old=may_be_old)
-        self._note_era()
         # The pages are no snapshot; the watch goes on from the first.
         self._replace(
             {
@@ -243,6 +250,10 @@
 
     def _take_changes(self, changes: StoreChanges) -> bool:
         """Take in what a peer hands on; tell whether nothing is missing."""
+        self._store.note_era(read_era(changes.revision))
+        if read_era(changes.revision) != self._store.era:
+            # The peer does not know yet that the store has come back.
+            return False
         if changes.is_whole:
             if changes.revision > self.revision:
                 self._replace(dict(_list_pairs(changes)), changes.revision)
@@ -269,7 +280,6 @@
                 owned.push_async_callback(watch.aclose)
             async for events in watch:
                 self._note_reach(is_reached=True)
-                self._note_era()
                 newest = max((one.revision for one in events), default=0)
                 self._take(events, Revision(newest))
                 await sleep(self._gathering.find_pause(read_clock()))
@@ -320,15 +330,11 @@
         for listener in self._listeners:
             listener(key)
 
-    def _note_era(self) -> None:
-        before = self._era
-        self._era = self._store.era
-        # The first one that is heard of tells nothing.
-        if self.revision and self._era > before:
-            reasons = {'era': str(self._era), 'before': str(before)}
-            self._decisions.record(
-                Decision(DecisionKind.STORE_RETURNED, reasons=reasons),
-            )
+    def _end_watch(self) -> None:
+        # A follower waits for its watcher instead, so that the end of an era
+        # is not a listing by each proxy.
+        if self.is_watching:
+            self._is_deaf.set()
 
     def _note_reach(self, *, is_reached: bool, why: str = '') -> None:
         if is_reached:
--- a/tests/features/steps/store_changes_steps.py
+++ b/tests/features/steps/store_changes_steps.py
@@ -11,6 +11,7 @@
 from sedgeshunt.identifiers import Revision, TrafficClass
 from sedgeshunt.ports import WatchEvent
 from sedgeshunt.registry.changes import StoreChanges
+from sedgeshunt.registry.current_store import CurrentStore
 from sedgeshunt.registry.feeds import ChangeFeed
 from sedgeshunt.registry.keys import INSTANCES_PREFIX, OWN_PREFIX
 from sedgeshunt.registry.store_view import StoreView
@@ -208,7 +209,9 @@
 
 async def _start_view(feed: HandFeed) -> StoreView:
     store = MemoryKeyValue(KeyValueStandIn(Network()), Place('view', 'east'))
-    view = StoreView(store, (OWN_PREFIX,), MemoryDecisionLog(), bool)
+    decisions = MemoryDecisionLog()
+    current = CurrentStore(store, decisions)
+    view = StoreView(current, (OWN_PREFIX,), decisions, bool)
     view.bind(feed)
     RUNNING.append(create_task(view.run()))
     return view
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -5,6 +5,8 @@
 from contextlib import aclosing
 from typing import TypeVar
 
+from msgspec.structs import replace
+
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
 from sedgeshunt.identifiers import Era, Revision, Seconds
@@ -14,12 +16,14 @@
     Compare,
     Delete,
     InstanceList,
+    KeyValue,
     KeyValueService,
     ListedInstance,
     Listing,
     Put,
     WatchEvent,
 )
+from sedgeshunt.revisions import make_revision, read_count
 from tests.standins.keyvalues import Matcher
 from tests.standins.network import PLATFORM, Network, Place
 from tests.standins.service import KeyValueStandIn
@@ -60,7 +64,7 @@
         """Read all pairs under `prefix`."""
         return await self._call(
             'old list' if may_be_old else 'list',
-            lambda: self._store.list_matching(_match_prefix(prefix)),
+            lambda: self._list(_match_prefix(prefix)),
         )
 
     async def commit(
@@ -69,9 +73,13 @@
         changes: Sequence[Put | Delete],
     ) -> CommitResult:
         """Apply all or nothing; the answer may get lost."""
+        counted = [
+            Compare(one.key, Revision(read_count(one.revision)))
+            for one in compares
+        ]
         return await self._call(
             'commit',
-            lambda: self._store.commit(compares, changes),
+            lambda: self._commit(counted, changes),
         )
 
     async def watch(
@@ -81,11 +89,15 @@
     ) -> AsyncIterator[Sequence[WatchEvent]]:
         """Yield changes past `after`."""
         matches = _match_prefix(prefix)
-        watch = self._service.watch(self._client, matches, after)
+        counted = Revision(read_count(after))
+        watch = self._service.watch(self._client, matches, counted)
         async with aclosing(watch):
             async for events in watch:
                 self._era = max(self._era, self._store.era)
-                yield events
+                yield [
+                    replace(event, revision=self._place(event.revision))
+                    for event in events
+                ]
 
     async def grant_lease(self, ttl: Seconds) -> int:
         """Return a new lease's id."""
@@ -102,6 +114,29 @@
         """End a lease and remove the keys bound to it."""
         await self._call('revoke', lambda: self._store.revoke_lease(lease))
 
+    def _list(self, matches: Matcher) -> Listing:
+        listing = self._store.list_matching(matches)
+        pairs = list(map(self._place_pair, listing.pairs))
+        return Listing(self._place(listing.revision), pairs)
+
+    def _commit(
+        self,
+        compares: Sequence[Compare],
+        changes: Sequence[Put | Delete],
+    ) -> CommitResult:
+        done = self._store.commit(compares, changes)
+        return CommitResult(
+            done.succeeded,
+            self._place(done.revision),
+            list(map(self._place_pair, done.current)),
+        )
+
+    def _place(self, count: int) -> Revision:
+        return make_revision(self._store.era, count)
+
+    def _place_pair(self, pair: KeyValue) -> KeyValue:
+        return replace(pair, revision=self._place(pair.revision))
+
     async def _call(self, name: str, action: Callable[[], Value]) -> Value:
         era, found = await self._service.answer(
             self._client,
