Pause between listings while the store refuses each watch

Cause: a refused watch is followed by a listing at once, and the listing counts as a success that resets the backoff. Whatever makes the store refuse the watch after a listing makes this a loop without a pause.

Why this works: a watch that is refused within the time in which a silent one would be noticed waits by a backoff of its own; one that has worked for longer is followed by a listing at once, as before. A change is still in force within 3 s.

--- a/src/sedgeshunt/registry/store_view.py
+++ b/src/sedgeshunt/registry/store_view.py
@@ -96,6 +96,9 @@
         self.followers = Followers(self._log, self._items.values)
         self._listeners: list[Listener] = []
         self._backoff = Backoff(SHORTEST_PAUSE, LONGEST_PAUSE)
+        # A listing resets the one above, also when the watch after it fails.
+        self._watch_backoff = Backoff(SHORTEST_PAUSE, LONGEST_PAUSE)
+        self._listed_at = Monotonic(0)
         self._gathering = Gathering()
 
     def bind(self, feed: ChangeFeed) -> None:
@@ -166,10 +169,18 @@
                 self.refused_watches += 1
                 self._note_reach(is_reached=True)
                 self.loaded.clear()
+                await self._pause_watch()
             except PlatformUnavailable as failure:
                 self._note_reach(is_reached=False, why=str(failure))
                 await sleep(self._backoff.draw())
 
+    async def _pause_watch(self) -> None:
+        """Wait before the next listing if the latest one brought no watch."""
+        if read_clock() - self._listed_at < WATCH_LAG:
+            await sleep(self._watch_backoff.draw())
+        else:
+            self._watch_backoff.reset()
+
     async def refresh(self, *, may_be_old: bool = False) -> None:
         """List everything anew; raise PlatformUnavailable."""
         listing = await self._store.list_prefix(ALL_KEYS, may_be_old=may_be_old)
@@ -320,6 +331,7 @@
         }
         self._items.clear()
         self._items.update(listed | own)
+        self._listed_at = read_clock()
         self.revision = Revision(max(self.revision, revision))
         self._log.begin(self.revision)
         self._note_reach(is_reached=True)
--- a/tests/features/steps/store_changes_steps.py
+++ b/tests/features/steps/store_changes_steps.py
@@ -134,6 +134,13 @@
     context.nodes.store.refuse_next_commits(1)
 
 
+@when('the store refuses each watch')
+def refuse_watches(context: Any) -> None:
+    bench: NodeBench = context.nodes
+    bench.store.refuses_watches = True
+    bench.time.act(bench.store.store.changed.fire)
+
+
 @when('"{node}" joins')
 def join(context: Any, node: str) -> None:
     context.nodes.restart(node)
--- a/tests/features/store_changes.feature
+++ b/tests/features/store_changes.feature
@@ -97,3 +97,13 @@
     When it is handed all items as of revision 20
     Then it is at revision 20
     And it has nothing else
+
+  Scenario: A store that refuses each watch is listed with pauses
+    Guards against listings without end while a watch is refused at once.
+    Given proxies "east-1, north-1, west-1"
+    When the store refuses each watch
+    And the calls to the store are counted for 5 s
+    Then the store was charged at most 7 calls a second for each proxy
+    When the operator drops the route "browse"
+    And 3 s go by
+    Then no proxy that reaches the store lets a caller of "browse" in
--- a/tests/standins/service.py
+++ b/tests/standins/service.py
@@ -8,7 +8,7 @@
 
 from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
 from sedgeshunt.identifiers import Revision
-from sedgeshunt.ports import WatchEvent
+from sedgeshunt.ports import WatchCompacted, WatchEvent
 from tests.standins.keyvalues import KeyValueStore, Matcher
 from tests.standins.network import PLATFORM, Network, Place
 
@@ -32,6 +32,8 @@
         # Watches hear nothing of what changes.
         self.is_deaf = False
         self.deaf_clients: set[str] = set()
+        # Watches are told that what they begin after is not kept.
+        self.refuses_watches = False
         self._delay = ANSWER_TIME
         self._answers_to_lose = 0
         self._commits_to_refuse = 0
@@ -92,6 +94,8 @@
         while True:
             if self.down:
                 raise PlatformUnavailable('watch ended')
+            if self.refuses_watches:
+                raise WatchCompacted
             if self.is_deaf or client.name in self.deaf_clients:
                 await self.store.changed.wait()
                 continue
