Keep one owner across a return of the store

Cause: claims, records and the keys that prove them were taken to stay once acknowledged. A copy brings back an earlier owner's key, which that one took for its own and claimed by; the latest owner saw it and ended, or went on by its promises beside it; numbers of claims and notes of leaders were given out again.

Why this works: a record names the era of its claim. While it is older than the store's, only the owner whose proofs hold claims, at once and over whatever key is there, and writes back what it knows; all others wait 3 s, in which old proofs and orders run out, and are then free of every promise that they made. What was known of a group before the return outlives it. The number of a claim begins anew above all of the era before. A noted leader of an older era is a lower bound: all listed targets are heard before one is trusted or replaced, and an intent is over once somebody leads in a newer term than noted.

An owner that is lost at the return itself is followed after 3 to 4 s, not 1 s.

--- a/src/sedgeshunt/decisions.py
+++ b/src/sedgeshunt/decisions.py
@@ -36,6 +36,7 @@
     STORE_RETURNED = 'store-returned'
     LEASE_LOST = 'lease-lost'
     GROUP_CLAIMED = 'group-claimed'
+    GROUP_CLAIMED_AGAIN = 'group-claimed-again'
     GROUP_RELEASED = 'group-released'
     GROUP_LOST = 'group-lost'
     PRIMARY_FOUND = 'primary-found'
--- a/src/sedgeshunt/execution/primary_finder.py
+++ b/src/sedgeshunt/execution/primary_finder.py
@@ -91,6 +91,8 @@
         `least` is the newest term in which a target is known to have led,
         `seen` the end of the log that was known when they were asked.
         """
+        if self._may_miss_leader(members, statuses):
+            return None
         trusted = {
             name: status
             for name, status in statuses.items()
@@ -102,6 +104,18 @@
             return None
         return Leader(known, statuses[leader])
 
+    def _may_miss_leader(
+        self,
+        members: GroupMembers,
+        statuses: dict[TargetId, LogStatus],
+    ) -> bool:
+        # A store that came back from a copy may have lost the note of who led
+        # since; the one noted says that it leads until it learns better.
+        records = self._parts.records
+        return records.is_leader_doubtful(self._reign.group) and any(
+            known.target.name not in statuses for known in members.targets
+        )
+
     def is_reborn(self, known: KnownTarget | None) -> bool:
         """Tell whether a target led in an earlier life of it.
 
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -33,6 +33,7 @@
     KnownTarget,
     list_places,
 )
+from sedgeshunt.registry.entries import ReplacementIntent
 
 # The order's answer takes some milliseconds; the platform may be slow.
 ORDER_LIMIT = Seconds(0.5)
@@ -82,13 +83,8 @@
         end of what this owner told callers, None if it told nothing, `least`
         the newest term in which a target is known to have led.
         """
-        target = choose_successor(reign.group, statuses)
-        known = None if target is None else members.find(target)
-        if target is None or known is None:
-            return None
-        chosen = Successor(known, statuses[target])
-        if chosen.status.term < least and _lacks_any(members, statuses):
-            # One that is not heard may have what was written since.
+        chosen = self._choose(reign, members, statuses, least)
+        if chosen is None:
             return None
         covers_all = await self._catch_up(chosen, acknowledged)
         is_safe = is_safe_choice(
@@ -100,9 +96,10 @@
             return None
         # The next owner must know that an order is under way: it takes effect
         # hundreds of milliseconds after it was sent.
+        target = chosen.known.target.name
         if not await self._records.note_intent(reign, target, least):
             return None
-        return await self._promote(reign, known)
+        return await self._promote(reign, chosen.known)
 
     async def finish_pending(
         self,
@@ -113,8 +110,7 @@
         intent = self._records.find_intent(reign.group)
         if intent is None:
             return False
-        status = statuses.get(intent.target)
-        if status is not None and status.role is LogRole.PRIMARY:
+        if self._is_over(reign, intent, statuses):
             await self._records.clear_intent(reign)
             return False
         answer = await self._order(reign, intent.target)
@@ -126,6 +122,43 @@
             await sleep(POLL_EVERY)
         return True
 
+    def _choose(
+        self,
+        reign: Reign,
+        members: GroupMembers,
+        statuses: Mapping[TargetId, LogStatus],
+        least: Term,
+    ) -> Successor | None:
+        """Return the replica whose log is furthest, None if that is unsure."""
+        target = choose_successor(reign.group, statuses)
+        known = None if target is None else members.find(target)
+        if target is None or known is None:
+            return None
+        status = statuses[target]
+        is_doubtful = self._records.is_leader_doubtful(reign.group)
+        if is_doubtful or status.term < least:
+            # One that is not heard may have what was written since.
+            if _lacks_any(members, statuses):
+                return None
+        return Successor(known, status)
+
+    def _is_over(
+        self,
+        reign: Reign,
+        intent: ReplacementIntent,
+        statuses: Mapping[TargetId, LogStatus],
+    ) -> bool:
+        """Tell whether an intent's order has taken effect, or is an old one."""
+        noted = self._records.find_term(reign.group)
+        leading = {
+            target: status.term
+            for target, status in statuses.items()
+            if status.role is LogRole.PRIMARY
+        }
+        # A copy of the store may hold an intent that was cleared since.
+        has_newer = max(leading.values(), default=noted) > noted
+        return intent.target in leading or has_newer
+
     def _count_unheard(
         self,
         members: GroupMembers,
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -25,8 +25,8 @@
     Beat,
     BeatReply,
     Frame,
-    OwnedGroup,
     KeptLease,
+    OwnedGroup,
     ReachQuestion,
 )
 from sedgeshunt.groups.backoff import Backoff
--- a/src/sedgeshunt/forwarding/server.py
+++ b/src/sedgeshunt/forwarding/server.py
@@ -15,8 +15,8 @@
     Beat,
     BeatReply,
     Frame,
-    OwnedGroup,
     KeptLease,
+    OwnedGroup,
     ReachQuestion,
 )
 from sedgeshunt.groups.points import Point
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -54,12 +54,12 @@
 from sedgeshunt.registry.entries import InstanceEntry
 from sedgeshunt.registry.keys import OWN_PREFIX, OWNERS_PREFIX
 from sedgeshunt.registry.store_view import StoreView
+from sedgeshunt.requests.outcome import Rejected
+from sedgeshunt.revisions import read_count
 from sedgeshunt.statements.dispatch import Dispatcher
 from sedgeshunt.statements.owners import OwnerDirectory
 from sedgeshunt.statements.peer_desk import HeardOpinions, LocalDesk
 from sedgeshunt.statements.records import StatementRecorder
-from sedgeshunt.requests.outcome import Rejected
-from sedgeshunt.revisions import read_count
 from sedgeshunt.statements.session import (
     NO_CUSTOMER,
     NO_DATABASE,
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -48,6 +48,10 @@
 # The answer to a claim that was lost may yet come true for this long.
 LATE_EFFECT = Seconds(10)
 RECORDS_EVERY = Seconds(1)
+# After a return of the store only an owner itself claims for so long: what the
+# latest owner proved its reign by before, and an order that the store has lost
+# the note of, are over by then, and the targets are listed again.
+RETURN_WAIT = Seconds(3)
 
 
 class KnownPeers(ABC):
@@ -111,7 +115,7 @@
         # Since when nothing but better placed instances is in the way.
         self._free_since: Boottime | None = None
         self._unsure_until = Boottime(0)
-        self._withheld: ProxyId | None = None
+        self._withheld: frozenset[ProxyId] = frozenset()
 
     @property
     def is_pressing(self) -> bool:
@@ -181,20 +185,26 @@
         records = self._context.records
         owner = records.find_owner(self.group)
         if owner is not None and not records.is_own(owner):
-            return False
+            # In a store that has lost this claim it is an earlier owner's key.
+            return records.is_outdated(self.group) and reign.is_held()
         return reign.is_held()
 
     async def _claim_again(self, reign: Reign) -> None:
-        """Put the key back that lapsed while promises kept the reign up."""
+        """Put the key back that has gone while proofs keep the reign up."""
         records = self._context.records
-        if records.find_owner(self.group) is not None:
+        if records.find_token(self.group) == reign.token:
             return
         if self._context.lease.id is None:
             return
         with suppress(PlatformUnavailable, AnswerLost, LeaseLapsed):
-            token = await records.claim(self.group, reign.candidates)
+            token = await records.claim(
+                self.group,
+                reign.candidates,
+                is_continued=True,
+            )
             if token is not None and reign.is_held():
                 reign.renew(token, self._find_claim())
+                self._tell(DecisionKind.GROUP_CLAIMED_AGAIN, token)
 
     async def _try_claim(self) -> OwnerToken | None:
         context = self._context
@@ -210,7 +220,8 @@
         # a reign under it ends at once, and would be claimed without end.
         if context.is_stopping or not context.lease.is_held():
             return None
-        if owner is not None and not is_other:
+        is_own_key = owner is not None and not is_other
+        if is_own_key and not records.is_outdated(self.group):
             # An earlier process of this instance held it, so nobody else can.
             return await self._claim(self._list_candidates())
         if self._absent_since is None:
@@ -226,15 +237,11 @@
         absent_for = now - (self._absent_since or now)
         if record is None and now - context.started_at < SETTLE_TIME:
             return False
+        if self._is_settling():
+            return False
         last = self._find_bound(record)
-        if last:
-            if context.is_owner_heard(self.group, last):
-                # It goes on by our promise, or is about to claim again.
-                self._allow()
-                return False
-            self._withhold(last)
-            if context.made.measure_bond(last) > 0:
-                return False
+        if self._is_bound(self._list_bound(last)):
+            return False
         if (
             record is not None
             and context.records.owner not in record.candidates
@@ -244,6 +251,29 @@
             self._free_since = now
         return now - self._free_since >= self._find_delay(record, last)
 
+    def _is_settling(self) -> bool:
+        """Tell whether the store has come back a moment ago."""
+        records = self._context.records
+        is_outdated = records.is_outdated(self.group)
+        return is_outdated and records.measure_return() < RETURN_WAIT
+
+    def _is_bound(self, owners: frozenset[ProxyId]) -> bool:
+        """Promise nothing more to `owners`; tell whether one may go on."""
+        context = self._context
+        if any(context.is_owner_heard(self.group, one) for one in owners):
+            # It goes on by our promise, or is about to claim again.
+            self._allow()
+            return True
+        self._withhold(owners)
+        return any(context.made.measure_bond(one) > 0 for one in owners)
+
+    def _list_bound(self, last: ProxyId) -> frozenset[ProxyId]:
+        """List all who may own the group by a promise that was made here."""
+        if self._context.records.is_outdated(self.group):
+            # The claim of the latest owner may be lost, and its name.
+            return self._context.made.list_owners() | {last}
+        return frozenset((last,) if last else ())
+
     def _find_bound(self, record: GroupRecord | None) -> ProxyId:
         """Return the latest owner if it may still go on by promises."""
         if record is None or record.owner == self._context.records.owner:
@@ -342,19 +372,21 @@
             if await self._context.records.change_candidates(reign, chosen):
                 reign.candidates = chosen
 
-    def _withhold(self, owner: ProxyId) -> None:
-        if self._withheld != owner:
+    def _withhold(self, owners: frozenset[ProxyId]) -> None:
+        if self._withheld != owners:
             self._allow()
-            self._withheld = owner
-            self._context.made.withhold(owner)
+            self._withheld = owners
+            for owner in owners:
+                self._context.made.withhold(owner)
 
     def _allow(self) -> None:
         # A claim whose answer was lost may come true after its maker has
         # gone back to promising; so it does not, until it is surely over.
-        if self._withheld is None or read_boottime() < self._unsure_until:
+        if read_boottime() < self._unsure_until:
             return
-        self._context.made.allow(self._withheld)
-        self._withheld = None
+        for owner in self._withheld:
+            self._context.made.allow(owner)
+        self._withheld = frozenset()
 
     def _tell(self, kind: DecisionKind, token: OwnerToken) -> None:
         self._context.decisions.record(
--- a/src/sedgeshunt/ownership/promises.py
+++ b/src/sedgeshunt/ownership/promises.py
@@ -37,6 +37,10 @@
         self._bound_until[owner] = max(known, until)
         return span
 
+    def list_owners(self) -> frozenset[ProxyId]:
+        """List all to whom a promise was ever made."""
+        return frozenset(self._bound_until)
+
     def withhold(self, owner: ProxyId) -> None:
         """Promise `owner` nothing more."""
         self._withheld.add(owner)
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -18,6 +18,7 @@
     OwnerToken,
     ProxyId,
     Revision,
+    Seconds,
     TargetId,
     TargetLife,
     Term,
@@ -29,9 +30,9 @@
     Compare,
     Delete,
     KeyValue,
-    KeyValueService,
     Put,
 )
+from sedgeshunt.registry.current_store import CurrentStore
 from sedgeshunt.registry.entries import (
     GroupRecord,
     LeaderNote,
@@ -40,8 +41,13 @@
     encode_entry,
     read_entry,
 )
-from sedgeshunt.registry.keys import make_owner_key, make_record_key
+from sedgeshunt.registry.keys import (
+    RECORDS_PREFIX,
+    make_owner_key,
+    make_record_key,
+)
 from sedgeshunt.registry.store_view import StoreView
+from sedgeshunt.revisions import begin_era
 
 ABSENT = Revision(0)
 STORE_FAILURES = (PlatformUnavailable, AnswerLost, LeaseLapsed)
@@ -62,7 +68,7 @@
 
     def __init__(
         self,
-        store: KeyValueService,
+        store: CurrentStore,
         view: StoreView,
         lease: InstanceLease,
         owner: ProxyId,
@@ -74,6 +80,9 @@
         self._store = store
         self._view = view
         self._lease = lease
+        # What was known before the store came back from a copy.
+        self._remembered: dict[GroupId, GroupRecord] = {}
+        store.listen(self._remember)
 
     def reaches_store(self) -> bool:
         """Tell whether the store has answered of late."""
@@ -100,7 +109,23 @@
     def find_record(self, group: GroupId) -> GroupRecord | None:
         """Return a group's record, None before its first owner."""
         pair = self._view.get(make_record_key(group))
-        return None if pair is None else read_entry(pair.value, GroupRecord)
+        stored = None if pair is None else read_entry(pair.value, GroupRecord)
+        return choose_newer(stored, self._remembered.get(group))
+
+    def is_outdated(self, group: GroupId) -> bool:
+        """Tell whether a group's latest claim may be one that was lost."""
+        record = self.find_record(group)
+        return record is not None and record.era < self._store.era
+
+    def measure_return(self) -> Seconds:
+        """Return for how long the store's newest era has been known."""
+        return self._store.measure_age()
+
+    def is_leader_doubtful(self, group: GroupId) -> bool:
+        """Tell whether another target may have led since the one noted."""
+        record = self.find_record(group)
+        leader = None if record is None else record.leader
+        return leader is not None and leader.era < self._store.era
 
     def find_intent(self, group: GroupId) -> ReplacementIntent | None:
         """Return the promotion that may be under way."""
@@ -126,20 +151,33 @@
         self,
         group: GroupId,
         candidates: Collection[ProxyId],
+        *,
+        is_continued: bool = False,
     ) -> OwnerToken | None:
         """Become the owner, if the store still is as it was seen.
 
-        Raise PlatformUnavailable, AnswerLost or LeaseLapsed.
+        A claim that `is_continued` is made by the owner itself. Raise
+        PlatformUnavailable, AnswerLost or LeaseLapsed.
         """
+        seen = self._read(group)
+        claimed = self._make_record(
+            seen.record or GroupRecord(group),
+            candidates,
+        )
+        if is_continued:
+            claimed = self._vouch(claimed)
+        return await self._write_claim(seen, encode_entry(claimed))
+
+    async def _write_claim(
+        self,
+        seen: _SeenGroup,
+        record: bytes,
+    ) -> OwnerToken | None:
         lease = self._lease.id
         if lease is None:
             raise LeaseLapsed
         # The owner's key may be that of an earlier process on this instance.
-        seen = self._read(group)
         owner = encode_entry(OwnerEntry(self.owner, self.incarnation))
-        record = encode_entry(
-            self._make_record(seen.record or GroupRecord(group), candidates),
-        )
         committed = await self._store.commit(
             seen.compares,
             (Put(seen.owner_key, owner, lease), Put(seen.record_key, record)),
@@ -150,6 +188,13 @@
         self._note(seen.record_key, record, committed.revision)
         return OwnerToken(committed.revision)
 
+    def _vouch(self, claimed: GroupRecord) -> GroupRecord:
+        """Return a record whose leader nobody can have replaced since."""
+        if claimed.leader is None:
+            return claimed
+        leader = replace(claimed.leader, era=self._store.era)
+        return replace(claimed, leader=leader)
+
     def _make_record(
         self,
         known: GroupRecord,
@@ -157,7 +202,9 @@
     ) -> GroupRecord:
         return replace(
             known,
-            claims=known.claims + 1,
+            # The numbers of claims that the store has lost are used up.
+            claims=max(known.claims, begin_era(self._store.era)) + 1,
+            era=self._store.era,
             candidates=tuple(sorted(candidates)),
             owner=self.owner,
             incarnation=self.incarnation,
@@ -180,7 +227,7 @@
         # The store may have missed who led since: the next owner must not
         # trust the one that it has noted.
         if leader is not None and leader.term < served:
-            leader = LeaderNote(leader.target, served, leader.life)
+            leader = replace(leader, term=served)
         return await self._change(reign, intent=intent, leader=leader)
 
     async def clear_intent(self, reign: Reign) -> bool:
@@ -190,7 +237,7 @@
     async def note_doubt(self, reign: Reign, target: TargetId) -> bool:
         """Write that a target may have led the next term, and is lost."""
         term = Term(self.find_term(reign.group) + 1)
-        leader = LeaderNote(target, term)
+        leader = LeaderNote(target, term, era=self._store.era)
         return await self._change(reign, leader=leader, intent=None)
 
     async def note_leader(
@@ -202,7 +249,7 @@
     ) -> bool:
         """Write which target leads, and that no promotion is under way."""
         record = self.find_record(reign.group)
-        leader = LeaderNote(target, term, life)
+        leader = LeaderNote(target, term, life, self._store.era)
         if record is not None and record.leader == leader:
             if record.intent is None:
                 return True
@@ -243,6 +290,9 @@
         seen = self._read(reign.group)
         if seen.record is None or not self.is_own(seen.owner):
             return False
+        if self.is_outdated(reign.group):
+            # The claim may be lost: it is made again before anything else.
+            return False
         document = encode_entry(replace(seen.record, **changes))
         try:
             committed = await self._store.commit(
@@ -256,6 +306,14 @@
         self._note(seen.record_key, document, committed.revision)
         return True
 
+    def _remember(self) -> None:
+        prefix = RECORDS_PREFIX
+        for pair in self._view.list_prefix(prefix):
+            group = GroupId(pair.key.removeprefix(prefix))
+            record = self.find_record(group)
+            if record is not None:
+                self._remembered[group] = record
+
     def _read(self, group: GroupId) -> '_SeenGroup':
         owner_key, record_key = make_owner_key(group), make_record_key(group)
         return _SeenGroup(
@@ -278,5 +336,17 @@
         self._view.note(KeyValue(key, document, revision))
 
 
+def choose_newer(
+    stored: GroupRecord | None,
+    remembered: GroupRecord | None,
+) -> GroupRecord | None:
+    """Return the record that holds more, where the store may have lost it."""
+    if stored is None or remembered is None:
+        return stored or remembered
+    if stored.era > remembered.era or stored.claims > remembered.claims:
+        return stored
+    return remembered
+
+
 def _read_revision(pair: KeyValue | None) -> Revision:
     return ABSENT if pair is None else pair.revision
--- a/src/sedgeshunt/registry/entries.py
+++ b/src/sedgeshunt/registry/entries.py
@@ -7,6 +7,7 @@
 
 from sedgeshunt.identifiers import (
     CopyPlace,
+    Era,
     GroupId,
     Incarnation,
     OwnerToken,
@@ -16,7 +17,7 @@
     Term,
     ZoneId,
 )
-from sedgeshunt.ports import Address
+from sedgeshunt.ports import FIRST_ERA, Address
 
 _Entry = TypeVar('_Entry', bound=Struct)
 
@@ -59,6 +60,8 @@
     term: Term
     # The life in which it led.
     life: TargetLife = TargetLife(0)
+    # The store's era in which it was surely known to lead.
+    era: Era = FIRST_ERA
 
 
 class GroupRecord(Struct, frozen=True):
@@ -72,6 +75,8 @@
     incarnation: Incarnation = Incarnation('')
     # Counts the claims; the owner's reign is known by it.
     claims: int = 0
+    # The store's era of the latest claim.
+    era: Era = FIRST_ERA
     # The one instance that should claim next; others give it some time.
     heir: ProxyId = ProxyId('')
     leader: LeaderNote | None = None
--- a/tests/features/steps/store_return_steps.py
+++ b/tests/features/steps/store_return_steps.py
@@ -7,6 +7,7 @@
 
 from sedgeshunt.decisions import DecisionKind
 from tests.features.node_bench import NodeBench
+from tests.features.return_histories import ReturnHistory
 from tests.features.steps.fleets_steps import name_proxies
 from tests.features.steps.store_changes_steps import charge_calls
 
@@ -99,3 +100,17 @@
         return charge_calls(bench.store.counts - before) / count
     finally:
         bench.close()
+
+
+@when('the history with the seed {seed:d} is played')
+def play_history(context: Any, seed: int) -> None:
+    history = ReturnHistory(seed)
+    context.add_cleanup(history.close)
+    history.play()
+    context.history = history
+
+
+@then('it broke nothing')
+def check_history(context: Any) -> None:
+    broken = context.history.find_breaks()
+    assert not broken, (broken, context.history.steps)
