Hear all targets before an intent of a store's copy is seen through

What would be seen: after a return the next owner orders a promotion that an earlier one had ended, while a newer leader is silent; what was written since is not in the log that is promoted.

Found by the specification of leaders with a step 'the store comes back' (notes and intents of a copy): the counterexample has 8 steps. The intent was looked at before it was known whether all targets had answered.

Three of the old ones are one step shorter, as an intent is dropped at the look itself.

--- a/src/sedgeshunt/execution/primary_finder.py
+++ b/src/sedgeshunt/execution/primary_finder.py
@@ -73,6 +73,8 @@
         if recorded is not None:
             return recorded
         statuses = await read_statuses(self._parts.connector, members.targets)
+        if self._may_miss_leader(members, statuses):
+            return None
         replacement = self._parts.replacement
         if await replacement.finish_pending(self._reign, statuses):
             return None
--- a/tests/features/specs.feature
+++ b/tests/features/specs.feature
@@ -18,7 +18,7 @@
       | configuration               | 150    |
       | ownership                   | 1700000 |
       | succession                  | 150    |
-      | leaders                     | 16000  |
+      | leaders                     | 56000  |
       | feeds                       | 1600   |
       | limits                      | 3400   |
       | parts                       | 100000 |
@@ -116,16 +116,18 @@
   Scenario Outline: A choice of the leader without one of its safeguards
     Databases fall silent and come back at any moment, and a superseded one says
     that it leads until it learns better. Owners change, and the store may miss
-    which target leads.
+    which target leads, or come back from a copy with older notes.
     When the choice of a leader lacks "<safeguard>"
     Then the search breaks "no write is acknowledged in an older term" in <steps> steps
 
     Examples:
       | safeguard                                                            | steps |
-      | an owner remembers the newest term that it has served                | 9     |
-      | an owner minds the newest term that the store has noted              | 9     |
-      | a promotion is noted together with the newest term that was served   | 14    |
+      | an owner remembers the newest term that it has served                | 8     |
+      | an owner minds the newest term that the store has noted              | 8     |
+      | a promotion is noted together with the newest term that was served   | 13    |
       | a target that was to lead and is lost may have led the next term     | 10    |
+      | after a return of the store all targets are heard first              | 9     |
+      | an intent is over once somebody leads in a newer term                | 8     |
 
   Scenario Outline: Changes that are handed on without one of the safeguards
     Two proxies watch the store or follow each other; they start anew, stop, and
--- a/tests/specs/leaders_spec.py
+++ b/tests/specs/leaders_spec.py
@@ -19,6 +19,8 @@
         'a promotion is noted together with the newest term that was served'
     )
     DOUBT = 'a target that was to lead and is lost may have led the next term'
+    ALL_HEARD = 'after a return of the store all targets are heard first'
+    OLD_INTENT = 'an intent is over once somebody leads in a newer term'
 
 
 class Target(NamedTuple):
@@ -40,6 +42,8 @@
     noted: int = 1
     # A promotion that the store has noted, and whose end it has not; -1: none.
     intent: int = -1
+    # The notes are those of a copy that the store came back from.
+    is_copy: bool = False
     # The newest term of an acknowledged write.
     written: int = 0
     went_back: bool = False
@@ -81,6 +85,15 @@
         steps.append(
             ('another owner claims', state._replace(uses=-1, served=0)),
         )
+        if not state.is_copy:
+            steps += _list_returns(state)
+        elif state.served:
+            kept = state._replace(
+                noted=max(state.noted, state.served),
+                intent=-1,
+                is_copy=False,
+            )
+            steps.append(('the owner notes again what it knows', kept))
         return steps
 
     def _list_target_steps(self, state: State) -> Iterator[Step]:
@@ -98,10 +111,13 @@
                 yield f'{place} follows', _put(state, place, learnt)
 
     def _list_looks(self, state: State) -> Iterator[Step]:
-        if state.intent >= 0 and not state.served:
-            yield from self._list_ends(state)
-            return
         heard = [place for place in TARGETS if state.targets[place].answers]
+        if self._may_miss_leader(state, heard):
+            return
+        if state.intent >= 0 and not state.served:
+            if not self._is_over(state, heard):
+                yield from self._list_ends(state)
+                return
         least = self._find_least(state, heard)
         leading = [
             place
@@ -117,6 +133,22 @@
             if is_new or len(heard) == len(TARGETS):
                 yield from self._promote(state, place)
 
+    def _may_miss_leader(self, state: State, heard: list[int]) -> bool:
+        if self._removed is Safeguard.ALL_HEARD:
+            return False
+        is_unsure = state.is_copy and not state.served
+        return is_unsure and len(heard) < len(TARGETS)
+
+    def _is_over(self, state: State, heard: list[int]) -> bool:
+        if self._removed is Safeguard.OLD_INTENT:
+            return False
+        leading = [
+            state.targets[place].term
+            for place in heard
+            if state.targets[place].leads
+        ]
+        return max(leading, default=0) > state.noted
+
     def _find_least(self, state: State, heard: list[int]) -> int:
         terms = [state.targets[place].term for place in heard]
         if self._removed is not Safeguard.SERVED:
@@ -151,6 +183,13 @@
             yield from self._promote(state, state.intent)
 
 
+def _list_returns(state: State) -> Iterator[Step]:
+    """List copies: of the first note, alone or with an intent."""
+    for intent in (-1, *TARGETS):
+        copied = state._replace(noted=1, intent=intent, is_copy=True)
+        yield f'the store comes back with the intent {intent}', copied
+
+
 def _list_uses(state: State) -> Iterator[Step]:
     target = state.targets[state.uses]
     if not target.answers:
@@ -169,7 +208,11 @@
     """List its use with and without a note, which the store may not take."""
     term = state.targets[place].term
     used = state._replace(uses=place, served=max(state.served, term))
-    noted = used._replace(noted=max(state.noted, term), intent=-1)
+    noted = used._replace(
+        noted=max(state.noted, term),
+        intent=-1,
+        is_copy=False,
+    )
     yield f'it serves {place} and notes it', noted
     yield f'it serves {place}, unnoted', used
 
