Withhold promises for each group apart

What would be seen: after a return of the store a proxy that may claim two groups withholds its promises from all for both. As one is claimed, it promised again for the other as well, and waited without end for these promises.

Cause: one set of owners for all groups.

Why this works: a promise is given again once no group withholds it.

--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -377,7 +377,7 @@
             self._allow()
             self._withheld = owners
             for owner in owners:
-                self._context.made.withhold(owner)
+                self._context.made.withhold(owner, self.group)
 
     def _allow(self) -> None:
         # A claim whose answer was lost may come true after its maker has
@@ -385,7 +385,7 @@
         if read_boottime() < self._unsure_until:
             return
         for owner in self._withheld:
-            self._context.made.allow(owner)
+            self._context.made.allow(owner, self.group)
         self._withheld = frozenset()
 
     def _tell(self, kind: DecisionKind, token: OwnerToken) -> None:
--- a/src/sedgeshunt/ownership/promises.py
+++ b/src/sedgeshunt/ownership/promises.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from sedgeshunt.clocks import PROCESS_STARTED_AT, read_boottime
-from sedgeshunt.identifiers import Boottime, ProxyId, Seconds
+from sedgeshunt.identifiers import Boottime, GroupId, ProxyId, Seconds
 
 # How long a promise binds its maker, counted from when it is sent. It is dated
 # by the heartbeat before, 0.2 s earlier, and renewed 0.2 s later; the rest lets
@@ -26,11 +26,12 @@
         """Be bound by what the process before may have promised."""
         self._started_at = started_at
         self._bound_until: dict[ProxyId, Boottime] = {}
-        self._withheld: set[ProxyId] = set()
+        # For which groups promises are withheld from an owner.
+        self._withheld: dict[ProxyId, set[GroupId]] = {}
 
     def make(self, owner: ProxyId, span: Seconds) -> Seconds:
         """Promise `owner` for `span`, 0 if this instance is about to claim."""
-        if owner in self._withheld:
+        if self._withheld.get(owner):
             return Seconds(0)
         until = Boottime(read_boottime() + span)
         known = self._bound_until.get(owner, Boottime(0))
@@ -41,13 +42,13 @@
         """List all to whom a promise was ever made."""
         return frozenset(self._bound_until)
 
-    def withhold(self, owner: ProxyId) -> None:
-        """Promise `owner` nothing more."""
-        self._withheld.add(owner)
+    def withhold(self, owner: ProxyId, group: GroupId) -> None:
+        """Promise `owner` nothing more, as `group` may be claimed."""
+        self._withheld.setdefault(owner, set()).add(group)
 
-    def allow(self, owner: ProxyId) -> None:
-        """Promise `owner` again."""
-        self._withheld.discard(owner)
+    def allow(self, owner: ProxyId, group: GroupId) -> None:
+        """Promise `owner` again, unless another group may be claimed."""
+        self._withheld.get(owner, set()).discard(group)
 
     def measure_bond(self, owner: ProxyId) -> Seconds:
         """Return how long this instance is still bound to `owner`."""
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -250,6 +250,15 @@
     And the promise is made again
     Then the reign does not hold
 
+  Scenario: A promise stays withheld for one group as another is claimed
+    Guards against a claim that waits without end for promises made meanwhile.
+    Given a process that has just started
+    When it withholds promises to "east-1" for groups "songbook" and "ledger"
+    And the group "songbook" is claimed
+    Then it promises "east-1" nothing
+    When the group "ledger" is claimed
+    Then it promises "east-1" again
+
   Scenario: A process that starts is bound as the one before it
     The one before may have promised just before it ended, and promises are kept
     in memory alone.
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -7,7 +7,7 @@
 
 from sedgeshunt.clocks import read_boottime
 from sedgeshunt.decisions import DecisionKind
-from sedgeshunt.identifiers import OwnerToken, ProxyId, Seconds
+from sedgeshunt.identifiers import GroupId, OwnerToken, ProxyId, Seconds
 from sedgeshunt.ownership.promises import (
     PROMISE_TIME,
     PromisesHeld,
@@ -376,6 +376,28 @@
     context.made = PromisesMade(read_boottime())
 
 
+@when('it withholds promises to "{owner}" for groups "{one}" and "{other}"')
+def withhold(context: Any, owner: str, one: str, other: str) -> None:
+    context.withheld_from = ProxyId(owner)
+    for group in (one, other):
+        context.made.withhold(context.withheld_from, GroupId(group))
+
+
+@when('the group "{group}" is claimed')
+def allow(context: Any, group: str) -> None:
+    context.made.allow(context.withheld_from, GroupId(group))
+
+
+@then('it promises "{owner}" nothing')
+def check_withheld(context: Any, owner: str) -> None:
+    assert not context.made.make(ProxyId(owner), PROMISE_TIME)
+
+
+@then('it promises "{owner}" again')
+def check_promised(context: Any, owner: str) -> None:
+    assert context.made.make(ProxyId(owner), PROMISE_TIME)
+
+
 @then('it is bound to any owner for {seconds:g} s')
 def check_bound(context: Any, seconds: float) -> None:
     owner = ProxyId('east-1')
