Search what returns of the store do to ownership, feeds, successions and versions

All are searched to the end, each safeguard taken out has a counterexample, or keeps the newest version from ever coming into force.

Found on the way: an owner has to remember what it noted, and what it found noted at its claim, across a return; GroupRecords does. That an owner ends once another has claimed in a newer era proves nothing (no counterexample without it) and is no safeguard.

--- a/tests/features/specs.feature
+++ b/tests/features/specs.feature
@@ -17,14 +17,23 @@
       | operators                   | 600    |
       | configuration               | 150    |
       | ownership                   | 1700000 |
-      | succession                  | 150    |
+      | succession                  | 440    |
       | leaders                     | 56000  |
-      | feeds                       | 1600   |
+      | returns                     | 15000  |
+      | versions                    | 500    |
+      | feeds                       | 45000  |
       | limits                      | 3400   |
       | parts                       | 100000 |
 
   Scenario: Every accepted change can still come into force everywhere
     Then the specification "configuration" can always reach its goal
+    And the newest version can always come into force everywhere
+
+  Scenario: A version that is compared by its revision
+    The store gives revisions out again: a newer version has a lower one.
+    Then without "the store's document is compared by its version" the newest version may never come into force
+    When the versions lack "a peer's copy is compared by its version"
+    Then the search breaks "no older version comes into force" in 8 steps
 
   Scenario Outline: A promotion without one of its safeguards
     Two proxies promote in a group of three databases, callers write through
@@ -101,7 +110,7 @@
 
   Scenario Outline: A succession without one of its safeguards
     An owner has the primary replaced and loses the group to another one, at any
-    point of its way.
+    point of its way; the store may come back from a copy without its note.
     When the succession lacks "<safeguard>"
     Then the search breaks "<property>" in <steps> steps
 
@@ -112,6 +121,8 @@
       | an order is noted before it is sent, and seen through   | nothing is acknowledged at a superseded primary | 5     |
       | an order is dropped with the end of its sender          | tokens of orders never go down                  | 6     |
       | an owner looks which target leads after it has claimed  | nothing is acknowledged at a superseded primary | 6     |
+      | who claims after a return waits for older orders        | nothing is acknowledged at a superseded primary | 8     |
+      | an owner remembers what it has noted before a return    | nothing is acknowledged at a superseded primary | 6     |
 
   Scenario Outline: A choice of the leader without one of its safeguards
     Databases fall silent and come back at any moment, and a superseded one says
@@ -129,9 +140,24 @@
       | after a return of the store all targets are heard first              | 9     |
       | an intent is over once somebody leads in a newer term                | 8     |
 
+  Scenario Outline: An ownership across returns without one of its safeguards
+    The store comes back twice, each time from the copy that was made last: an
+    earlier owner's key is there, or none, and leases begin anew.
+    When the ownership across returns lacks "<safeguard>"
+    Then the search breaks "one owner at once" in <steps> steps
+
+    Examples:
+      | safeguard                                                       | steps |
+      | a lease of an older era is not renewed                          | 5     |
+      | who claims after a return waits for older leases                | 3     |
+      | who claims after a return is free of every promise              | 4     |
+      | one's own key proves nothing in a store that has lost a claim   | 3     |
+      | only an owner whose proofs hold claims at once                  | 6     |
+
   Scenario Outline: Changes that are handed on without one of the safeguards
     Two proxies watch the store or follow each other; they start anew, stop, and
-    forget what they kept, and what is handed on may be lost.
+    forget what they kept, and what is handed on may be lost. The store may come
+    back without its last change.
     When the handing on of changes lacks "<safeguard>"
     Then the search breaks "<property>" in <steps> steps
 
@@ -141,6 +167,8 @@
       | who stops watching ends its feeds                          | who is fed is fed by a watcher           | 3     |
       | who is too far behind gets all items                       | nothing is missed up to what is known    | 6     |
       | changes that begin later than what is known are refused    | nothing is missed up to what is known    | 8     |
+      | a watch goes on in its own era only                        | nothing is missed up to what is known    | 7     |
+      | changes of an older era are refused                        | nothing is missed up to what is known    | 8     |
 
   Scenario Outline: A limit that is kept without one of its safeguards
     Two counters have a part of a customer's limit each. They lose each other and
--- a/tests/features/steps/specs_steps.py
+++ b/tests/features/steps/specs_steps.py
@@ -13,7 +13,9 @@
     ownership_spec,
     parts_spec,
     promotion_state,
+    returns_spec,
     succession_spec,
+    versions_spec,
 )
 from tests.specs.acknowledgement_spec import specify_acknowledgement
 from tests.specs.checking import always_reaches, explore, refute
@@ -36,6 +38,8 @@
     'ownership': ownership_spec.specify_ownership(),
     'succession': succession_spec.specify_succession(),
     'leaders': leaders_spec.specify_leaders(),
+    'returns': returns_spec.specify_returns(),
+    'versions': versions_spec.specify_versions(),
     'feeds': feeds_spec.specify_feeds(),
     'limits': limits_spec.specify_limits(),
     'parts': parts_spec.specify_parts(),
@@ -96,6 +100,33 @@
     context.finding = refute(leaders_spec.specify_leaders(removed))
 
 
+@when('the ownership across returns lacks "{safeguard}"')
+def search_returns(context: Any, safeguard: str) -> None:
+    removed = returns_spec.Safeguard(safeguard)
+    context.finding = refute(returns_spec.specify_returns(removed))
+
+
+@when('the versions lack "{safeguard}"')
+def search_versions(context: Any, safeguard: str) -> None:
+    removed = versions_spec.Safeguard(safeguard)
+    context.finding = refute(versions_spec.specify_versions(removed))
+
+
+@then('the newest version can always come into force everywhere')
+def check_newest(context: Any) -> None:
+    goal = versions_spec.is_newest_everywhere
+    assert always_reaches(versions_spec.specify_versions(), goal)
+
+
+@then(
+    'without "{safeguard}" the newest version may never come into force',
+)
+def check_stuck(context: Any, safeguard: str) -> None:
+    removed = versions_spec.Safeguard(safeguard)
+    lacking = versions_spec.specify_versions(removed)
+    assert not always_reaches(lacking, versions_spec.is_newest_everywhere)
+
+
 @when('the handing on of changes lacks "{safeguard}"')
 def search_feeds(context: Any, safeguard: str) -> None:
     removed = feeds_spec.Safeguard(safeguard)
--- a/tests/specs/feeds_spec.py
+++ b/tests/specs/feeds_spec.py
@@ -6,7 +6,14 @@
 
 from tests.specs.checking import Specification
 
-CHANGES = 2
+# Changes that the store makes in all, and its eras.
+CHANGES = 3
+LAST_ERA = 1
+# How many changes are known, after the era that they are counted in.
+Place = tuple[int, int]
+NOTHING: Place = (0, 0)
+# The numbers of changes, in the order in which the store has them.
+History = tuple[int, ...]
 
 
 class Safeguard(Enum):
@@ -16,6 +23,8 @@
     FOLLOWERS_END = 'who stops watching ends its feeds'
     ALL_IF_TOO_OLD = 'who is too far behind gets all items'
     NO_GAPS = 'changes that begin later than what is known are refused'
+    OWN_ERA = 'a watch goes on in its own era only'
+    NEWEST_ERA = 'changes of an older era are refused'
 
 
 class Source(Enum):
@@ -29,32 +38,40 @@
 class Message(NamedTuple):
     """Hold changes on their way; whole ones are all that there are."""
 
-    after: int
+    after: Place
     # The first ones may not be kept any more.
     left_out: int
-    revision: int
+    revision: Place
     is_whole: bool
 
 
 class Proxy(NamedTuple):
     """Hold what one proxy knows, what it keeps, and what is on its way."""
 
-    revision: int = 0
+    revision: Place = NOTHING
     seen: frozenset[int] = frozenset()
     # The changes up to this one are not kept for others any more.
-    forgotten: int = 0
+    forgotten: Place = NOTHING
     source: Source = Source.NOBODY
     # What was handed on to the other proxy.
-    handed: int = 0
+    handed: Place = NOTHING
     coming: tuple[Message, ...] = ()
 
 
 class State(NamedTuple):
-    """Hold the store's newest revision and two proxies."""
+    """Hold the store's changes in each era and two proxies."""
 
-    head: int
+    histories: tuple[History, ...]
+    # How many changes the store has made in all.
+    made: int
     proxies: tuple[Proxy, Proxy]
 
+    @property
+    def head(self) -> Place:
+        """Return the newest place of the store's history."""
+        era = len(self.histories) - 1
+        return era, len(self.histories[era])
+
 
 Step = tuple[str, State]
 
@@ -64,7 +81,7 @@
     return Specification(
         'feeds',
         State._fields,
-        State(0, (Proxy(), Proxy())),
+        State(((),), 0, (Proxy(), Proxy())),
         _Steps(removed).list_steps,
         {
             'nothing is missed up to what is known': _is_whole,
@@ -85,19 +102,18 @@
         return list(self._list(state))
 
     def _list(self, state: State) -> Iterator[Step]:
-        if state.head < CHANGES:
-            yield 'the store changes', state._replace(head=state.head + 1)
+        yield from _list_store_steps(state)
         for place in (0, 1):
             one, other = state.proxies[place], state.proxies[1 - place]
-            for label, after, peer in self._list_of(one, other, state.head):
+            for label, after, peer in self._list_of(one, other, state):
                 pair = (after, peer) if place == 0 else (peer, after)
-                yield f'{place} {label}', State(state.head, pair)
+                yield f'{place} {label}', state._replace(proxies=pair)
 
     def _list_of(
         self,
         one: Proxy,
         other: Proxy,
-        head: int,
+        state: State,
     ) -> Iterator[tuple[str, Proxy, Proxy]]:
         yield 'starts anew', Proxy(), _lose_feed(other)
         yield 'forgets', one._replace(forgotten=one.revision), other
@@ -106,10 +122,10 @@
             yield from self._list_follows(one, other)
         else:
             yield from self._list_ends(one, other)
-        if one.source is Source.STORE and one.revision < head:
-            yield self._hear(one, other, head)
+        if one.source is Source.STORE:
+            yield from self._list_hears(one, other, state)
         if one.coming:
-            yield 'is handed changes', self._take(one), other
+            yield 'is handed changes', self._take(one, state), other
             rest = one._replace(coming=one.coming[1:])
             yield 'loses what is handed to it', rest, other
 
@@ -135,42 +151,67 @@
         else:
             yield 'stops', stopped, _lose_feed(other)
 
-    def _hear(
+    def _list_hears(
         self,
         one: Proxy,
         other: Proxy,
-        head: int,
+        state: State,
+    ) -> Iterator[tuple[str, Proxy, Proxy]]:
+        era, count = state.head
+        known_era, known = one.revision
+        history = state.histories[era]
+        if known_era < era and self._removed is not Safeguard.OWN_ERA:
+            # It lists all, and hands on nothing of before.
+            listed = one._replace(
+                revision=state.head,
+                seen=frozenset(history),
+                forgotten=state.head,
+                source=Source.NOBODY,
+            )
+            yield 'lists a new era', listed, _lose_feed(other)
+        elif known < count:
+            seen = one.seen | set(history[known:])
+            heard = one._replace(revision=state.head, seen=seen)
+            yield self._hand_on(heard, other)
+
+    def _hand_on(
+        self,
+        heard: Proxy,
+        other: Proxy,
     ) -> tuple[str, Proxy, Proxy]:
-        heard = one._replace(revision=head, seen=_list_to(head))
+        head = heard.revision
         if other.source is Source.PEER:
-            message = self._make(heard, one.handed)
+            message = self._make(heard, heard.handed)
             heard = heard._replace(handed=head)
             other = other._replace(coming=(*other.coming, message))
         return 'hears of changes', heard, other
 
-    def _make(self, sender: Proxy, after: int) -> Message:
+    def _make(self, sender: Proxy, after: Place) -> Message:
         is_kept = after >= sender.forgotten
         if is_kept or self._removed is Safeguard.ALL_IF_TOO_OLD:
-            left_out = max(after, sender.forgotten)
+            _, left_out = max(after, sender.forgotten)
             return Message(after, left_out, sender.revision, is_whole=False)
         return Message(after, 0, sender.revision, is_whole=True)
 
-    def _take(self, one: Proxy) -> Proxy:
+    def _take(self, one: Proxy, state: State) -> Proxy:
         message, *rest = one.coming
         coming = tuple(rest)
+        era, count = message.revision
+        brought = frozenset(state.histories[era][message.left_out : count])
         if message.is_whole:
             if message.revision <= one.revision:
                 return one._replace(coming=coming)
-            seen = _list_to(message.revision)
             return one._replace(
                 revision=message.revision,
-                seen=seen,
+                seen=brought,
                 coming=coming,
             )
+        if era < one.revision[0]:
+            if self._removed is not Safeguard.NEWEST_ERA:
+                return one._replace(source=Source.NOBODY, coming=())
         if message.after > one.revision:
             if self._removed is not Safeguard.NO_GAPS:
                 return one._replace(source=Source.NOBODY, coming=())
-        brought = _list_to(message.revision) - _list_to(message.left_out)
         return one._replace(
             revision=max(one.revision, message.revision),
             seen=one.seen | brought,
@@ -184,13 +225,27 @@
     return proxy._replace(source=Source.NOBODY, coming=())
 
 
-def _list_to(revision: int) -> frozenset[int]:
-    return frozenset(range(1, revision + 1))
+def _list_store_steps(state: State) -> Iterator[Step]:
+    newest = state.histories[-1]
+    if state.made < CHANGES:
+        number = state.made + 1
+        changed = (*state.histories[:-1], (*newest, number))
+        yield (
+            'the store changes',
+            state._replace(histories=changed, made=number),
+        )
+    if newest and len(state.histories) <= LAST_ERA:
+        # It comes back without its last change.
+        returned = (*state.histories, newest[:-1])
+        yield 'the store comes back', state._replace(histories=returned)
 
 
 def _is_whole(fields: dict[str, Any]) -> bool:
+    histories = fields['histories']
     return all(
-        proxy.seen == _list_to(proxy.revision) for proxy in fields['proxies']
+        proxy.seen == frozenset(histories[era][:count])
+        for proxy in fields['proxies']
+        for era, count in (proxy.revision,)
     )
 
 
--- a/tests/specs/succession_spec.py
+++ b/tests/specs/succession_spec.py
@@ -18,6 +18,8 @@
     INTENT = 'an order is noted before it is sent, and seen through'
     DROP_ORDER = 'an order is dropped with the end of its sender'
     FRESH_LOOK = 'an owner looks which target leads after it has claimed'
+    RETURN_WAIT = 'who claims after a return waits for older orders'
+    OWN_NOTES = 'an owner remembers what it has noted before a return'
 
 
 class Primary(Enum):
@@ -40,6 +42,8 @@
     answer: Primary | None = None
     # It has sent an order that has not arrived.
     has_order: bool = False
+    # It remembers an order that it has noted, or found noted at its claim.
+    has_noted: bool = False
 
 
 class State(NamedTuple):
@@ -47,6 +51,8 @@
 
     owners: tuple[Owner, Owner]
     intent: bool = False
+    # The store has come back from a copy without the intent.
+    is_copy: bool = False
     # An order has arrived and is about to take effect.
     is_pending: bool = False
     leader: Primary = Primary.OLD
@@ -100,6 +106,9 @@
     def list_steps(self, state: State) -> list[Step]:
         """List all steps from a state."""
         steps = list(self._list_database_steps(state))
+        if not state.is_copy:
+            copied = state._replace(intent=False, is_copy=True)
+            steps.append(('the store comes back', copied))
         for index in OWNERS:
             steps += self._list_changes(state, index)
             steps += self._list_answers(state, index)
@@ -126,15 +135,23 @@
                 has_order=owner.has_order and not drops,
             )
             yield f'{index} loses the group', _put(state, index, ended)
-        elif not owner.has_claimed and not state.owners[0].is_held:
+        elif self._may_claim(state, owner):
             looks = self._removed is not Safeguard.FRESH_LOOK
             claimed = owner._replace(
                 is_held=True,
                 has_claimed=True,
+                has_noted=state.intent,
                 uses=None if looks else Primary.OLD,
             )
             yield f'{index} claims', _put(state, index, claimed)
 
+    def _may_claim(self, state: State, owner: Owner) -> bool:
+        if owner.has_claimed or state.owners[0].is_held:
+            return False
+        if not state.is_copy or self._removed is Safeguard.RETURN_WAIT:
+            return True
+        return not (state.is_pending or state.owners[0].has_order)
+
     def _list_answers(self, state: State, index: int) -> Iterator[Step]:
         owner = state.owners[index]
         if owner.answer is None:
@@ -163,6 +180,7 @@
             stops = self._removed is not Safeguard.STOP_FIRST
             ordered = owner._replace(
                 has_order=True,
+                has_noted=True,
                 uses=None if stops else owner.uses,
             )
             after = _put(state, index, ordered)
@@ -171,13 +189,15 @@
     def _list_looks(self, state: State, index: int) -> Iterator[Step]:
         owner = state.owners[index]
         minds = self._removed is not Safeguard.INTENT
-        if minds and state.intent and state.leader is Primary.OLD:
+        remembers = self._removed is not Safeguard.OWN_NOTES
+        is_noted = state.intent or (remembers and owner.has_noted)
+        if minds and is_noted and state.leader is Primary.OLD:
             # It sees the order through: gives it again until it took effect.
             if not (owner.has_order or state.is_pending):
                 ordered = owner._replace(has_order=True)
                 yield f'{index} orders again', _put(state, index, ordered)
             return
-        found = owner._replace(uses=state.leader)
+        found = owner._replace(uses=state.leader, has_noted=False)
         after = _put(state, index, found)
         yield f'{index} finds the primary', after._replace(intent=False)
 
