--- a/tests/features/platform_bench.py
+++ b/tests/features/platform_bench.py
@@ -94,6 +94,12 @@
         """Write as the operator or a database does."""
         self._loop.run(self._publish(key, document))
 
+    async def publish_all(self) -> None:
+        """Write what the operator and the databases write."""
+        await self._publish('op/config', CONFIGURATION)
+        for target in self.group.targets.values():
+            await self._publish(f'servers/{target.name}', _describe(target))
+
     async def _publish(self, key: str, document: object) -> None:
         put = Put(key, dumps(document).encode())
         self.front.service.store.commit((), (put,))
@@ -112,9 +118,7 @@
         await databases.start()
         self._owned.callback(databases.stop)
         self.front = MetadataFront(KeyValueStandIn(network), self.group)
-        await self._publish('op/config', CONFIGURATION)
-        for target in self.group.targets.values():
-            await self._publish(f'servers/{target.name}', _describe(target))
+        await self.publish_all()
         await self._listen()
 
     def move(self) -> None:
--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -71,6 +71,17 @@
     scene.bench.platform.front.refusal = None
 
 
+async def return_store(scene: Scene) -> None:
+    """Have the store come back as it was some seconds before."""
+    platform = scene.bench.platform
+    platform.front.refusal = 503
+    await sleep(scene.random.uniform(0.1, 3))
+    platform.front.service.store.go_back(scene.random.uniform(0.1, 6))
+    platform.front.refusal = None
+    await sleep(scene.random.uniform(0, 0.5))
+    await platform.publish_all()
+
+
 async def freeze_primary(scene: Scene) -> None:
     """Have the primary stand still."""
     primary = scene.bench.platform.group.find_primary()
@@ -105,6 +116,7 @@
     freeze_primary,
     freeze_replica,
     crash_primary,
+    return_store,
 )
 
 
