--- a/tests/features/store_return.feature
+++ b/tests/features/store_return.feature
@@ -34,6 +34,24 @@
     And 3 s go by
     Then no proxy lets a caller of "browse" in
 
+  Scenario Outline: Who follows a watcher hears of changes after a return
+    Guards against followers that are handed nothing, or what the store has lost.
+    Given 24 proxies in three zones
+    And the operator changes the configuration 5 times in 2 s
+    When the store comes back after <away> s as it was 3 s before
+    And the operator drops the route "browse"
+    And 3 s go by
+    Then no proxy that reaches the store lets a caller of "browse" in
+    And the version in force went down nowhere
+    When 4 s go by
+    Then every proxy is listed
+
+    Examples:
+      | away |
+      | 0    |
+      | 0.1  |
+      | 3    |
+
   Scenario: The owner of a group goes on
     Guards against writes that wait for a new owner at each return.
     Given proxies "east-1, north-1, west-1"
@@ -146,6 +164,15 @@
     And no two proxies owned the group at once
     And each proxy holds a lease of its own
 
+  Scenario: A customer's limit holds
+    Guards against parts of a limit that are spent twice as entries are missing.
+    Given customers "bar" of 20 operations a second each
+    And proxies "east-1, north-1, west-1, west-2"
+    When "bar" asks for 60 operations a second at all of them for 3 s
+    And the store comes back after 0.3 s as it was 60 s before
+    And "bar" asks for 60 operations a second at all of them for 4 s
+    Then in any 5 s at most 20 a second and the burst of "bar" were allowed
+
   Scenario: A return asks the store for each proxy, not for each pair
     Guards against a fleet that lists the store and claims all at once.
     Given calls to the store after a return before 15 and then 45 proxies
