--- a/benchmarks/main.py
+++ b/benchmarks/main.py
@@ -14,12 +14,14 @@
     path,
     reads,
     start,
+    store_return,
 )
 
 BENCHMARKS: dict[str, Callable[[], None]] = {
     'path': path.run,
     'reads': reads.run,
     'start': start.run,
+    'store-return': store_return.run,
     'goodput': goodput.run,
     'configuration': configuration.run,
     'customers': customers.run,
