Name what was touched by the field's terms

take, note and tell become apply, record, observe and notify, and a watch that is behind is no longer called deaf, in the view of the store, its guard, the configuration and the records.

--- a/src/sedgeshunt/membership/heartbeats.py
+++ b/src/sedgeshunt/membership/heartbeats.py
@@ -111,7 +111,7 @@
                 self._held.note(beat.sender.name, beat.echo, beat.promised)
             if beat.gives_part:
                 self._parts.note(beat.sender.name, beat.echo)
-        self._view.note_newer(beat.store_revision)
+        self._view.observe_revision(beat.store_revision)
         return BeatReply(
             read_boottime(),
             tuple(self._list_owned()),
@@ -155,9 +155,9 @@
                 self._groups.take_tip(owned.group, asked_at, owned.tip)
         for group, claim in reply.released:
             self._releases.note_heard(group, claim)
-        self._view.note_newer(reply.store_revision)
+        self._view.observe_revision(reply.store_revision)
         if reply.document is not None:
-            self._configuration.take_copy(reply.document)
+            self._configuration.apply_copy(reply.document)
         self.owners_changed.notify()
 
     def take_tip(self, group: GroupId, asked_at: Boottime, tip: Point) -> None:
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -182,10 +182,10 @@
             seen.compares,
             (Put(seen.owner_key, owner, lease), Put(seen.record_key, record)),
         )
-        if not self._take(committed):
+        if not self._accept(committed):
             return None
-        self._note(seen.owner_key, owner, committed.revision)
-        self._note(seen.record_key, record, committed.revision)
+        self._record_write(seen.owner_key, owner, committed.revision)
+        self._record_write(seen.record_key, record, committed.revision)
         return OwnerToken(committed.revision)
 
     def _vouch(self, claimed: GroupRecord) -> GroupRecord:
@@ -301,9 +301,9 @@
             )
         except STORE_FAILURES:
             return False
-        if not self._take(committed):
+        if not self._accept(committed):
             return False
-        self._note(seen.record_key, document, committed.revision)
+        self._record_write(seen.record_key, document, committed.revision)
         return True
 
     def _remember(self) -> None:
@@ -327,13 +327,15 @@
             ),
         )
 
-    def _take(self, committed: CommitResult) -> bool:
+    def _accept(self, committed: CommitResult) -> bool:
         for pair in committed.current:
-            self._view.note(pair)
+            self._view.record(pair)
         return committed.succeeded
 
-    def _note(self, key: str, document: bytes, revision: Revision) -> None:
-        self._view.note(KeyValue(key, document, revision))
+    def _record_write(
+        self, key: str, document: bytes, revision: Revision
+    ) -> None:
+        self._view.record(KeyValue(key, document, revision))
 
 
 def choose_newer(
--- a/src/sedgeshunt/registry/configuration.py
+++ b/src/sedgeshunt/registry/configuration.py
@@ -52,7 +52,7 @@
         self.source: KeyValue | None = None
         # The latest document that was turned down.
         self._older = b''
-        self._taken_at = Boottime(0)
+        self._applied_at = Boottime(0)
         self._view = view
         self._documents = documents
         self._decisions = decisions
@@ -60,7 +60,7 @@
         self._unreadable: dict[str, Revision] = {}
         self._listeners: list[Callable[[], None]] = []
         self._loaded = Event()
-        view.listen(self._note_change)
+        view.listen(self._follow_change)
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change."""
@@ -83,7 +83,7 @@
         # Followers are handed a long one in turn; each of their peers would
         # else send it to them meanwhile.
         document = self.source.value
-        is_handed = read_boottime() - self._taken_at < LONGEST_SPREAD
+        is_handed = read_boottime() - self._applied_at < LONGEST_SPREAD
         if known and is_handed and len(document) >= LONG_DOCUMENT:
             return None
         return document
@@ -156,7 +156,7 @@
             ],
         )
 
-    def take(self, pair: KeyValue) -> None:
+    def apply(self, pair: KeyValue) -> None:
         """Bring an item into force if it is newer than what is."""
         source = self.source
         if source is not None and pair.value in (source.value, self._older):
@@ -171,10 +171,10 @@
             return
         # The operator's version, as revisions go back with the store.
         if declared.version <= self.version:
-            self._note_older(pair, declared)
+            self._refuse_older(pair, declared)
             return
         self.source = pair
-        self._taken_at = read_boottime()
+        self._applied_at = read_boottime()
         self._loaded.set()
         self.declared = declared
         self._decisions.record(
@@ -187,27 +187,27 @@
                 },
             ),
         )
-        self._tell()
+        self._notify()
 
-    def take_copy(self, document: bytes) -> None:
+    def apply_copy(self, document: bytes) -> None:
         """Bring a peer's copy into force if it is newer than what is."""
         key = self._documents.configuration_key
-        self.take(KeyValue(key, document, NOTHING))
+        self.apply(KeyValue(key, document, NOTHING))
 
-    def _note_change(self, key: str) -> None:
+    def _follow_change(self, key: str) -> None:
         if key in ('', self._documents.configuration_key):
             pair = self._view.get(self._documents.configuration_key)
             if pair is not None:
-                self.take(pair)
+                self.apply(pair)
         prefix = self._documents.targets_prefix
         if not key:
             for pair in self._view.list_prefix(prefix):
-                self._note_target(pair.key)
+                self._read_target(pair.key)
             self._drop_unlisted()
-            self._tell()
+            self._notify()
         elif key.startswith(prefix):
-            self._note_target(key)
-            self._tell()
+            self._read_target(key)
+            self._notify()
 
     def _drop_unlisted(self) -> None:
         """Drop the targets that the store does not list any more."""
@@ -219,13 +219,13 @@
             get_running_loop().call_later(wait, self._end_relisting)
             return
         for key in unlisted:
-            self._note_target(key)
+            self._read_target(key)
 
     def _end_relisting(self) -> None:
         self._drop_unlisted()
-        self._tell()
+        self._notify()
 
-    def _note_target(self, key: str) -> None:
+    def _read_target(self, key: str) -> None:
         pair = self._view.get(key)
         if pair is None:
             self._targets.pop(key, None)
@@ -243,13 +243,13 @@
                 Decision(DecisionKind.CONFIGURATION_REFUSED, reasons=reasons),
             )
 
-    def _note_older(self, pair: KeyValue, declared: Declared) -> None:
+    def _refuse_older(self, pair: KeyValue, declared: Declared) -> None:
         self._older = pair.value
         why = f'version {declared.version} is not newer than {self.version}'
         self._decisions.record(
             Decision(DecisionKind.CONFIGURATION_REFUSED, reasons={'why': why}),
         )
 
-    def _tell(self) -> None:
+    def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- a/src/sedgeshunt/registry/current_store.py
+++ b/src/sedgeshunt/registry/current_store.py
@@ -56,8 +56,8 @@
         """Return for how long the newest era has been known."""
         return Seconds(read_boottime() - self._learned_at)
 
-    def note_era(self, era: Era) -> None:
-        """Take in an era that the store or a peer has told."""
+    def observe_era(self, era: Era) -> None:
+        """Record an era that the store or a peer has told."""
         before = self._era
         if before is not None and era <= before:
             return
@@ -146,7 +146,7 @@
         self._follow()
 
     def _follow(self) -> None:
-        self.note_era(self._store.era)
+        self.observe_era(self._store.era)
 
     def _check_watch(self, after: Revision) -> None:
         if read_era(after) != self.era:
--- a/src/sedgeshunt/registry/store_view.py
+++ b/src/sedgeshunt/registry/store_view.py
@@ -88,7 +88,7 @@
         # Tells whether it falls to this proxy to ask how far the store is.
         self._is_checker = is_checker
         self._feed: ChangeFeed = NoFeed()
-        self._is_deaf = Event()
+        self._is_behind = Event()
         self._newest_elsewhere = Revision(0)
         self._missed_since: Monotonic | None = None
         self._items: dict[str, KeyValue] = {}
@@ -130,10 +130,10 @@
         """Return for how long the store's newest era has been known."""
         return self._store.measure_age()
 
-    def note_newer(self, revision: Revision) -> None:
-        """Take in that the store has reached a revision."""
+    def observe_revision(self, revision: Revision) -> None:
+        """Record that the store has reached a revision."""
         if revision != NOTHING:
-            self._store.note_era(read_era(revision))
+            self._store.observe_era(read_era(revision))
         # A watch can go silent while changes are made. What somebody else has
         # seen, and the watch does not bring soon, is listed anew.
         self._newest_elsewhere = Revision(max(self._newest_elsewhere, revision))
@@ -145,7 +145,7 @@
             self._missed_since = now
         elif now - self._missed_since > WATCH_LAG:
             self._missed_since = None
-            self._is_deaf.set()
+            self._is_behind.set()
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
@@ -162,7 +162,7 @@
                 continue
             with suppress(PlatformUnavailable):
                 listing = await self._store.list_prefix(NO_KEY)
-                self.note_newer(listing.revision)
+                self.observe_revision(listing.revision)
 
     async def _run(self) -> None:
         while True:
@@ -171,11 +171,11 @@
             except WatchCompacted:
                 # What happened since is unknown: list anew.
                 self.refused_watches += 1
-                self._note_reach(is_reached=True)
+                self._record_reach(is_reached=True)
                 self.loaded.clear()
                 await self._pause_watch()
             except PlatformUnavailable as failure:
-                self._note_reach(is_reached=False, why=str(failure))
+                self._record_reach(is_reached=False, why=str(failure))
                 await sleep(self._backoff.draw())
 
     async def _pause_watch(self) -> None:
@@ -198,12 +198,12 @@
             listing.revision,
         )
 
-    def note(self, pair: KeyValue) -> None:
-        """Take in an item that this proxy has just written or read."""
+    def record(self, pair: KeyValue) -> None:
+        """Record an item that this proxy has just written or read."""
         known = self._items.get(pair.key)
         if known is None or known.revision < pair.revision:
             self._items[pair.key] = pair
-            self._tell(pair.key)
+            self._notify(pair.key)
 
     async def _follow(self) -> None:
         if not self.loaded.is_set():
@@ -219,14 +219,14 @@
             await self._follow_store()
 
     async def _follow_peer(self) -> None:
-        """Take in what a peer hands on, until it stops or is behind."""
-        await self._run_until_deaf(self._take_handed())
+        """Apply what a peer hands on, until it stops or is behind."""
+        await self._run_until_behind(self._follow_feed())
         self._feed.distrust()
 
     async def _follow_store(self) -> None:
         """Watch the store until a peer offers to, or the watch is behind."""
         try:
-            is_behind = await self._run_until_deaf(
+            is_behind = await self._run_until_behind(
                 self._listen(),
                 self._wait_offer(),
             )
@@ -238,34 +238,34 @@
         if is_behind:
             raise WatchCompacted
 
-    async def _run_until_deaf(
+    async def _run_until_behind(
         self,
         *works: Coroutine[None, None, None],
     ) -> bool:
         """Run to the first end; tell whether others were seen to know more."""
-        self._is_deaf.clear()
+        self._is_behind.clear()
         tasks = [create_task(work) for work in works]
-        deaf = create_task(self._is_deaf.wait())
+        behind = create_task(self._is_behind.wait())
         try:
-            await wait((deaf, *tasks), return_when=FIRST_COMPLETED)
+            await wait((behind, *tasks), return_when=FIRST_COMPLETED)
             for task in filter(Task.done, tasks):
                 task.result()
         finally:
-            for started in (deaf, *tasks):
+            for started in (behind, *tasks):
                 started.cancel()
-        return self._is_deaf.is_set()
+        return self._is_behind.is_set()
 
-    async def _take_handed(self) -> None:
+    async def _follow_feed(self) -> None:
         feed = self._feed.open(self.revision)
         async with AsyncExitStack() as owned:
             owned.push_async_callback(feed.aclose)
             async for changes in feed:
-                if not self._take_changes(changes):
+                if not self._apply_changes(changes):
                     return
 
-    def _take_changes(self, changes: StoreChanges) -> bool:
-        """Take in what a peer hands on; tell whether nothing is missing."""
-        self._store.note_era(read_era(changes.revision))
+    def _apply_changes(self, changes: StoreChanges) -> bool:
+        """Apply what a peer hands on; tell whether nothing is missing."""
+        self._store.observe_era(read_era(changes.revision))
         if read_era(changes.revision) != self._store.era:
             # The peer does not know yet that the store has come back.
             return False
@@ -275,7 +275,7 @@
             return True
         if changes.after > self.revision:
             return False
-        self._take(changes.events, changes.revision)
+        self._apply(changes.events, changes.revision)
         return True
 
     async def _wait_feed(self) -> None:
@@ -294,20 +294,20 @@
             if isinstance(watch, AsyncGenerator):
                 owned.push_async_callback(watch.aclose)
             async for events in watch:
-                self._note_reach(is_reached=True)
+                self._record_reach(is_reached=True)
                 newest = max((one.revision for one in events), default=0)
-                self._take(events, Revision(newest))
+                self._apply(events, Revision(newest))
                 await sleep(self._gathering.find_pause(read_clock()))
 
-    def _take(self, events: Sequence[WatchEvent], revision: Revision) -> None:
+    def _apply(self, events: Sequence[WatchEvent], revision: Revision) -> None:
         relevant = [one for one in events if one.key.startswith(self._prefixes)]
         self.revision = Revision(max(self.revision, revision))
         self._log.note(relevant, revision)
         for event in relevant:
-            self._take_event(event)
+            self._apply_event(event)
         self.followers.tell()
 
-    def _take_event(self, event: WatchEvent) -> None:
+    def _apply_event(self, event: WatchEvent) -> None:
         known = self._items.get(event.key)
         if known is not None and known.revision >= event.revision:
             return
@@ -320,7 +320,7 @@
                 event.revision,
                 event.created,
             )
-        self._tell(event.key)
+        self._notify(event.key)
 
     def _replace(
         self,
@@ -338,11 +338,11 @@
         self._listed_at = read_clock()
         self.revision = Revision(max(self.revision, revision))
         self._log.begin(self.revision)
-        self._note_reach(is_reached=True)
-        self._tell('')
+        self._record_reach(is_reached=True)
+        self._notify('')
         self.followers.tell()
 
-    def _tell(self, key: str) -> None:
+    def _notify(self, key: str) -> None:
         for listener in self._listeners:
             listener(key)
 
@@ -350,9 +350,9 @@
         # A follower waits for its watcher instead, so that the end of an era
         # is not a listing by each proxy.
         if self.is_watching:
-            self._is_deaf.set()
+            self._is_behind.set()
 
-    def _note_reach(self, *, is_reached: bool, why: str = '') -> None:
+    def _record_reach(self, *, is_reached: bool, why: str = '') -> None:
         if is_reached:
             self._backoff.reset()
         if is_reached == self.is_reached:
--- a/src/sedgeshunt/statements/peer_desk.py
+++ b/src/sedgeshunt/statements/peer_desk.py
@@ -130,7 +130,7 @@
 
     async def keep_lease(self, asked: KeptLease) -> bool:
         """Renew a peer's lease in the store; tell whether it goes on."""
-        self._store.note_era(asked.era)
+        self._store.observe_era(asked.era)
         if asked.era != self._store.era:
             return False
         try:
