Log sessions and peers' calls that a stop ends without an answer

The logs couldn't tell the hypotheses of the graceful stop apart: nothing was written when a stopping proxy ended a session, left a request unanswered or closed a peer's link under a running call.

`session-cut` names a statement that was not answered and how long it had run, `call-cut` a peer's call, and `proxy-stopped` counts the sessions by how they ended. The decisions of the stop are unchanged.

--- a/src/sedgeshunt/decisions.py
+++ b/src/sedgeshunt/decisions.py
@@ -46,6 +46,8 @@
     PROMOTION_ORDERED = 'promotion-ordered'
     PEER_LOST = 'peer-lost'
     PEER_REGAINED = 'peer-regained'
+    SESSION_CUT = 'session-cut'
+    CALL_CUT = 'call-cut'
 
 
 class Decision(Struct, frozen=True):
--- a/src/sedgeshunt/forwarding/server.py
+++ b/src/sedgeshunt/forwarding/server.py
@@ -1,7 +1,7 @@
 """Run calls of one peer and answer its heartbeats."""
 
 from abc import ABC, abstractmethod
-from asyncio import Task, TaskGroup
+from asyncio import CancelledError, Task, TaskGroup
 from functools import partial
 
 from result import Result
@@ -45,6 +45,10 @@
     ) -> Result[Answer, Refusal]:
         """Run a statement of a peer's caller."""
 
+    @abstractmethod
+    def record_cut(self, call: StatementCall) -> None:
+        """Record that a peer's call was ended without an answer."""
+
     @abstractmethod
     async def end_transaction(
         self,
@@ -95,6 +99,8 @@
         self._handler = handler
         self._transactions = TransactionTable()
         self._running: dict[int, Task[None]] = {}
+        # Calls without an answer that the peer still waits for.
+        self._calls: dict[int, StatementCall] = {}
         # The receivers of changes, by the number of the peer's request.
         self._receivers: dict[int, ChangeReceiver] = {}
         self._heartbeats = AnsweredHeartbeats()
@@ -107,6 +113,10 @@
                     self._handle(frame, tasks)
                 for task in self._running.values():
                     task.cancel()
+        except CancelledError:
+            for call in self._calls.values():
+                self._handler.record_cut(call)
+            raise
         finally:
             for receive in self._receivers.values():
                 self._handler.remove_follower(receive)
@@ -118,6 +128,7 @@
             reply = self._answer_heartbeat(frame.beat)
             self._channel.send(Frame(number, beat_reply=reply))
         if frame.call is not None:
+            self._calls[number] = frame.call
             self._running[number] = tasks.create_task(
                 self._run(number, frame.call),
             )
@@ -139,6 +150,7 @@
             )
 
     def _cancel(self, number: int) -> None:
+        self._calls.pop(number, None)
         if number in self._running:
             self._running[number].cancel()
         receive = self._receivers.pop(number, None)
@@ -183,5 +195,6 @@
             self._channel.send(
                 Frame(number, reply=reply, tip=tip, waits=waits.finish()),
             )
+            self._calls.pop(number, None)
         finally:
             self._running.pop(number, None)
--- a/src/sedgeshunt/logs.py
+++ b/src/sedgeshunt/logs.py
@@ -58,6 +58,8 @@
     DecisionKind.WRITES_REFUSED: LogLevel.WARNING,
     DecisionKind.ZONE_CUT: LogLevel.WARNING,
     DecisionKind.PAUSED: LogLevel.WARNING,
+    DecisionKind.SESSION_CUT: LogLevel.WARNING,
+    DecisionKind.CALL_CUT: LogLevel.WARNING,
 }
 
 
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -65,6 +65,7 @@
         self._stopping = Event()
         self._signalled = Event()
         self._metrics = TextMetrics()
+        self._decisions = DecisionCounts(self._metrics, log)
         self._rotation = BalancerRotation()
         self._store = MetadataStore(settings.store.place)
         self._promotions = PlatformPromotions(settings.promotions.place)
@@ -85,7 +86,7 @@
                 settings=str(self._path),
             )
             await self._serve(node, callers)
-        self._log.note(ProcessEvent.STOPPED)
+        self._log.note(ProcessEvent.STOPPED, sessions=callers.count_ends())
 
     async def _serve(self, node: NodeService, callers: CallerServer) -> None:
         async with TaskGroup() as tasks:
@@ -124,7 +125,7 @@
             WireTargetConnector(),
             self._promotions,
             StreamConnector(self._note_broken),
-            DecisionCounts(self._metrics, self._log),
+            self._decisions,
             StatementCounts(self._metrics, StatementLines(self._log)),
         )
 
@@ -138,6 +139,7 @@
             settings.callers.place,
             settings.capacity.most_callers,
             node.open_session,
+            self._decisions,
         )
         servers: list[StreamListener] = [
             ForwardingServer(
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -226,6 +226,7 @@
             self._store,
             self._feeds,
             self._gate,
+            decisions,
         )
         self._lease.bind(
             self._opinions,
--- a/src/sedgeshunt/platform/callers.py
+++ b/src/sedgeshunt/platform/callers.py
@@ -1,6 +1,7 @@
 """Accept connections of callers and serve their protocol."""
 
 from asyncio import (
+    CancelledError,
     Server,
     StreamReader,
     StreamWriter,
@@ -11,16 +12,21 @@
     timeout,
     wait,
 )
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from enum import Enum
 
 from result import Err, Ok, Result
 
 from sedgeshunt.adapters.sockets import watch_silence
+from sedgeshunt.clocks import read_clock
 from sedgeshunt.connections.target_session import SessionPhase
 from sedgeshunt.customers.directory import digest_key
+from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
 from sedgeshunt.identifiers import (
     KeyDigest,
+    Monotonic,
     Seconds,
     StatementId,
     TrafficClass,
@@ -54,6 +60,7 @@
     'this proxy serves all callers that it can; connect to another'
 )
 NO_POINT = '-'
+MILLISECONDS = 1000
 _PHASES = {
     SessionPhase.IDLE: 'I',
     SessionPhase.OPEN: 'T',
@@ -66,6 +73,19 @@
 ]
 
 
+class SessionEnd(Enum):
+    """Tell how a session ended."""
+
+    # The caller left or was refused.
+    CLOSED = 'closed'
+    # The caller disconnected while its statement ran.
+    ABANDONED = 'abandoned'
+    # The proxy asked the caller to leave.
+    DISMISSED = 'dismissed'
+    # The proxy ended the session without answering its statement.
+    CUT = 'cut'
+
+
 class CallerServer:
     """Serve the connections of all callers."""
 
@@ -74,11 +94,15 @@
         address: Address,
         max_callers: int,
         open_session: OpenSession,
+        decisions: DecisionLog,
     ) -> None:
         """Serve at most `max_callers` callers at the same time."""
         self.address = address
         self._max_callers = max_callers
         self._open_session = open_session
+        self._decisions = decisions
+        # The sessions that have ended, by cause.
+        self._ends: Counter[SessionEnd] = Counter()
         self._server: Server | None = None
         self._conversations: dict[Task[None], CallerConversation] = {}
         self._pending_rejections = 0
@@ -97,6 +121,10 @@
         """Return the number of connected callers."""
         return len(self._conversations)
 
+    def count_ends(self) -> dict[str, int]:
+        """Return the number of sessions that have ended, by cause."""
+        return {end.value: ended for end, ended in self._ends.items()}
+
     def close(self) -> None:
         """Stop accepting connections."""
         if self._server is not None:
@@ -138,11 +166,30 @@
             self._conversations[task] = conversation
         try:
             await conversation.run()
+        except CancelledError:
+            self._record_cut(conversation)
+            raise
+        else:
+            self._ends[conversation.find_end()] += 1
         finally:
             writer.close()
             if task is not None:
                 self._conversations.pop(task, None)
 
+    def _record_cut(self, conversation: 'CallerConversation') -> None:
+        if conversation.statement is None:
+            self._ends[SessionEnd.DISMISSED] += 1
+            return
+        self._ends[SessionEnd.CUT] += 1
+        spent = read_clock() - conversation.answering_since
+        reasons = {
+            'statement': conversation.statement,
+            'spent_ms': f'{spent * MILLISECONDS:.1f}',
+        }
+        self._decisions.record(
+            Decision(DecisionKind.SESSION_CUT, reasons=reasons)
+        )
+
     async def _reject(
         self,
         reader: StreamReader,
@@ -184,6 +231,18 @@
         self._is_aborting = False
         # True while it waits for the next message and no statement runs.
         self._is_waiting = False
+        # The statement that is being answered, and since when.
+        self.statement: StatementId | None = None
+        self.answering_since = Monotonic(0)
+        self._is_dismissed = False
+
+    def find_end(self) -> SessionEnd:
+        """Return how the session ended."""
+        if self.statement is not None:
+            return SessionEnd.ABANDONED
+        if self._is_dismissed:
+            return SessionEnd.DISMISSED
+        return SessionEnd.CLOSED
 
     def stop(self) -> None:
         """End the session once no statement or transaction is open."""
@@ -208,6 +267,7 @@
         # Callers treat an unsolicited error as a request to close. If a
         # statement is sent at the same time, the caller takes the error as its
         # answer, which is correct: no statement runs afterwards.
+        self._is_dismissed = True
         code = 'ABORTED' if self._is_open() else 'BUSY'
         self._write_error(code, STOPPING_REASON)
         self._reader.set_exception(_CloseRequested())
@@ -275,6 +335,8 @@
         query: str,
     ) -> None:
         name, text = split_line(query, 1)
+        self.statement = StatementId(name)
+        self.answering_since = read_clock()
         messages: list[tuple[str, ...]]
         try:
             statement = parse_statement(StatementId(name), text)
@@ -285,6 +347,7 @@
             messages = _encode_outcome(outcome)
         messages.append(('READY', _PHASES[session.phase], NO_POINT))
         await self._send(make_lines(messages))
+        self.statement = None
 
     async def _send(self, data: bytes) -> None:
         if self._writer.is_closing():
--- a/src/sedgeshunt/statements/peer_requests.py
+++ b/src/sedgeshunt/statements/peer_requests.py
@@ -12,6 +12,7 @@
 )
 from sedgeshunt.customers.gate import QuotaGate
 from sedgeshunt.customers.quotas import QuotaGrant, QuotaRequest
+from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
 from sedgeshunt.exceptions import PlatformUnavailable
 from sedgeshunt.execution.group_access import GroupAccess
 from sedgeshunt.execution.group_table import GroupTable
@@ -76,8 +77,10 @@
         store: CurrentStore,
         feeds: FeedServer,
         gate: QuotaGate,
+        decisions: DecisionLog,
     ) -> None:
         """Answer with the parts of this proxy."""
+        self._decisions = decisions
         self._feeds = feeds
         self._gate = gate
         self._groups = groups
@@ -111,6 +114,13 @@
             return await access.run_call(call, transactions, deadline)
         return await self._relay(call, transactions, deadline)
 
+    def record_cut(self, call: StatementCall) -> None:
+        """Record that a peer's call was ended without an answer."""
+        reasons = {'statement': call.statement, 'kind': call.kind.value}
+        self._decisions.record(
+            Decision(DecisionKind.CALL_CUT, call.group, reasons=reasons)
+        )
+
     async def end_transaction(
         self,
         transaction: TransactionId,
