Show that a stop ends statements without a whole answer

Four scenarios fail on the untouched logic of the stop, three faults:

- a statement that takes 1.6 s of its limit of 2 s is cut 2.25 s after SIGTERM with a grace of 3 s
- a statement that crosses the request to leave gets ERROR and no READY
- one turn of the event loop after a statement arrived, the session is told ERROR BUSY, a promise that nothing runs, and then the statement runs

--- a/tests/features/platform_bench.py
+++ b/tests/features/platform_bench.py
@@ -175,6 +175,11 @@
         """Return the lines up to READY or the end of the connection."""
         return self._loop.run(self._read())
 
+    def read_line(self) -> str:
+        """Return the next line, empty at the end of the connection."""
+        line = self._loop.run(self._reader.readline())
+        return line.decode().rstrip()
+
     def end(self) -> None:
         """Send end of stream."""
         self._loop.run(self._end())
--- /dev/null
+++ b/tests/features/shutdown.feature
@@ -0,0 +1,43 @@
+Feature: Graceful stops
+  A statement that a stopping proxy has read is answered whole, and is never
+  both refused and run.
+
+  Scenario: A statement outlasts the time for open transactions
+    Guards against cutting a running statement before its time limit or the
+    grace period is over.
+    Given processes "east-1, west-1"
+    And databases take 1.6 s for "READ turn"
+    And another caller of "catalogue" at "east-1" over the wire
+    When "east-1" gets SIGTERM
+    And 0.8 s pass at the processes
+    Then the other caller gets a whole answer "ROW" to "READ turn"
+
+  Scenario: A statement crosses the request to leave
+    Guards against an answer that ends without READY.
+    Given processes "east-1, west-1"
+    And another caller of "kigali" at "east-1" over the wire
+    When "east-1" gets SIGTERM
+    Then the other caller is told "ERROR BUSY"
+    And that is the whole answer to its next statement "WRITE turn 1"
+    And "WRITE turn 1" has not run
+
+  Scenario Outline: A session is told to leave as its statement arrives
+    Guards against a statement that is refused and run, or neither.
+    When a server stops <turns> turns of its event loop after a statement
+    Then the statement was either run or refused, and answered whole
+
+    Examples:
+      | turns |
+      | 0     |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 4     |
+
+  Scenario: A caller doesn't leave
+    Guards against a stop that outlasts the grace period.
+    Given processes "east-1, west-1"
+    And another caller of "kigali" at "east-1" over the wire
+    When "east-1" gets SIGTERM
+    Then process "east-1" has exited with 0
+    And the log of "east-1" has no "session-cut"
