Decide about the end of a session in the task that serves it

Callers saw: a statement that crossed the request to leave got ERROR without READY and then the end of the connection; one that arrived in the same turn of the event loop was told ERROR BUSY, a promise that nothing is kept, and was then run (COMPLETE and READY followed). The same path serves the end of idle sessions when a zone is cut off.

Cause: stop(), abort() and close_if_idle() judged by a flag of the reading task that is still set while the task has its line and only wasn't resumed (a StreamReader that has a line returns it after set_exception). The error was then sent by one task and the statement run by another. After the error nothing was read any more, and 0.2 s later the connection was closed.

Change: only the task of the session reads, answers and refuses; the others set a flag and end its wait, which loses no bytes. Once the caller is asked to leave, what it sent before gets that error as its answer with READY, and the connection stays open until the caller closes it. A final error is followed by the end of the stream, and the rest is read, so that no reset overtakes it. Sessions that are accepted as the listener closes are told too. A revoked key ends its session in the same way.

--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -14,8 +14,9 @@
 from sedgeshunt.adapters.listener import StreamListener
 from sedgeshunt.adapters.pages import PageServer
 from sedgeshunt.adapters.text_metrics import TextMetrics
+from sedgeshunt.clocks import read_clock
 from sedgeshunt.exceptions import SedgeshuntError, SettingsInvalid
-from sedgeshunt.identifiers import Seconds
+from sedgeshunt.identifiers import Monotonic, Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent, open_log
 from sedgeshunt.membership.rotation import MAX_REMOVAL_TIME, BalancerRotation
 from sedgeshunt.node_service import NodeService
@@ -190,9 +191,11 @@
             await sleep(min(MAX_REMOVAL_TIME, drain))
             callers.close()
             await callers.end_sessions(
-                Seconds(max(0, drain - MAX_REMOVAL_TIME)),
+                Monotonic(read_clock() + max(0, drain - MAX_REMOVAL_TIME)),
+            )
+            await callers.abort(
+                Monotonic(read_clock() + grace * LAST_SHARE),
             )
-            await callers.abort(Seconds(grace * LAST_SHARE))
         await node.leave()
 
     async def _watch_file(self) -> None:
--- a/src/sedgeshunt/statements/session.py
+++ b/src/sedgeshunt/statements/session.py
@@ -49,6 +49,7 @@
 MALFORMED = 'malformed'
 NO_DATABASE = 'no-database'
 NO_CUSTOMER = 'no-customer'
+STOPPING_REASON = 'this proxy ended before an answer came'
 
 _Outcome = Result[Answer, Refusal]
 _DONE: _Outcome = Ok(Answer())
@@ -131,6 +132,19 @@
             return await self._commit(statement)
         return await self._run(statement)
 
+    async def abandon(self, statement: Statement) -> Refusal:
+        """Return the refusal of a statement whose run was cancelled."""
+        is_inside = self.in_transaction
+        await self._drop_transaction()
+        if statement.kind is StatementKind.COMMIT:
+            return Unknown(Cause.DEADLINE, STOPPING_REASON)
+        if is_inside:
+            return NotRun(Cause.TRANSACTION_LOST, STOPPING_REASON, LOST_RETRY)
+        prepared = self._prepared.get(statement.name)
+        if _find_kind(statement, prepared) is CallKind.WRITE:
+            return Unknown(Cause.DEADLINE, STOPPING_REASON)
+        return NotRun(Cause.DEADLINE, STOPPING_REASON, LOST_RETRY)
+
     async def close(self) -> None:
         """Roll back open transactions after the caller disconnected."""
         await self._drop_transaction()
--- a/tests/features/steps/entries_steps.py
+++ b/tests/features/steps/entries_steps.py
@@ -14,7 +14,7 @@
 from sedgeshunt.decisions import DecisionKind, MemoryDecisionLog
 from sedgeshunt.exceptions import SedgeshuntError
 from sedgeshunt.identifiers import GroupId, Revision
-from sedgeshunt.platform.callers import parse_start
+from sedgeshunt.platform.conversation import parse_start
 from sedgeshunt.platform.documents import (
     CONFIGURATION_KEY,
     TARGETS_PREFIX,
--- a/tests/features/steps/shutdown_steps.py
+++ b/tests/features/steps/shutdown_steps.py
@@ -7,9 +7,10 @@
 from result import Ok, Result
 
 from benchmarks.documents import find_port
+from sedgeshunt.clocks import read_clock
 from sedgeshunt.connections.target_session import SessionPhase
 from sedgeshunt.decisions import MemoryDecisionLog
-from sedgeshunt.identifiers import KeyDigest, Seconds, TrafficClass
+from sedgeshunt.identifiers import KeyDigest, Monotonic, TrafficClass
 from sedgeshunt.platform.callers import CallerServer
 from sedgeshunt.ports import Address
 from sedgeshunt.requests.outcome import Answer, Refusal
@@ -17,7 +18,7 @@
 from sedgeshunt.statements.statement import Statement
 from tests.standins.statement_front import HOST
 
-STOP_LIMIT = Seconds(0.5)
+STOP_LIMIT = 0.5
 
 
 class CountingSession:
@@ -110,7 +111,8 @@
     for _ in range(turns):
         await sleep(0)
     server.close()
-    stopping = gather(server.end_sessions(STOP_LIMIT), _read(reader))
+    give_up = Monotonic(read_clock() + STOP_LIMIT)
+    stopping = gather(server.end_sessions(give_up), _read(reader))
     _, lines = await stopping
     writer.close()
     return lines
