Answer running statements until nine tenths of the grace are over

Callers saw: with a time limit of 3 s, a statement that a stopping proxy had read was closed without an answer 4.5 s after SIGTERM, though 1.5 s of the grace were left and its own limit wasn't reached.

Cause: NodeProcess._stop cancelled what ran at three quarters of the grace, whatever the statement's limit, and a cancelled session answers nothing.

Evidence: 'A statement outlasts the time for open transactions' (a write of 1.5 s sent 0.8 s after SIGTERM, grace 3 s) got no line at all before.

Change: plan_stop gives three moments: when idle sessions are asked to leave, when open transactions are rolled back, and the last answer at nine tenths of the grace. What has no answer by then gets an error that says what is known: UNKNOWN for a write or COMMIT, ABORTED in a transaction, BUSY for a read. A hand-over that fails is logged (handover-failed) and ends no session.

--- a/src/sedgeshunt/logs.py
+++ b/src/sedgeshunt/logs.py
@@ -46,6 +46,7 @@
     STOPPING = 'proxy-stopping'
     STOPPED = 'proxy-stopped'
     RELOADED = 'settings-reloaded'
+    HANDOVER_FAILED = 'handover-failed'
     CALLER_FAILED = 'caller-failed'
     PEER_FAILED = 'peer-failed'
     STATEMENT = 'statement'
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -16,9 +16,10 @@
 from sedgeshunt.adapters.text_metrics import TextMetrics
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.exceptions import SedgeshuntError, SettingsInvalid
-from sedgeshunt.identifiers import Monotonic, Seconds
+from sedgeshunt.identifiers import Seconds
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent, open_log
-from sedgeshunt.membership.rotation import MAX_REMOVAL_TIME, BalancerRotation
+from sedgeshunt.membership.rotation import BalancerRotation
+from sedgeshunt.membership.stop_schedule import StopSchedule, plan_stop
 from sedgeshunt.node_service import NodeService
 from sedgeshunt.node_settings import (
     LIVE_FIELDS,
@@ -44,10 +45,6 @@
 SEND_EVERY = Seconds(0.05)
 # The platform may change the settings' file without a signal.
 LOOK_EVERY = Seconds(2)
-# Share of the grace in which open transactions may end, and share that is
-# left then for statements under way.
-DRAIN_SHARE = 0.5
-LAST_SHARE = 0.25
 
 
 class NodeProcess:
@@ -183,21 +180,32 @@
 
     async def _stop(self, node: NodeService, callers: CallerServer) -> None:
         """Stop so that nobody who comes or is there notices."""
-        grace = self._settings.grace
-        drain = Seconds(grace * DRAIN_SHARE)
+        schedule = plan_stop(read_clock(), self._settings.grace)
+        callers.finish_by(schedule.last_answer)
         async with TaskGroup() as tasks:
-            tasks.create_task(node.hand_over(drain))
-            # The balancer sends callers here until it has asked twice in vain.
-            await sleep(min(MAX_REMOVAL_TIME, drain))
+            tasks.create_task(self._hand_over(node, schedule))
+            await sleep(schedule.dismissal - read_clock())
             callers.close()
-            await callers.end_sessions(
-                Monotonic(read_clock() + max(0, drain - MAX_REMOVAL_TIME)),
-            )
-            await callers.abort(
-                Monotonic(read_clock() + grace * LAST_SHARE),
-            )
+            await callers.end_sessions(schedule.transactions_end)
+            await callers.abort(schedule.last_answer)
         await node.leave()
 
+    async def _hand_over(
+        self,
+        node: NodeService,
+        schedule: StopSchedule,
+    ) -> None:
+        limit = Seconds(schedule.transactions_end - read_clock())
+        try:
+            await node.hand_over(limit)
+        except Exception as failure:
+            # Sessions must be served to their end all the same.
+            self._log.note(
+                ProcessEvent.HANDOVER_FAILED,
+                LogLevel.ERROR,
+                failure=repr(failure),
+            )
+
     async def _watch_file(self) -> None:
         """Take the settings in again whenever their file has changed."""
         seen = _read_change(self._path)
--- a/tests/features/shutdown.feature
+++ b/tests/features/shutdown.feature
@@ -6,11 +6,28 @@
     Guards against cutting a running statement before its time limit or the
     grace period is over.
     Given processes "east-1, west-1"
-    And databases take 1.6 s for "READ turn"
+    And databases take 1.5 s for "WRITE turn 1"
     And another caller of "catalogue" at "east-1" over the wire
-    When "east-1" gets SIGTERM
+    When 2 s pass at the processes
+    And "east-1" gets SIGTERM
     And 0.8 s pass at the processes
-    Then the other caller gets a whole answer "ROW" to "READ turn"
+    Then the other caller gets a whole answer "COMPLETE" to "WRITE turn 1"
+
+  Scenario Outline: A statement lasts longer than the grace
+    Guards against an answer that a stop leaves out, or that promises what is
+    not known.
+    Given processes "east-1, west-1"
+    And databases take 5 s for "<text>"
+    And another caller of "catalogue" at "east-1" over the wire
+    When 2 s pass at the processes
+    And "east-1" gets SIGTERM
+    And 1.2 s pass at the processes
+    Then the other caller gets a whole answer "ERROR <code>" to "<text>"
+
+    Examples:
+      | text         | code    |
+      | WRITE turn 1 | UNKNOWN |
+      | READ turn    | BUSY    |
 
   Scenario: A statement crosses the request to leave
     Guards against an answer that ends without READY.
