Answer peers' calls before a stop closes their connections

Callers saw: a statement whose call ran at a stopping peer lost its link. A read was tried again elsewhere, with less time, and not at all if its own proxy was at its last moment; a write got UNKNOWN though the grace was not over.

Cause: a stopping proxy waited for its own callers and for the hand-over, and then closed all links, whatever ran on them for peers.

Change: once its own sessions have ended, the proxy stops accepting links, waits for the transactions of peers until half of the grace is over, answers running calls until the last moment and refuses new ones as not run. The last frame on a link (is_final) tells that calls without an answer have not run; the peer then closes the link, so that no reset overtakes an answer. Peers of earlier builds ignore the field and see the link close as before.

Result: 'A peer's write meets a stop' and 'A peer's write lasts longer than the grace' pass. They use the new interface and can't fail by assertion on the code before.

--- a/src/sedgeshunt/adapters/forwarding.thrift
+++ b/src/sedgeshunt/adapters/forwarding.thrift
@@ -181,4 +181,7 @@
   14: optional Spent spent
   // Have the receiver renew this lease in the store.
   15: optional Lease kept_lease
+  // The sender runs no more calls on this connection: those without an answer
+  // have not run.
+  16: optional bool is_final
 }
--- a/src/sedgeshunt/adapters/forwarding_codec.py
+++ b/src/sedgeshunt/adapters/forwarding_codec.py
@@ -126,6 +126,7 @@
         ),
         spend=None if frame.spend is None else make_spend(frame.spend),
         spent=None if frame.spent is None else make_spent(frame.spent),
+        is_final=frame.is_final or None,
     )
 
 
@@ -158,4 +159,5 @@
         None if raw.spend is None else read_spend(raw.spend),
         None if raw.spent is None else read_spent(raw.spent),
         {} if raw.reply is None else read_waits(raw.reply),
+        bool(raw.is_final),
     )
--- a/src/sedgeshunt/adapters/forwarding_frames.py
+++ b/src/sedgeshunt/adapters/forwarding_frames.py
@@ -632,6 +632,7 @@
         'spend',
         'spent',
         'kept_lease',
+        'is_final',
     )
 
     def __init__(
@@ -650,6 +651,7 @@
         spend: Any = None,
         spent: Any = None,
         kept_lease: Any = None,
+        is_final: Any = None,
     ) -> None:
         """Leave out what is not given."""
         self.number = number
@@ -666,6 +668,7 @@
         self.spend = spend
         self.spent = spent
         self.kept_lease = kept_lease
+        self.is_final = is_final
 
 
 WireFrame.thrift_spec = (
@@ -691,4 +694,5 @@
     (13, TType.STRUCT, 'spend', [WireSpend, WireSpend.thrift_spec], None),
     (14, TType.STRUCT, 'spent', [WireSpent, WireSpent.thrift_spec], None),
     (15, TType.STRUCT, 'kept_lease', [WireLease, WireLease.thrift_spec], None),
+    (16, TType.BOOL, 'is_final', None, None),
 )
--- a/src/sedgeshunt/adapters/listener.py
+++ b/src/sedgeshunt/adapters/listener.py
@@ -36,11 +36,15 @@
             self.address.port,
         )
 
+    def close(self) -> None:
+        """Stop accepting connections; closing twice is harmless."""
+        if self._server is not None:
+            self._server.close()
+
     async def stop(self) -> None:
         """Listen no more, and end what is served."""
         self._is_stopping = True
-        if self._server is not None:
-            self._server.close()
+        self.close()
         for task in self._tasks:
             task.cancel()
         if self._tasks:
--- a/src/sedgeshunt/exceptions.py
+++ b/src/sedgeshunt/exceptions.py
@@ -197,3 +197,7 @@
             f'proxy {self.peer} did not answer ({self.reason}); '
             + 'it may be restarting or cut off, ask again or look at its zone'
         )
+
+
+class PeerStopped(PeerUnreachable):
+    """Say that another proxy stopped before it ran a call."""
--- a/src/sedgeshunt/execution/transactions.py
+++ b/src/sedgeshunt/execution/transactions.py
@@ -94,6 +94,11 @@
         # Hosts of relayed transactions.
         self._relayed: dict[TransactionId, TransactionHost] = {}
 
+    @property
+    def has_open(self) -> bool:
+        """Return whether a transaction is open here."""
+        return bool(self._open)
+
     def add(self, transaction: OpenTransaction) -> None:
         """Add a transaction that was just begun."""
         self._open[transaction.id] = transaction
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -19,7 +19,7 @@
 
 from sedgeshunt.clocks import read_boottime, read_clock
 from sedgeshunt.customers.quotas import QuotaGrant, QuotaRequest
-from sedgeshunt.exceptions import PeerUnreachable
+from sedgeshunt.exceptions import PeerStopped, PeerUnreachable
 from sedgeshunt.forwarding.channel import FrameChannel, FrameConnector
 from sedgeshunt.forwarding.messages import (
     Frame,
@@ -49,9 +49,13 @@
     Cause,
     NotRun,
     Refusal,
-    Unknown,
 )
-from sedgeshunt.statements.call import CallKind, StatementCall
+from sedgeshunt.statements.call import (
+    STOPPING_REASON,
+    StatementCall,
+    refuse_unanswered,
+    refuse_unstarted,
+)
 from sedgeshunt.statements.waits import (
     WaitCause,
     measure_wait,
@@ -148,6 +152,8 @@
         self.relayed: dict[GroupId, OwnedGroup] = {}
         self.is_stopping = False
         self.reaches_store = False
+        # The peer runs no more calls on this connection.
+        self._is_final = False
         self._connector = connector
         self._events = events
         self._channel: FrameChannel | None = None
@@ -241,8 +247,8 @@
     ) -> Result[Answer, Refusal]:
         """Send a call to the peer and return its reply."""
         channel = self._channel
-        if channel is None or not self.is_alive():
-            return Err(self._refuse('does not answer'))
+        if channel is None or self._is_final or not self.is_alive():
+            return Err(self._refuse_unsent(call))
         asked_at = read_boottime()
         number, reply = self._send_call(channel, call)
         try:
@@ -255,9 +261,7 @@
                 self._make_refusal(call, Cause.DEADLINE, 'no answer in time'),
             )
         except PeerUnreachable as lost:
-            return Err(
-                self._make_refusal(call, Cause.CONNECTION_LOST, lost.reason),
-            )
+            return Err(self._refuse_lost(call, lost))
         except CancelledError:
             channel.send(Frame(number, is_cancelled=True))
             raise
@@ -342,6 +346,7 @@
     async def _serve(self, channel: FrameChannel) -> None:
         self._channel = channel
         self._silent_since = None
+        self._is_final = False
         self._interval = SLOW_HEARTBEAT_INTERVAL
         self._sent_at = read_clock()
         self._sent = SentHeartbeats()
@@ -351,6 +356,8 @@
             heartbeats = tasks.create_task(self._send_heartbeats(channel))
             while (frame := await channel.receive()) is not None:
                 self._handle(frame)
+                if self._is_final:
+                    break
             heartbeats.cancel()
 
     async def _send_heartbeats(self, channel: FrameChannel) -> None:
@@ -458,6 +465,10 @@
 
     def _handle(self, frame: Frame) -> None:
         self._backoff.reset()
+        if frame.is_final:
+            self._is_final = True
+            self._fail_waiting(PeerStopped(self.peer.name, STOPPING_REASON))
+            return
         if frame.beat_reply is not None:
             asked_at = self._pending_heartbeats.pop(frame.number, None)
             if asked_at is not None:
@@ -508,18 +519,33 @@
         for feed in self._feeds.values():
             feed.put_nowait(None)
         self._events.note_reachability(self.peer.name, is_reached=False)
-        lost = PeerUnreachable(self.peer.name, 'the connection broke')
+        self._fail_waiting(
+            PeerUnreachable(self.peer.name, 'the connection broke')
+        )
+
+    def _fail_waiting(self, failure: PeerUnreachable) -> None:
         for reply in self._waiting.values():
             if not reply.done():
-                reply.set_exception(lost)
+                reply.set_exception(failure)
 
-    def _refuse(self, reason: str) -> NotRun:
+    def _refuse_unsent(self, call: StatementCall) -> NotRun:
+        if self._is_final:
+            return refuse_unstarted(call, STOPPING_REASON)
         return NotRun(
             Cause.CONNECTION_LOST,
-            f'proxy {self.peer.name} {reason}',
+            f'proxy {self.peer.name} does not answer',
             RETRY_DELAY,
         )
 
+    def _refuse_lost(
+        self,
+        call: StatementCall,
+        lost: PeerUnreachable,
+    ) -> Refusal:
+        if isinstance(lost, PeerStopped):
+            return refuse_unstarted(call, STOPPING_REASON)
+        return self._make_refusal(call, Cause.CONNECTION_LOST, lost.reason)
+
     def _make_refusal(
         self,
         call: StatementCall,
@@ -528,13 +554,7 @@
     ) -> Refusal:
         """Return the outcome of a call that got no reply."""
         text = f'proxy {self.peer.name}: {reason}'
-        if call.transaction is not None and call.kind is not CallKind.COMMIT:
-            # The peer rolls the transaction back on request or when the
-            # connection closes; without a COMMIT, the target keeps none of it.
-            return NotRun(Cause.TRANSACTION_LOST, text, RETRY_DELAY)
-        if call.kind is CallKind.READ:
-            return NotRun(cause, text, RETRY_DELAY)
-        return Unknown(cause, text)
+        return refuse_unanswered(call, cause, text)
 
 
 def _is_yes(answer: Frame | None) -> bool:
--- a/src/sedgeshunt/forwarding/messages.py
+++ b/src/sedgeshunt/forwarding/messages.py
@@ -114,3 +114,6 @@
     spent: QuotaGrant | None = None
     # How long the reply's call waited at the sender, by cause.
     waits: Waits = {}
+    # The sender runs no more calls on this connection: those without an answer
+    # have not run.
+    is_final: bool = False
--- a/src/sedgeshunt/forwarding/server.py
+++ b/src/sedgeshunt/forwarding/server.py
@@ -1,10 +1,10 @@
 """Run calls of one peer and answer its heartbeats."""
 
 from abc import ABC, abstractmethod
-from asyncio import CancelledError, Task, TaskGroup
+from asyncio import CancelledError, Task, TaskGroup, wait
 from functools import partial
 
-from result import Result
+from result import Err, Result
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.customers.quotas import QuotaGrant, QuotaRequest
@@ -28,8 +28,13 @@
 )
 from sedgeshunt.registry.changes import StoreChanges
 from sedgeshunt.registry.feeds import ChangeReceiver
-from sedgeshunt.requests.outcome import Answer, Refusal
-from sedgeshunt.statements.call import StatementCall
+from sedgeshunt.requests.outcome import Answer, Cause, Refusal
+from sedgeshunt.statements.call import (
+    STOPPING_REASON,
+    StatementCall,
+    refuse_unanswered,
+    refuse_unstarted,
+)
 from sedgeshunt.statements.waits import start_recording
 
 
@@ -104,6 +109,29 @@
         # The receivers of changes, by the number of the peer's request.
         self._receivers: dict[int, ChangeReceiver] = {}
         self._heartbeats = AnsweredHeartbeats()
+        self._is_finishing = False
+        self._is_final = False
+
+    @property
+    def has_transactions(self) -> bool:
+        """Return whether the peer has a transaction open here."""
+        return self._transactions.has_open
+
+    async def finish(self, give_up: Monotonic) -> None:
+        """Answer the running calls by `give_up`, and start no more.
+
+        The peer learns that calls without an answer have not run.
+        """
+        self._is_finishing = True
+        running = tuple(self._running.values())
+        if running:
+            await wait(running, timeout=max(0, give_up - read_clock()))
+        for number, call in tuple(self._calls.items()):
+            refusal = refuse_unanswered(call, Cause.DEADLINE, STOPPING_REASON)
+            self._channel.send(Frame(number, reply=Err(refusal)))
+            self._cancel(number)
+        self._is_final = True
+        self._channel.send(Frame(0, is_final=True))
 
     async def run(self) -> None:
         """Serve until the peer closes the connection."""
@@ -128,10 +156,7 @@
             reply = self._answer_heartbeat(frame.beat)
             self._channel.send(Frame(number, beat_reply=reply))
         if frame.call is not None:
-            self._calls[number] = frame.call
-            self._running[number] = tasks.create_task(
-                self._run(number, frame.call),
-            )
+            self._start_call(number, frame.call, tasks)
         if frame.is_cancelled:
             self._cancel(number)
         if frame.followed_from is not None:
@@ -149,6 +174,22 @@
                 self._handler.end_transaction(frame.undone, self._transactions),
             )
 
+    def _start_call(
+        self,
+        number: int,
+        call: StatementCall,
+        tasks: TaskGroup,
+    ) -> None:
+        if self._is_final:
+            # The peer has been told that it does not run.
+            return
+        if self._is_finishing:
+            refusal = refuse_unstarted(call, STOPPING_REASON)
+            self._channel.send(Frame(number, reply=Err(refusal)))
+            return
+        self._calls[number] = call
+        self._running[number] = tasks.create_task(self._run(number, call))
+
     def _cancel(self, number: int) -> None:
         self._calls.pop(number, None)
         if number in self._running:
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -65,6 +65,7 @@
         self._metrics = TextMetrics()
         self._decisions = DecisionCounts(self._metrics, log)
         self._rotation = BalancerRotation()
+        self._peer_listener: StreamListener | None = None
         self._store = MetadataStore(settings.store.place)
         self._promotions = PlatformPromotions(settings.promotions.place)
 
@@ -139,12 +140,13 @@
             node.open_session,
             self._decisions,
         )
+        self._peer_listener = ForwardingServer(
+            settings.peers.place,
+            node.serve_peer,
+            self._note_broken,
+        )
         servers: list[StreamListener] = [
-            ForwardingServer(
-                settings.peers.place,
-                node.serve_peer,
-                self._note_broken,
-            ),
+            self._peer_listener,
             PageServer(
                 settings.readiness.place,
                 list_readiness_pages(partial(self._tell_readiness, node)),
@@ -188,8 +190,18 @@
             callers.close()
             await callers.end_sessions(schedule.transactions_end)
             await callers.abort(schedule.last_answer)
+        await self._finish_peers(node, schedule)
         await node.leave()
 
+    async def _finish_peers(
+        self,
+        node: NodeService,
+        schedule: StopSchedule,
+    ) -> None:
+        if self._peer_listener is not None:
+            self._peer_listener.close()
+        await node.finish_calls(schedule.transactions_end, schedule.last_answer)
+
     async def _hand_over(
         self,
         node: NodeService,
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -1,6 +1,6 @@
 """Put one proxy for statement sessions together."""
 
-from asyncio import TaskGroup
+from asyncio import TaskGroup, gather, sleep
 from contextlib import suppress
 from secrets import token_hex
 
@@ -72,6 +72,10 @@
 
 # How long a stopping proxy waits for others to claim its groups.
 HANDOVER_LIMIT = Seconds(1)
+FINISH_CHECK_INTERVAL = Seconds(0.01)
+# Time for peers to read the last answers: one network trip, and a connection
+# that is behind.
+PEER_CLOSE_LIMIT = Seconds(0.3)
 MILLISECONDS = 1000
 # Two processes of one instance draw the same once in 2.8e14.
 INCARNATION_BYTES = 6
@@ -95,6 +99,7 @@
         """Bring the parts together; nothing runs before run()."""
         self.entry = _make_entry(settings)
         self._sessions = 0
+        self._peer_handlers: set[PeerConnectionHandler] = set()
         self._recorder = recorder
         self._store = CurrentStore(store, decisions)
         self._view = StoreView(
@@ -350,7 +355,27 @@
 
     async def serve_peer(self, channel: FrameChannel) -> None:
         """Serve one peer's connection."""
-        await PeerConnectionHandler(channel, self._desk).run()
+        handler = PeerConnectionHandler(channel, self._desk)
+        self._peer_handlers.add(handler)
+        try:
+            await handler.run()
+        finally:
+            self._peer_handlers.discard(handler)
+
+    async def finish_calls(
+        self,
+        transactions_end: Monotonic,
+        give_up: Monotonic,
+    ) -> None:
+        """Answer peers' calls by `give_up`; let their transactions end."""
+        while self._has_peer_transactions() and read_clock() < transactions_end:
+            await sleep(FINISH_CHECK_INTERVAL)
+        handlers = tuple(self._peer_handlers)
+        await gather(*(handler.finish(give_up) for handler in handlers))
+        # Peers close their connections once they have read all answers.
+        closed_by = read_clock() + PEER_CLOSE_LIMIT
+        while self._peer_handlers and read_clock() < closed_by:
+            await sleep(FINISH_CHECK_INTERVAL)
 
     async def hand_over(self, limit: Seconds) -> None:
         """Give up all that is owned here, each group to the best peer.
@@ -371,6 +396,9 @@
         with suppress(PlatformUnavailable, AnswerLost):
             await self._lease.release()
 
+    def _has_peer_transactions(self) -> bool:
+        return any(handler.has_transactions for handler in self._peer_handlers)
+
     def _owns_any(self) -> bool:
         return any(access.owner is not None for access in self._groups)
 
--- a/src/sedgeshunt/statements/call.py
+++ b/src/sedgeshunt/statements/call.py
@@ -14,8 +14,12 @@
     TrafficClass,
     TransactionId,
 )
+from sedgeshunt.requests.outcome import Cause, NotRun, Refusal, Unknown
 from sedgeshunt.statements.statement import PreparedStatement
 
+RETRY_DELAY = Seconds(0.1)
+STOPPING_REASON = 'the proxy that runs it is shutting down'
+
 
 class Access(Enum):
     """Name the targets that may run a call."""
@@ -79,3 +83,21 @@
         if self.kind is CallKind.COMMIT:
             return True
         return self.kind is CallKind.WRITE and self.transaction is None
+
+
+def refuse_unanswered(call: StatementCall, cause: Cause, text: str) -> Refusal:
+    """Return the outcome of a call that may have run without an answer."""
+    if call.transaction is not None and call.kind is not CallKind.COMMIT:
+        # Without a COMMIT, the target keeps nothing of the transaction, which
+        # is rolled back at the latest when its connection closes.
+        return NotRun(Cause.TRANSACTION_LOST, text, RETRY_DELAY)
+    if call.kind is CallKind.READ:
+        return NotRun(cause, text, RETRY_DELAY)
+    return Unknown(cause, text)
+
+
+def refuse_unstarted(call: StatementCall, text: str) -> NotRun:
+    """Return the outcome of a call that a stopping proxy did not start."""
+    is_begun = call.transaction is not None and not call.begins
+    cause = Cause.TRANSACTION_LOST if is_begun else Cause.CONNECTION_LOST
+    return NotRun(cause, text, RETRY_DELAY)
--- a/tests/features/shutdown.feature
+++ b/tests/features/shutdown.feature
@@ -58,3 +58,23 @@
     When "east-1" gets SIGTERM
     Then process "east-1" has exited with 0
     And the log of "east-1" has no "session-cut"
+
+  Scenario Outline: A peer's write meets a stop
+    Guards against a link that is closed under a call, whose effect is then
+    unknown.
+    Given a peer that runs each call in 0.5 s
+    When the peer stops and a write is sent to it <sent> s later
+    Then the write was <outcome>
+
+    Examples:
+      | sent | outcome          |
+      | -0.1 | run and answered |
+      | 0.1  | refused, not run |
+      | 0.41 | refused, not run |
+      | 0.6  | refused, not run |
+
+  Scenario: A peer's write lasts longer than the grace
+    Guards against a promise that a write has not run.
+    Given a peer that runs each call in 5 s
+    When the peer stops and a write is sent to it -0.1 s later
+    Then the write was of unknown effect
--- a/tests/features/steps/links_steps.py
+++ b/tests/features/steps/links_steps.py
@@ -100,8 +100,8 @@
         """Ignore the change."""
 
 
-@given('a link whose peer gets a heartbeat each {interval:g} s')
-def open_link(context: Any, interval: float) -> None:
+def open_time(context: Any) -> None:
+    """Start a virtual clock, which the scenario's end stops."""
     context.time = VirtualTime()
     context.add_cleanup(context.time.close)
     clock = patch(
@@ -110,6 +110,11 @@
     )
     clock.start()
     context.add_cleanup(clock.stop)
+
+
+@given('a link whose peer gets a heartbeat each {interval:g} s')
+def open_link(context: Any, interval: float) -> None:
+    open_time(context)
     context.network = Network()
     listeners: dict[Address, Any] = {}
     MemoryFrames(context.network, FAR, listeners).listen(PEER.address, _answer)
--- a/tests/features/steps/shutdown_steps.py
+++ b/tests/features/steps/shutdown_steps.py
@@ -1,24 +1,69 @@
 """Check that a stopping proxy answers what it has read."""
 
-from asyncio import gather, open_connection, run, sleep
+from asyncio import create_task, gather, open_connection, run, sleep
 from typing import Any, cast
+from unittest.mock import Mock
 
 from behave import given, then, when
 from result import Ok, Result
 
 from benchmarks.documents import find_port
-from sedgeshunt.clocks import read_clock
+from sedgeshunt.clocks import read_boottime, read_clock
 from sedgeshunt.connections.target_session import SessionPhase
 from sedgeshunt.decisions import MemoryDecisionLog
-from sedgeshunt.identifiers import KeyDigest, Monotonic, TrafficClass
+from sedgeshunt.execution.transactions import TransactionTable
+from sedgeshunt.forwarding.channel import FrameChannel
+from sedgeshunt.forwarding.link import PeerLink
+from sedgeshunt.forwarding.messages import Heartbeat, HeartbeatReply
+from sedgeshunt.forwarding.server import (
+    PeerConnectionHandler,
+    PeerRequestHandler,
+)
+from sedgeshunt.identifiers import (
+    Boottime,
+    GroupId,
+    KeyDigest,
+    Monotonic,
+    ProxyId,
+    Revision,
+    Seconds,
+    StatementId,
+    TrafficClass,
+)
 from sedgeshunt.platform.callers import CallerServer
 from sedgeshunt.ports import Address
-from sedgeshunt.requests.outcome import Answer, Refusal
+from sedgeshunt.requests.outcome import Answer, NotRun, Refusal, Unknown
+from sedgeshunt.statements.call import Access, CallKind, StatementCall
 from sedgeshunt.statements.session import StatementSession
 from sedgeshunt.statements.statement import Statement
+from tests.features.steps.links_steps import (
+    CALL_TIME,
+    FAR,
+    GROUP,
+    NEAR,
+    PEER,
+    ScriptedEvents,
+    open_time,
+)
+from tests.standins.frames import MemoryFrames
+from tests.standins.network import Network
 from tests.standins.statement_front import HOST
 
 STOP_LIMIT = 0.5
+PEER_GRACE = 3
+# Longer than a call takes to arrive.
+ARRIVAL = 0.05
+WRITE = StatementCall(
+    GROUP,
+    Access.PRIMARY,
+    CallKind.WRITE,
+    StatementId('s1'),
+    'WRITE item 1',
+    TrafficClass('settle'),
+    Seconds(CALL_TIME),
+    Seconds(CALL_TIME),
+    2,
+)
 
 
 class CountingSession:
@@ -48,6 +93,58 @@
         """Hold nothing."""
 
 
+class SlowHandler(PeerRequestHandler):
+    """Run each call for some time."""
+
+    def __init__(self, work: float) -> None:
+        """Take `work` seconds for a call."""
+        self.work = work
+        self.started = 0
+
+    async def run_call(
+        self,
+        call: StatementCall,
+        transactions: TransactionTable,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
+        """Count a call and answer it later."""
+        self.started += 1
+        await sleep(self.work)
+        return Ok(Answer())
+
+    def answer_heartbeat(self, beat: Heartbeat) -> HeartbeatReply:
+        """Answer a heartbeat."""
+        return HeartbeatReply(read_boottime(), (), is_stopping=True)
+
+    def read_tip(self, group: GroupId) -> None:
+        """Know no log."""
+
+    def record_cut(self, call: StatementCall) -> None:
+        """Fail the scenario."""
+        raise AssertionError(call)
+
+    end_transaction = Mock()
+    can_reach = Mock()
+    keep_lease = Mock()
+    grant_quota = Mock()
+    add_follower = Mock()
+    remove_follower = Mock()
+
+
+class NamedEvents(ScriptedEvents):
+    """Name the sender in heartbeats, as peers require."""
+
+    def make_heartbeat(
+        self,
+        peer: ProxyId,
+        echo: Boottime,
+        *,
+        is_answering: bool,
+    ) -> Heartbeat:
+        """Return a complete heartbeat."""
+        return Heartbeat(PEER, Seconds(0), echo, 1, Revision(1))
+
+
 @given('databases take {seconds:g} s for "{text}"')
 def slow_down(context: Any, seconds: float, text: str) -> None:
     for target in context.platform.platform.group.targets.values():
@@ -126,3 +223,65 @@
         if line.startswith('ERROR') and 'READY I -' in lines:
             break
     return lines
+
+
+@given('a peer that runs each call in {seconds:g} s')
+def open_peer(context: Any, seconds: float) -> None:
+    open_time(context)
+    context.handler = SlowHandler(seconds)
+
+
+@when('the peer stops and a write is sent to it {seconds:g} s later')
+def stop_peer(context: Any, seconds: float) -> None:
+    context.outcome = context.time.run(_stop_peer(context.handler, seconds))
+
+
+@then('the write was run and answered')
+def check_run(context: Any) -> None:
+    assert context.outcome.is_ok(), context.outcome
+    assert context.handler.started == 1
+
+
+@then('the write was refused, not run')
+def check_refused(context: Any) -> None:
+    assert isinstance(context.outcome.err(), NotRun), context.outcome
+    assert context.handler.started <= 1
+
+
+@then('the write was of unknown effect')
+def check_unknown(context: Any) -> None:
+    assert isinstance(context.outcome.err(), Unknown), context.outcome
+
+
+async def _stop_peer(
+    work: SlowHandler, seconds: float
+) -> Result[Answer, Refusal]:
+    handlers: list[PeerConnectionHandler] = []
+
+    async def serve(channel: FrameChannel) -> None:
+        handler = PeerConnectionHandler(channel, work)
+        handlers.append(handler)
+        await handler.run()
+
+    network = Network()
+    listeners: dict[Address, Any] = {}
+    MemoryFrames(network, FAR, listeners).listen(PEER.address, serve)
+    near = MemoryFrames(network, NEAR, listeners)
+    link = PeerLink(PEER, near, NamedEvents(Seconds(1)))
+    running = create_task(link.run())
+    await sleep(1)
+    # Keeps the peer from ending at once.
+    first = create_task(link.call(WRITE, Monotonic(read_clock() + CALL_TIME)))
+    await sleep(max(ARRIVAL, -seconds))
+    listeners.clear()
+    stopping = create_task(
+        handlers[0].finish(Monotonic(read_clock() + PEER_GRACE)),
+    )
+    await sleep(max(0, seconds))
+    if seconds < 0:
+        outcome = await first
+    else:
+        outcome = await link.call(WRITE, Monotonic(read_clock() + CALL_TIME))
+    await stopping
+    running.cancel()
+    return outcome
