End a stop within the grace whatever the store does, and judge stops in the soak

The soak judges whether an answer was whole: a connection that ends without READY at a proxy that wasn't killed is a violation, and so is a stop that outlasts its grace. Callers send on open sessions until they are told to leave, half of them without having read it; stops are drawn three times as often, and there are reloads and slow databases.

--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -1,7 +1,16 @@
 """Run one proxy for statement sessions as a process."""
 
 import sys
-from asyncio import Event, Runner, TaskGroup, get_running_loop, sleep, timeout
+from asyncio import (
+    Event,
+    Runner,
+    TaskGroup,
+    gather,
+    get_running_loop,
+    sleep,
+    timeout,
+    timeout_at,
+)
 from contextlib import AsyncExitStack, suppress
 from functools import partial
 from pathlib import Path
@@ -190,8 +199,10 @@
             callers.close()
             await callers.end_sessions(schedule.transactions_end)
             await callers.abort(schedule.last_answer)
-        await self._finish_peers(node, schedule)
-        await node.leave()
+        # Without an answer of the store, the lease runs out by itself.
+        with suppress(TimeoutError):
+            async with timeout_at(schedule.end):
+                await gather(self._finish_peers(node, schedule), node.leave())
 
     async def _finish_peers(
         self,
--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -4,10 +4,18 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
-from signal import SIGCONT, SIGSTOP, SIGTERM
+from signal import SIGCONT, SIGHUP, SIGSTOP, SIGTERM
 
-from tests.features.platform_bench import PlatformBench, ProxyUnderTest
+from sedgeshunt.clocks import read_clock
+from tests.features.platform_bench import (
+    GRACE_SECONDS,
+    PlatformBench,
+    ProxyUnderTest,
+)
+from tests.standins.statement_group import WORK
 
+# A process that ended may be noticed this much later.
+CHECK_DELAY = 0.3
 NAMES = ('east-1', 'north-1', 'west-1')
 
 
@@ -18,6 +26,10 @@
     bench: PlatformBench
     random: Random
     busy: set[str] = field(default_factory=set)
+    # When each proxy was killed last.
+    killed_at: dict[str, float] = field(default_factory=dict)
+    # Stops that took longer than the grace.
+    overdue: list[str] = field(default_factory=list)
 
 
 Fault = Callable[[Scene], Awaitable[None]]
@@ -39,6 +51,7 @@
     proxy = _take_proxy(scene)
     if proxy is None:
         return
+    scene.killed_at[proxy.name] = read_clock()
     proxy.close()
     await sleep(scene.random.uniform(0.1, 1.5))
     proxy.start()
@@ -51,12 +64,33 @@
     if proxy is None:
         return
     proxy.signal(SIGTERM)
+    stopped_at = read_clock()
     while proxy.is_running():
         await sleep(0.1)
+    if read_clock() - stopped_at > GRACE_SECONDS + CHECK_DELAY:
+        scene.overdue.append(proxy.name)
     proxy.start()
     scene.busy.discard(proxy.name)
 
 
+async def reload_proxy(scene: Scene) -> None:
+    """Have a proxy read its settings again."""
+    proxy = _take_proxy(scene)
+    if proxy is None:
+        return
+    proxy.signal(SIGHUP)
+    scene.busy.discard(proxy.name)
+
+
+async def slow_targets(scene: Scene) -> None:
+    """Have all databases take longer for a while."""
+    for target in scene.bench.platform.group.targets.values():
+        target.work = scene.random.uniform(0.1, 0.6)
+    await sleep(scene.random.uniform(0.5, 3))
+    for target in scene.bench.platform.group.targets.values():
+        target.work = WORK
+
+
 async def silence_store(scene: Scene) -> None:
     """Have the store answer nobody."""
     scene.bench.platform.front.is_silent = True
@@ -117,6 +151,10 @@
     freeze_replica,
     crash_primary,
     return_store,
+    reload_proxy,
+    slow_targets,
+    stop_proxy,
+    stop_proxy,
 )
 
 
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -13,7 +13,7 @@
 from sedgeshunt.clocks import read_clock
 from tests.features.platform_bench import CONFIGURATION, PlatformBench
 from tests.process_faults import FAULTS, NAMES, Scene
-from tests.wire_session import Session
+from tests.wire_session import Session, SessionDismissed
 
 CALLERS = 8
 # Faults that overlap, and the pause between two of a series, in seconds.
@@ -26,6 +26,8 @@
 RECOVERY = 12.0
 STATEMENTS = 12
 PAUSE = 0.02
+# Share of statements before which a caller reads what the proxy has sent.
+READ_SHARE = 0.5
 CURRENT, OWN_WRITES = 'kigali', 'catalogue'
 PROMISES = frozenset(
     ('BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'TOOMANY'),
@@ -87,22 +89,32 @@
     async def _call(self, notes: Notes) -> None:
         while read_clock() < self.until:
             database = self.random.choice((CURRENT, OWN_WRITES))
-            with suppress(OSError, TimeoutError):
+            with suppress(OSError, TimeoutError, SessionDismissed):
                 await self._use_session(notes, database)
             await sleep(PAUSE)
 
     async def _use_session(self, notes: Notes, database: str) -> None:
-        proxy = self.bench.proxies[self.random.choice(NAMES)]
-        session = Session(proxy.ports['callers'])
+        name = self.random.choice(NAMES)
+        session = Session(self.bench.proxies[name].ports['callers'])
         try:
             await wait_for(session.open(database), PATIENCE)
-            for _ in range(STATEMENTS):
-                await self._write(session, notes)
-                await self._read(session, notes)
-                await sleep(PAUSE)
+            opened_at = read_clock()
+            try:
+                await self._use_open(session, notes)
+            except OSError:
+                # Only a kill ends a connection without a whole answer.
+                if self.scene.killed_at.get(name, 0) < opened_at:
+                    self.violations.append(f'{name} cut a statement')
+                raise
         finally:
             session.close()
 
+    async def _use_open(self, session: Session, notes: Notes) -> None:
+        for _ in range(STATEMENTS):
+            await self._write(session, notes)
+            await self._read(session, notes)
+            await sleep(PAUSE)
+
     async def _write(self, session: Session, notes: Notes) -> None:
         name = f'{self.seed}w{next(self.ids)}'
         notes.in_doubt.add(name)
@@ -124,6 +136,9 @@
             )
 
     async def _ask(self, session: Session, name: str, text: str) -> str:
+        # Some callers send before they have read a request to leave.
+        if session.word != 'COMPLETE' or self.random.random() < READ_SHARE:
+            await session.check_dismissal()
         try:
             word = await wait_for(session.ask(name, text), PATIENCE)
         except TimeoutError:
@@ -154,6 +169,9 @@
         return notes.acknowledged != before
 
     def _check_runs(self) -> None:
+        self.violations += [
+            f'{name} outlasted its grace' for name in self.scene.overdue
+        ]
         group = self.bench.platform.group
         runs = Counter(
             run.statement for run in group.runs if run.text.startswith('WRITE')
--- a/tests/wire_session.py
+++ b/tests/wire_session.py
@@ -1,9 +1,17 @@
 """Speak the wire protocol of the users' platform as a caller does."""
 
-from asyncio import StreamReader, StreamWriter, open_connection
+from asyncio import StreamReader, StreamWriter, open_connection, timeout
+from contextlib import suppress
 
 from tests.standins.statement_front import HOST
 
+# Time in which a line that has arrived is read.
+POLL_TIME = 0.001
+
+
+class SessionDismissed(Exception):
+    """Say that the proxy asked the caller to leave."""
+
 
 class Session:
     """Speak the wire protocol over one connection."""
@@ -11,6 +19,8 @@
     def __init__(self, port: int) -> None:
         """Connect in open()."""
         self.row = ''
+        # The last answer: COMPLETE or an error's code.
+        self.word = ''
         self._port = port
         self._reader: StreamReader
         self._writer: StreamWriter | None = None
@@ -38,9 +48,17 @@
             if kind == 'ERROR':
                 word = rest.partition(' ')[0]
             if kind == 'READY':
+                self.word = word
                 return word
         raise ConnectionResetError(f'closed after {word}')
 
+    async def check_dismissal(self) -> None:
+        """Raise SessionDismissed if the proxy has asked to leave."""
+        with suppress(TimeoutError):
+            async with timeout(POLL_TIME):
+                await self._reader.readline()
+                raise SessionDismissed
+
     def _send(self, line: str) -> None:
         if self._writer is not None:
             self._writer.write(f'{line}\r\n'.encode())
