Let a stop begin while a session that was asked to leave closes

Found in reading: a session that is asked to leave while its zone is cut off kept its finished time limit. A stop that began while the session rolled back moved that limit, which raised RuntimeError in the stop itself and would have ended all sessions.

--- a/src/sedgeshunt/platform/conversation.py
+++ b/src/sedgeshunt/platform/conversation.py
@@ -221,12 +221,17 @@
         await self._send([farewell])
         if self._session is not None:
             await self._session.close()
-        limit = self._last_moment or read_clock() + LEAVE_LIMIT
-        self._bounded = timeout_at(limit)
-        with suppress(TimeoutError):
-            async with self._bounded:
+        leaving = timeout_at(self._last_moment or read_clock() + LEAVE_LIMIT)
+        self._bounded = leaving
+        try:
+            async with leaving:
                 while _read_query(await read_line(self._reader)) is not None:
                     await self._send([('READY', 'I', NO_POINT), farewell])
+        except TimeoutError:
+            if not leaving.expired():
+                raise
+        finally:
+            self._bounded = None
 
     async def _end_with(self, code: str, reason: str) -> None:
         """Send a final error and close once the caller has read it."""
--- a/tests/features/shutdown.feature
+++ b/tests/features/shutdown.feature
@@ -51,6 +51,11 @@
       | 3     |
       | 4     |
 
+  Scenario: A stop begins while a session that was asked to leave closes
+    Guards against a stop that fails, and ends all other sessions.
+    When a server is stopped 0.15 s after its idle caller has left
+    Then the stop has not failed
+
   Scenario: A caller doesn't leave
     Guards against a stop that outlasts the grace period.
     Given processes "east-1, west-1"
--- a/tests/features/steps/shutdown_steps.py
+++ b/tests/features/steps/shutdown_steps.py
@@ -1,6 +1,14 @@
 """Check that a stopping proxy answers what it has read."""
 
-from asyncio import create_task, gather, open_connection, run, sleep
+from asyncio import (
+    StreamReader,
+    StreamWriter,
+    create_task,
+    gather,
+    open_connection,
+    run,
+    sleep,
+)
 from typing import Any, cast
 from unittest.mock import Mock
 
@@ -50,6 +58,7 @@
 from tests.standins.statement_front import HOST
 
 STOP_LIMIT = 0.5
+CLOSE_TIME = 0.1
 PEER_GRACE = 3
 # Longer than a call takes to arrive.
 ARRIVAL = 0.05
@@ -90,7 +99,8 @@
         return Ok(Answer(rows=(('1',),)))
 
     async def close(self) -> None:
-        """Hold nothing."""
+        """Take some time."""
+        await sleep(CLOSE_TIME)
 
 
 class SlowHandler(PeerRequestHandler):
@@ -197,13 +207,43 @@
     assert answer == ran, context.lines
 
 
-async def _stop_after(session: CountingSession, turns: int) -> list[str]:
+@when('a server is stopped {seconds:g} s after its idle caller has left')
+def stop_closing(context: Any, seconds: float) -> None:
+    context.left = run(_stop_closing(seconds))
+
+
+@then('the stop has not failed')
+def check_stopped(context: Any) -> None:
+    assert context.left == 0, context.left
+
+
+async def _stop_closing(seconds: float) -> int:
+    server, reader, writer = await _open_server(CountingSession())
+    server.end_idle_sessions()
+    assert (await reader.readline()).startswith(b'ERROR')
+    writer.close()
+    await sleep(seconds)
+    give_up = Monotonic(read_clock() + STOP_LIMIT)
+    server.finish_by(give_up)
+    server.close()
+    await server.end_sessions(give_up)
+    return server.count_open()
+
+
+async def _open_server(
+    session: CountingSession,
+) -> tuple[CallerServer, StreamReader, StreamWriter]:
     address = Address(HOST, find_port())
     server = CallerServer(address, 1, session.open, MemoryDecisionLog())
     await server.start()
     reader, writer = await open_connection(HOST, address.port)
     writer.write(b'START kigali key\r\n')
     assert (await reader.readline()).startswith(b'READY')
+    return server, reader, writer
+
+
+async def _stop_after(session: CountingSession, turns: int) -> list[str]:
+    server, reader, writer = await _open_server(session)
     writer.write(b'QUERY q1 READ turn\r\n')
     for _ in range(turns):
         await sleep(0)
@@ -215,7 +255,7 @@
     return lines
 
 
-async def _read(reader: Any) -> list[str]:
+async def _read(reader: StreamReader) -> list[str]:
     """Read as a caller does, which leaves at an unsolicited error."""
     lines: list[str] = []
     while line := (await reader.readline()).decode().rstrip():
