Send a cancelled statement's error before its transaction is rolled back

Found in reading: at the last moment of a stop the error waited for the rollback at the target, up to 0.5 s if the target is silent, and the session is cancelled 0.1 s after that moment. The error is sent first now, and the session then ends, which rolls back.

--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -5,7 +5,6 @@
     Event,
     Runner,
     TaskGroup,
-    gather,
     get_running_loop,
     sleep,
     timeout,
@@ -202,7 +201,8 @@
         # Without an answer of the store, the lease runs out by itself.
         with suppress(TimeoutError):
             async with timeout_at(schedule.end):
-                await gather(self._finish_peers(node, schedule), node.leave())
+                await self._finish_peers(node, schedule)
+                await node.leave()
 
     async def _finish_peers(
         self,
--- a/src/sedgeshunt/platform/conversation.py
+++ b/src/sedgeshunt/platform/conversation.py
@@ -275,7 +275,9 @@
                 raise
         finally:
             self._bounded = None
-        return Err(await session.abandon(statement))
+        # Ends the session, which rolls a transaction back.
+        self._is_aborting = True
+        return Err(session.abandon(statement))
 
     async def _send(self, messages: Messages) -> None:
         if self._writer.is_closing():
--- a/src/sedgeshunt/statements/session.py
+++ b/src/sedgeshunt/statements/session.py
@@ -104,6 +104,8 @@
         self._prepared: dict[str, PreparedStatement] = {}
         self._commits: dict[GroupId, Point] = {}
         self._transaction: CallerTransaction | None = None
+        # The transaction whose last statement was cancelled.
+        self._abandoned: CallerTransaction | None = None
         self._transactions = TransactionTable()
         self._numbers = count(1)
 
@@ -132,13 +134,16 @@
             return await self._commit(statement)
         return await self._run(statement)
 
-    async def abandon(self, statement: Statement) -> Refusal:
-        """Return the refusal of a statement whose run was cancelled."""
-        is_inside = self.in_transaction
-        await self._drop_transaction()
+    def abandon(self, statement: Statement) -> Refusal:
+        """Return the refusal of a statement whose run was cancelled.
+
+        close() rolls its transaction back.
+        """
+        self._abandoned = self._transaction
+        self._transaction = None
         if statement.kind is StatementKind.COMMIT:
             return Unknown(Cause.DEADLINE, STOPPING_REASON)
-        if is_inside:
+        if self._abandoned is not None:
             return NotRun(Cause.TRANSACTION_LOST, STOPPING_REASON, LOST_RETRY)
         prepared = self._prepared.get(statement.name)
         if _find_kind(statement, prepared) is CallKind.WRITE:
@@ -148,6 +153,7 @@
     async def close(self) -> None:
         """Roll back open transactions after the caller disconnected."""
         await self._drop_transaction()
+        await self._roll_back_at_site(self._abandoned)
         await self._transactions.roll_back_all()
 
     def _begin(self, statement: Statement) -> _Outcome:
@@ -381,6 +387,12 @@
     async def _drop_transaction(self) -> None:
         transaction = self._transaction
         self._transaction = None
+        await self._roll_back_at_site(transaction)
+
+    async def _roll_back_at_site(
+        self,
+        transaction: CallerTransaction | None,
+    ) -> None:
         if transaction is None or transaction.site is None:
             return
         await transaction.site.end_transaction(
