--- a/src/sedgeshunt/membership/stop_schedule.py
+++ b/src/sedgeshunt/membership/stop_schedule.py
@@ -16,9 +16,9 @@
 class StopSchedule(Struct, frozen=True):
     """Hold the moments of one graceful stop."""
 
-    # Idle sessions are asked to leave. The balancer sends callers here until
-    # two of its checks have failed.
-    dismissal: Monotonic
+    # Callers are asked to close idle sessions. The balancer sends callers here
+    # until two of its checks have failed.
+    idle_end: Monotonic
     # Open transactions are rolled back.
     transactions_end: Monotonic
     # Statements without an answer get an error.
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -194,7 +194,7 @@
         callers.finish_by(schedule.last_answer)
         async with TaskGroup() as tasks:
             tasks.create_task(self._hand_over(node, schedule))
-            await sleep(schedule.dismissal - read_clock())
+            await sleep(schedule.idle_end - read_clock())
             callers.close()
             await callers.end_sessions(schedule.transactions_end)
             await callers.abort(schedule.last_answer)
--- a/src/sedgeshunt/platform/callers.py
+++ b/src/sedgeshunt/platform/callers.py
@@ -72,7 +72,7 @@
         self._pending_rejections = 0
         self._is_stopping = False
         self._is_aborting = False
-        self._last_moment: Monotonic | None = None
+        self._deadline: Monotonic | None = None
 
     async def start(self) -> None:
         """Start to listen; raise OSError."""
@@ -92,11 +92,11 @@
         """Return the number of sessions that have ended, by cause."""
         return {end.value: ended for end, ended in self._ends.items()}
 
-    def finish_by(self, moment: Monotonic) -> None:
-        """Answer all statements by `moment`, in sessions to come as well."""
-        self._last_moment = moment
+    def finish_by(self, deadline: Monotonic) -> None:
+        """Answer all statements by `deadline`, in later sessions as well."""
+        self._deadline = deadline
         for conversation in self._conversations.values():
-            conversation.finish_by(moment)
+            conversation.finish_by(deadline)
 
     def close(self) -> None:
         """Stop accepting connections."""
@@ -161,8 +161,8 @@
 
     def _prepare(self, conversation: CallerConversation) -> None:
         """Tell a new session that the proxy is stopping, if it is."""
-        if self._last_moment is not None:
-            conversation.finish_by(self._last_moment)
+        if self._deadline is not None:
+            conversation.finish_by(self._deadline)
         if self._is_stopping:
             conversation.stop()
         if self._is_aborting:
@@ -170,7 +170,7 @@
 
     def _record_cut(self, conversation: CallerConversation) -> None:
         if conversation.statement is None:
-            self._ends[SessionEnd.DISMISSED] += 1
+            self._ends[SessionEnd.DRAINED] += 1
             return
         self._ends[SessionEnd.CUT] += 1
         spent = read_clock() - conversation.answering_since
--- a/src/sedgeshunt/platform/conversation.py
+++ b/src/sedgeshunt/platform/conversation.py
@@ -39,10 +39,10 @@
 
 NO_SIGNATURE = '-'
 NO_POINT = '-'
-# Time for a caller to close its session after it was asked to.
-LEAVE_LIMIT = Seconds(2)
+# Time for a caller to close its session when asked to.
+CLOSE_LIMIT = Seconds(2)
 # Time for a caller to read the final error before the connection is closed.
-FAREWELL_LIMIT = Seconds(0.5)
+LAST_READ_LIMIT = Seconds(0.5)
 READ_SIZE = 64 * 1024
 STOPPING_REASON = 'this proxy is shutting down; connect again to reach another'
 REVOKED_REASON = "the key is no customer's any more; connect with one that is"
@@ -66,8 +66,8 @@
     CLOSED = 'closed'
     # The caller disconnected while its statement ran.
     ABANDONED = 'abandoned'
-    # The proxy asked the caller to leave.
-    DISMISSED = 'dismissed'
+    # The proxy asked the caller to close it.
+    DRAINED = 'drained'
     # The proxy ended the session without answering its statement.
     CUT = 'cut'
 
@@ -100,19 +100,19 @@
         self._session: StatementSession | None = None
         self._is_stopping = False
         self._is_aborting = False
-        self._is_dismissed = False
+        self._is_drained = False
         # The wait for the next message; None while a statement is answered.
         self._reading: Timeout | None = None
-        # What has to end by the last moment.
+        # What has to end by the deadline.
         self._bounded: Timeout | None = None
-        self._last_moment: Monotonic | None = None
+        self._deadline: Monotonic | None = None
 
     def find_end(self) -> SessionEnd:
         """Return how the session ended."""
         if self.statement is not None:
             return SessionEnd.ABANDONED
-        if self._is_dismissed:
-            return SessionEnd.DISMISSED
+        if self._is_drained:
+            return SessionEnd.DRAINED
         return SessionEnd.CLOSED
 
     def stop(self) -> None:
@@ -130,10 +130,10 @@
         self._is_aborting = True
         self._interrupt()
 
-    def finish_by(self, moment: Monotonic) -> None:
-        """Answer the running statement and any later one by `moment`."""
-        self._last_moment = moment
-        _reschedule(self._bounded, moment)
+    def finish_by(self, deadline: Monotonic) -> None:
+        """Answer the running statement and any later one by `deadline`."""
+        self._deadline = deadline
+        _reschedule(self._bounded, deadline)
 
     async def run(self) -> None:
         """Serve until the caller or the proxy ends the session."""
@@ -156,11 +156,11 @@
         while (query := await self._receive_query()) is not None:
             await self._answer(session, query)
             if session.is_key_revoked:
-                await self._dismiss('NOAUTH', REVOKED_REASON)
+                await self._drain('NOAUTH', REVOKED_REASON)
                 return
-        if self._must_leave():
+        if self._must_close():
             code = 'ABORTED' if self._is_open() else 'BUSY'
-            await self._dismiss(code, STOPPING_REASON)
+            await self._drain(code, STOPPING_REASON)
 
     async def _start(self) -> StatementSession | None:
         try:
@@ -181,14 +181,14 @@
 
     async def _receive_query(self) -> str | None:
         """Return the next statement, None if the session is to end."""
-        while not self._must_leave():
+        while not self._must_close():
             with suppress(_Interrupted):
                 return _read_query(await self._receive())
         return None
 
     async def _receive(self) -> str | None:
         """Return the next message, None at end of stream."""
-        if self._must_leave():
+        if self._must_close():
             raise _Interrupted
         reading = timeout(None)
         try:
@@ -205,30 +205,30 @@
     def _interrupt(self) -> None:
         _reschedule(self._reading, read_clock())
 
-    def _must_leave(self) -> bool:
+    def _must_close(self) -> bool:
         return self._is_aborting or (self._is_stopping and not self._is_open())
 
     def _is_open(self) -> bool:
         return self._session is not None and self._session.in_transaction
 
-    async def _dismiss(self, code: str, reason: str) -> None:
-        """Ask the caller to leave, and refuse what it sent before."""
-        self._is_dismissed = True
+    async def _drain(self, code: str, reason: str) -> None:
+        """Ask the caller to close the session; refuse further statements."""
+        self._is_drained = True
         # Callers close their session at an unsolicited error. A caller that
         # sent a statement meanwhile takes the error as its answer, which ends
         # with READY.
-        farewell = ('ERROR', code, reason)
-        await self._send([farewell])
+        close_request = ('ERROR', code, reason)
+        await self._send([close_request])
         if self._session is not None:
             await self._session.close()
-        leaving = timeout_at(self._last_moment or read_clock() + LEAVE_LIMIT)
-        self._bounded = leaving
+        closing = timeout_at(self._deadline or read_clock() + CLOSE_LIMIT)
+        self._bounded = closing
         try:
-            async with leaving:
+            async with closing:
                 while _read_query(await read_line(self._reader)) is not None:
-                    await self._send([('READY', 'I', NO_POINT), farewell])
+                    await self._send([('READY', 'I', NO_POINT), close_request])
         except TimeoutError:
-            if not leaving.expired():
+            if not closing.expired():
                 raise
         finally:
             self._bounded = None
@@ -239,7 +239,7 @@
         # could lose the error.
         await self._send([('ERROR', code, reason)])
         with suppress(TimeoutError):
-            async with timeout(FAREWELL_LIMIT):
+            async with timeout(LAST_READ_LIMIT):
                 self._writer.write_eof()
                 is_open = True
                 while is_open:
@@ -265,7 +265,7 @@
         session: StatementSession,
         statement: Statement,
     ) -> Result[Answer, Refusal]:
-        running = timeout_at(self._last_moment)
+        running = timeout_at(self._deadline)
         self._bounded = running
         try:
             async with running:
@@ -295,7 +295,7 @@
 
 
 def _read_query(line: str | None) -> str | None:
-    """Return a message's statement, None if the caller leaves."""
+    """Return a message's statement, None if the caller closes."""
     if line is None:
         return None
     word, rest = split_line(line, 1)
@@ -306,9 +306,9 @@
     return rest
 
 
-def _reschedule(bounded: Timeout | None, moment: Monotonic) -> None:
+def _reschedule(bounded: Timeout | None, deadline: Monotonic) -> None:
     if bounded is not None and not bounded.expired():
-        bounded.reschedule(moment)
+        bounded.reschedule(deadline)
 
 
 def _encode_outcome(outcome: Result[Answer, Refusal]) -> Messages:
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -13,7 +13,7 @@
 from sedgeshunt.clocks import read_clock
 from tests.features.platform_bench import CONFIGURATION, PlatformBench
 from tests.process_faults import FAULTS, NAMES, Scene
-from tests.wire_session import Session, SessionDismissed
+from tests.wire_session import Session, SessionDrained
 
 CALLERS = 8
 # Faults that overlap, and the pause between two of a series, in seconds.
@@ -89,7 +89,7 @@
     async def _call(self, notes: Notes) -> None:
         while read_clock() < self.until:
             database = self.random.choice((CURRENT, OWN_WRITES))
-            with suppress(OSError, TimeoutError, SessionDismissed):
+            with suppress(OSError, TimeoutError, SessionDrained):
                 await self._use_session(notes, database)
             await sleep(PAUSE)
 
@@ -138,7 +138,7 @@
     async def _ask(self, session: Session, name: str, text: str) -> str:
         # Some callers send before they have read a request to leave.
         if session.word != 'COMPLETE' or self.random.random() < READ_SHARE:
-            await session.check_dismissal()
+            await session.check_drained()
         try:
             word = await wait_for(session.ask(name, text), PATIENCE)
         except TimeoutError:
--- a/tests/wire_session.py
+++ b/tests/wire_session.py
@@ -9,7 +9,7 @@
 POLL_TIME = 0.001
 
 
-class SessionDismissed(Exception):
+class SessionDrained(Exception):
     """Say that the proxy asked the caller to leave."""
 
 
@@ -52,12 +52,12 @@
                 return word
         raise ConnectionResetError(f'closed after {word}')
 
-    async def check_dismissal(self) -> None:
-        """Raise SessionDismissed if the proxy has asked to leave."""
+    async def check_drained(self) -> None:
+        """Raise SessionDrained if the proxy has asked to leave."""
         with suppress(TimeoutError):
             async with timeout(POLL_TIME):
                 await self._reader.readline()
-                raise SessionDismissed
+                raise SessionDrained
 
     def _send(self, line: str) -> None:
         if self._writer is not None:
