Refuse entries that are nested too deeply, whoever reads them

Cause: the decoder reports a document that is nested too deeply with RecursionError, which is a RuntimeError. Each reader listed the exceptions of malformed input itself (ValidationError, DecodeError, ValueError, LookupError), and none of the lists had this one. It passed the listeners of StoreView and the task group of NodeService.run.

Ruled out: that the torn end matters; whole documents of 4,000 and 200,000 levels did the same.

Change: sedgeshunt/decoding.py decides what malformed input is. The entries of databases and proxies, the objects and changes of the configuration, the store's answers, the questions of peers and packets are decoded through it.

--- a/src/sedgeshunt/adapters/json_client.py
+++ b/src/sedgeshunt/adapters/json_client.py
@@ -3,7 +3,7 @@
 from asyncio import open_connection, timeout
 from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
-from json import dumps, loads
+from json import dumps
 from typing import Any
 
 from msgspec import Struct, field
@@ -15,6 +15,7 @@
     HttpRequest,
 )
 from sedgeshunt.adapters.sockets import watch_silence
+from sedgeshunt.decoding import Undecodable, describe_failure, load_document
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.ports import Address
 
@@ -100,8 +101,8 @@
         )
         try:
             document = _read_body(reply.body)
-        except ValueError as failure:
-            raise CallFailed(_describe(failure)) from failure
+        except Undecodable as failure:
+            raise CallFailed(failure.reason) from failure
         return JsonReply(reply.status, document, reply.headers)
 
     @asynccontextmanager
@@ -124,7 +125,7 @@
             yield _read_documents(connection, silence)
         except (HttpBroken, TimeoutError) as failure:
             self._rotate()
-            raise CallFailed(_describe(failure)) from failure
+            raise CallFailed(describe_failure(failure)) from failure
         finally:
             connection.close()
 
@@ -161,8 +162,8 @@
             raise _explain(reply.status, f'status {reply.status}: {text}')
         try:
             return _read_body(reply.body)
-        except ValueError as failure:
-            raise CallFailed(_describe(failure)) from failure
+        except Undecodable as failure:
+            raise CallFailed(failure.reason) from failure
 
     async def _exchange(
         self,
@@ -177,7 +178,7 @@
                 reply = await connection.exchange(self._host, request)
             is_whole = True
         except (HttpBroken, TimeoutError) as failure:
-            raise CallFailed(_describe(failure)) from failure
+            raise CallFailed(describe_failure(failure)) from failure
         finally:
             # A call may have been under way while the service moved: its
             # connection leads to where it was.
@@ -203,7 +204,7 @@
                 )
         except (OSError, TimeoutError) as failure:
             # Not a byte of the call has left.
-            raise ServiceAway(_describe(failure)) from failure
+            raise ServiceAway(describe_failure(failure)) from failure
         watch_silence(writer)
         return HttpConnection(reader, writer)
 
@@ -254,7 +255,7 @@
 
 
 def _read_body(body: bytes) -> Any:
-    return loads(body) if body.strip() else None
+    return load_document(body) if body.strip() else None
 
 
 async def _read_documents(
@@ -282,10 +283,6 @@
 
 def _read_line(line: bytes) -> Any:
     try:
-        return loads(line)
-    except ValueError as failure:
-        raise CallFailed(_describe(failure)) from failure
-
-
-def _describe(failure: Exception) -> str:
-    return str(failure) or type(failure).__name__
+        return load_document(line)
+    except Undecodable as failure:
+        raise CallFailed(failure.reason) from failure
--- a/src/sedgeshunt/adapters/malformed.py
+++ b/src/sedgeshunt/adapters/malformed.py
@@ -2,12 +2,9 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from struct import error as StructError
 
 from sedgeshunt.adapters.channel import ProtocolBroken
-
-# What reading a packet raises when it is not what it says it is.
-UNREADABLE = (ArithmeticError, LookupError, StructError, ValueError)
+from sedgeshunt.decoding import MALFORMED
 
 
 @contextmanager
@@ -16,5 +13,5 @@
     # Only what fails before a statement is run may be called malformed.
     try:
         yield
-    except UNREADABLE as failure:
+    except MALFORMED as failure:
         raise ProtocolBroken(f'a packet is malformed: {failure}') from failure
--- a/src/sedgeshunt/adapters/peer_protocol.py
+++ b/src/sedgeshunt/adapters/peer_protocol.py
@@ -12,7 +12,7 @@
 from thriftpy2.transport import TTransportException
 
 from sedgeshunt.adapters.channel import ProtocolBroken
-from sedgeshunt.adapters.malformed import UNREADABLE
+from sedgeshunt.decoding import MALFORMED
 from sedgeshunt.identifiers import (
     GroupId,
     ProxyId,
@@ -32,7 +32,7 @@
     TProtocolException,
     TTransportException,
     TimeoutError,
-    *UNREADABLE,
+    *MALFORMED,
 )
 
 # Read at run time: no generator is needed.
--- a/src/sedgeshunt/adapters/platform.py
+++ b/src/sedgeshunt/adapters/platform.py
@@ -22,6 +22,7 @@
     JsonClient,
     NotFound,
 )
+from sedgeshunt.decoding import MALFORMED
 from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
 from sedgeshunt.identifiers import Revision, Seconds
 from sedgeshunt.ports import (
@@ -41,7 +42,7 @@
 WATCH_SILENCE = Seconds(60)
 SHORTEST_SHARE = 0.75
 REARM_PAUSE = Seconds(0.05)
-UNREADABLE = (CallFailed, LookupError, ValueError)
+UNREADABLE = (CallFailed, *MALFORMED)
 
 
 class EtcdGateway(KeyValueService):
--- a/src/sedgeshunt/configuration/changes.py
+++ b/src/sedgeshunt/configuration/changes.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Sequence
 
-from msgspec import DecodeError, Struct
-from msgspec.json import decode, encode
+from msgspec import Struct
+from msgspec.json import encode
 
 from sedgeshunt.configuration.differences import ObjectEdit
 from sedgeshunt.configuration.keys import ObjectKey
+from sedgeshunt.decoding import Undecodable, decode_document
 from sedgeshunt.identifiers import ChangeId, Revision
 
 # In bytes. The store accepts values up to a megabyte and proxies never read
@@ -61,6 +62,6 @@
 def decode_change(value: bytes) -> ChangeRecord | None:
     """Decode a record; return None if it is invalid."""
     try:
-        return decode(value, type=ChangeRecord)
-    except (DecodeError, UnicodeDecodeError):
+        return decode_document(value, ChangeRecord)
+    except Undecodable:
         return None
--- a/src/sedgeshunt/configuration/encoding.py
+++ b/src/sedgeshunt/configuration/encoding.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from msgspec import DecodeError, ValidationError, convert
-from msgspec.json import decode, encode
+from msgspec import ValidationError, convert
+from msgspec.json import encode
 from msgspec.structs import fields
 from result import Err, Ok, Result
 
@@ -12,6 +12,7 @@
 from sedgeshunt.configuration.keys import OBJECT_TYPES, ObjectKey
 from sedgeshunt.configuration.objects import ConfigurationObject, ObjectKind
 from sedgeshunt.configuration.snapshot import Snapshot
+from sedgeshunt.decoding import Undecodable, decode_document
 from sedgeshunt.identifiers import Revision
 
 _REVISION = 'revision'
@@ -32,9 +33,9 @@
 ) -> Result[ConfigurationObject, str]:
     """Decode the object stored under `key`."""
     try:
-        table = decode(value, type=dict[str, Any])
-    except (DecodeError, UnicodeDecodeError) as failure:
-        return Err(f'not a JSON object: {failure}')
+        table = decode_document(value, dict[str, Any])
+    except Undecodable as failure:
+        return Err(f'not a JSON object: {failure.reason}')
     built = _build_object(key.kind, table)
     if isinstance(built, Ok) and built.ok_value.name != key.name:
         return Err(f'its name field is {built.ok_value.name}, unlike its key')
@@ -56,10 +57,12 @@
 def decode_snapshot(document: bytes) -> Result[Snapshot, str]:
     """Decode a snapshot; one invalid object rejects the whole document."""
     try:
-        tables = decode(document, type=dict[str, Any])
+        tables = decode_document(document, dict[str, Any])
         revision = Revision(convert(tables.get(_REVISION), int))
         objects = _build_objects(tables)
-    except (DecodeError, UnicodeDecodeError) as failure:
+    except Undecodable as failure:
+        return Err(f'not a configuration document: {failure.reason}')
+    except ValidationError as failure:
         return Err(f'not a configuration document: {failure}')
     return Ok(build_snapshot(revision, objects))
 
--- a/src/sedgeshunt/configuration/store.py
+++ b/src/sedgeshunt/configuration/store.py
@@ -3,8 +3,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from msgspec import DecodeError
-from msgspec.json import decode, encode
+from msgspec.json import encode
 from result import Err
 
 from sedgeshunt.configuration.changes import ChangeRecord, encode_change
@@ -25,6 +24,7 @@
 )
 from sedgeshunt.configuration.objects import ConfigurationObject
 from sedgeshunt.configuration.snapshot import Snapshot
+from sedgeshunt.decoding import Undecodable, decode_document
 from sedgeshunt.identifiers import ChangeId, Revision
 from sedgeshunt.ports import (
     Compare,
@@ -89,8 +89,8 @@
         if pair.key != KEPT_CHANGES_KEY:
             continue
         try:
-            return decode(pair.value, type=list[ChangeId])
-        except DecodeError:
+            return decode_document(pair.value, list[ChangeId])
+        except Undecodable:
             return []
     return []
 
--- a/src/sedgeshunt/explanation.py
+++ b/src/sedgeshunt/explanation.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Mapping
 
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import Decoder, encode
+from msgspec import Struct
+from msgspec.json import encode
 from result import Err
 
 from sedgeshunt.clocks import read_clock
+from sedgeshunt.decoding import Undecodable, decode_document
 from sedgeshunt.group_runtime import GroupRuntime
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import GroupId, ProxyId, Seconds
@@ -63,14 +64,13 @@
         self._proxy = proxy
         self._runtimes = runtimes
         self._keys = keys
-        self._questions = Decoder(Question)
 
     def answer(self, question: bytes) -> bytes:
         """Answer a JSON document with one."""
         try:
-            asked = self._questions.decode(question)
-        except (DecodeError, ValidationError) as error:
-            return self._refuse(f'{error}; ask with the same version')
+            asked = decode_document(question, Question)
+        except Undecodable as error:
+            return self._refuse(f'{error.reason}; ask with the same version')
         runtime = self._runtimes.get(asked.group)
         if runtime is None:
             return self._refuse(f'group {asked.group} is not served here')
--- a/src/sedgeshunt/platform/documents.py
+++ b/src/sedgeshunt/platform/documents.py
@@ -4,8 +4,7 @@
 from ipaddress import ip_address
 from typing import Any
 
-from msgspec import Struct, ValidationError, field
-from msgspec.json import decode
+from msgspec import Struct, field
 
 from sedgeshunt.configuration.objects import (
     LEAVING,
@@ -23,6 +22,7 @@
     digest_key,
     make_directory,
 )
+from sedgeshunt.decoding import MAX_REASON, Undecodable, decode_document
 from sedgeshunt.exceptions import SedgeshuntError
 from sedgeshunt.identifiers import (
     CustomerId,
@@ -58,10 +58,10 @@
     """Signal that a document of the store has an invalid format."""
 
     def __init__(self, key: str, reason: str) -> None:
-        """Store the key and the reason."""
+        """Store the key and the reason, which may quote the document."""
         super().__init__(key, reason)
         self.key = key
-        self.reason = reason
+        self.reason = reason[:MAX_REASON]
 
     def format_message(self) -> str:
         """Name the key and the remedy."""
@@ -171,9 +171,9 @@
 
 def _decode(document: bytes, kind: type[Any], key: str) -> Any:
     try:
-        return decode(document, type=kind)
-    except (ValidationError, ValueError) as failure:
-        raise DocumentUnreadable(key, str(failure)) from failure
+        return decode_document(document, kind)
+    except Undecodable as failure:
+        raise DocumentUnreadable(key, failure.reason) from failure
 
 
 def _parse_address(key: str, address: str) -> tuple[str, int]:
--- a/src/sedgeshunt/registry/entries.py
+++ b/src/sedgeshunt/registry/entries.py
@@ -2,9 +2,10 @@
 
 from typing import TypeVar
 
-from msgspec import Struct, ValidationError
-from msgspec.json import decode, encode
+from msgspec import Struct
+from msgspec.json import encode
 
+from sedgeshunt.decoding import Undecodable, decode_document
 from sedgeshunt.identifiers import (
     CopyPlace,
     Era,
@@ -95,6 +96,6 @@
 def read_entry(document: bytes, kind: type[_Entry]) -> _Entry | None:
     """Decode an entry, or return None if it is invalid."""
     try:
-        return decode(document, type=kind)
-    except (ValidationError, ValueError):
+        return decode_document(document, kind)
+    except Undecodable:
         return None
--- a/tests/features/entries.feature
+++ b/tests/features/entries.feature
@@ -14,6 +14,17 @@
     Then "db-1" is the only target
     And 2 refusals were recorded
 
+  Scenario: A nested entry is refused like any other that is invalid
+    Guards against a decoder that fails with an error that its caller does not
+    expect, which ended every proxy.
+    Given entries of any depth and length
+    Then each one is refused as unreadable or names an address by IP number
+
+  Scenario: An entry of a proxy that is nested is invalid
+    Guards against the same failure for the entries that proxies write.
+    Given entries of any depth and length
+    Then none of them is read as an entry of a proxy
+
   Scenario: A document with any customers is read completely or refused
     A document of the operator may have any content. If it is accepted, each
     customer has a name and a limit above 0, and each key belongs to one customer.
--- a/tests/features/platform_bench.py
+++ b/tests/features/platform_bench.py
@@ -94,6 +94,10 @@
         """Write a document to the store as its owner does."""
         self._loop.run(self._publish(key, document))
 
+    def write(self, key: str, value: bytes) -> None:
+        """Write any bytes to the store, as another client does."""
+        self._loop.run(self._write(key, value))
+
     async def publish_all(self) -> None:
         """Publish the documents of the operator and the databases."""
         await self._publish('op/config', CONFIGURATION)
@@ -101,8 +105,10 @@
             await self._publish(f'servers/{target.name}', _describe(target))
 
     async def _publish(self, key: str, document: object) -> None:
-        put = Put(key, dumps(document).encode())
-        self.front.service.store.commit((), (put,))
+        await self._write(key, dumps(document).encode())
+
+    async def _write(self, key: str, value: bytes) -> None:
+        self.front.service.store.commit((), (Put(key, value),))
 
     async def _start(self) -> None:
         network = Network()
--- a/tests/features/platform_process.feature
+++ b/tests/features/platform_process.feature
@@ -45,6 +45,24 @@
       | no HTTP              | readiness |                    |
       | no HTTP              | metrics   |                    |
 
+  Scenario: An entry that can't be read ends no process
+    Guards against an error while one entry is read that ends every proxy, and
+    each one that starts while the entry is there.
+    Given processes "east-1, west-1"
+    When another client writes these entries for databases
+      | id     | content                    |
+      | torn   | 4000 opening brackets      |
+      | deep   | 4000 nested lists          |
+      | longer | 200000 nested lists        |
+      | maps   | 100000 nested maps          |
+      | number | a number of 5000 digits    |
+      | name   | an address of 900000 bytes |
+    And "west-1" is killed and started again
+    Then a caller of "kigali" at "east-1" is served within 300 ms
+    And a caller of "kigali" at "west-1" is served within 300 ms
+    And the log of "east-1" has one short line "configuration-refused" for each
+    And the log of "west-1" has one short line "configuration-refused" for each
+
   Scenario: An unknown statement gets an error and the session stays open
     Given processes "east-1"
     When a caller of "kigali" at "east-1" runs these over the wire
--- a/tests/features/steps/entries_steps.py
+++ b/tests/features/steps/entries_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import given as draw
 from hypothesis import settings
 from hypothesis import strategies as st
+from msgspec import Struct
 
 from sedgeshunt.customers.directory import DIGEST_BYTES
 from sedgeshunt.decisions import DecisionKind, MemoryDecisionLog
@@ -23,7 +24,9 @@
 from sedgeshunt.platform.lines import MessageMalformed
 from sedgeshunt.ports import KeyValue
 from sedgeshunt.registry.configuration import LiveConfiguration
+from sedgeshunt.registry.entries import InstanceEntry, OwnerEntry, read_entry
 from sedgeshunt.registry.store_view import Listener
+from tests.standins.foreign import make_nested
 
 GROUP = 'songbook'
 FOREIGN = f'{TARGETS_PREFIX}foreign'
@@ -51,6 +54,17 @@
 )
 
 
+# Up to far more levels than any decoder takes.
+_NESTED = st.builds(
+    make_nested,
+    st.sampled_from(['odd', 'service', 'born', 'name', 'owner', 'group']),
+    st.sampled_from(['[', '{"a":', '[[{"a":']),
+    st.sampled_from([']', '}', '}]]']),
+    st.integers(1, 2000) | st.integers(2000, 70000),
+    is_whole=st.booleans(),
+)
+
+
 class FixedView:
     """Stand in for a view of the store."""
 
@@ -94,15 +108,32 @@
 
 @given('entries of any bytes and of any fields')
 def draw_entries(context: Any) -> None:
-    context.documents = StoreDocuments()
+    context.entries = st.binary() | _FIELDS.map(
+        lambda read: dumps(read).encode()
+    )
+
+
+@given('entries of any depth and length')
+def draw_nested(context: Any) -> None:
+    context.entries = _NESTED
+
+
+@then('none of them is read as an entry of a proxy')
+def check_own_entries(context: Any) -> None:
+    @settings(max_examples=100, deadline=None, database=None)
+    @draw(context.entries, st.sampled_from([InstanceEntry, OwnerEntry]))
+    def check(document: bytes, kind: type[Struct]) -> None:
+        assert read_entry(document, kind) is None
+
+    check()
 
 
 @then('each one is refused as unreadable or names an address by IP number')
 def check_entries(context: Any) -> None:
-    documents = context.documents
+    documents = StoreDocuments()
 
     @settings(max_examples=400, deadline=None, database=None)
-    @draw(st.binary() | _FIELDS.map(lambda read: dumps(read).encode()))
+    @draw(context.entries)
     def check(document: bytes) -> None:
         pair = KeyValue(FOREIGN, document, Revision(1), Revision(1))
         try:
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task, sleep
 from contextlib import AsyncExitStack
+from json import dumps
 from signal import SIGHUP, SIGTERM
 from time import monotonic
 from typing import Any
@@ -26,6 +27,7 @@
     PlatformBench,
     ProxyUnderTest,
 )
+from tests.standins.foreign import make_nested
 from tests.standins.statement_front import HOST
 
 # Input bytes by their name in the feature.
@@ -40,6 +42,18 @@
     'a frame without end': b'\xff\xff\xff\xff',
     'no HTTP': b'\x00\x01\x02\r\n\r\n',
 }
+# Entries of the store by their name in the feature.
+ENTRIES = {
+    '4000 opening brackets': make_nested('x', '[', ']', 4000, is_whole=False),
+    '4000 nested lists': make_nested('x', '[', ']', 4000, is_whole=True),
+    '200000 nested lists': make_nested('x', '[', ']', 200000, is_whole=True),
+    '100000 nested maps': make_nested('x', '{"x":', '}', 100000, is_whole=True),
+    'a number of 5000 digits': f'{{"born": {"9" * 5000}}}'.encode(),
+    'an address of 900000 bytes': dumps(
+        {'service': 'songbook', 'zone': 'east', 'address': '9' * 900000},
+    ).encode(),
+}
+LONGEST_LOG_LINE = 2000
 # Table columns: start of the answer, and session state after it.
 ANSWER, STATE = 'answer', 'state'
 
@@ -192,6 +206,34 @@
     context.platform.proxies[proxy].signal(SIGTERM)
 
 
+@when('another client writes these entries for databases')
+def write_entries(context: Any) -> None:
+    context.entries = [f'servers/{row["id"]}' for row in context.table]
+    for key, row in zip(context.entries, context.table, strict=True):
+        context.platform.platform.write(key, ENTRIES[row['content']])
+
+
+@when('"{proxy}" is killed and started again')
+def start_again(context: Any, proxy: str) -> None:
+    process: ProxyUnderTest = context.platform.proxies[proxy]
+    process.close()
+    process.output.unlink()
+    process.start()
+    process.wait_ready()
+
+
+@then('the log of "{proxy}" has one short line "{event}" for each')
+def check_lines(context: Any, proxy: str, event: str) -> None:
+    process: ProxyUnderTest = context.platform.proxies[proxy]
+    process.wait_until(
+        lambda: len(process.list_lines(event)) >= len(context.entries),
+    )
+    lines = [str(line) for line in process.list_lines(event)]
+    assert max(map(len, lines)) < LONGEST_LOG_LINE
+    for key in context.entries:
+        assert sum(key in line for line in lines) == 1, (key, lines)
+
+
 @then('the page "{path}" of "{proxy}" returns {status:d}')
 def check_page(context: Any, path: str, proxy: str, status: int) -> None:
     process = context.platform.proxies[proxy]
