Let an error while one entry is read cost that entry only

Change: LiveConfiguration reports any exception of one entry's reader and goes on with the others. An error that is not one of ours is recorded as `entry-failed`, at level error, with the entry's key and the end of its trace, and counted like each decision. Entries of proxies that can't be read were skipped without a line; they are reported like those of databases, once for each change.

The new scenario was not run on the code before, as it names the new decision.

--- a/src/sedgeshunt/decisions.py
+++ b/src/sedgeshunt/decisions.py
@@ -27,6 +27,7 @@
     ZONE_REJOINED = 'zone-rejoined'
     CONFIGURATION_APPLIED = 'configuration-applied'
     CONFIGURATION_REFUSED = 'configuration-refused'
+    ENTRY_FAILED = 'entry-failed'
     SEAT_TAKEN = 'seat-taken'
     SEAT_LOST = 'seat-lost'
     PAUSED = 'paused'
--- a/src/sedgeshunt/logs.py
+++ b/src/sedgeshunt/logs.py
@@ -55,6 +55,7 @@
 # Decisions that ask for more attention than the usual line.
 _DECISION_LEVELS = {
     DecisionKind.INVARIANT_BROKEN: LogLevel.ERROR,
+    DecisionKind.ENTRY_FAILED: LogLevel.ERROR,
     DecisionKind.CONFIGURATION_REFUSED: LogLevel.WARNING,
     DecisionKind.WRITES_REFUSED: LogLevel.WARNING,
     DecisionKind.ZONE_CUT: LogLevel.WARNING,
--- a/src/sedgeshunt/membership/neighbours.py
+++ b/src/sedgeshunt/membership/neighbours.py
@@ -11,7 +11,7 @@
 from sedgeshunt.identifiers import GroupId, Monotonic, ProxyId, Seconds
 from sedgeshunt.membership.topology import Topology
 from sedgeshunt.ownership.claims import KnownPeers
-from sedgeshunt.registry.entries import InstanceEntry, read_entry
+from sedgeshunt.registry.entries import InstanceEntry
 from sedgeshunt.registry.keys import INSTANCES_PREFIX
 from sedgeshunt.registry.store_view import StoreView
 
@@ -62,7 +62,7 @@
         # Cached until a change, as a large fleet's list takes milliseconds.
         if self._listed is None:
             entries = (
-                read_entry(pair.value, InstanceEntry)
+                self._view.read_entry(pair, InstanceEntry)
                 for pair in self._view.list_prefix(INSTANCES_PREFIX)
             )
             self._listed = [entry for entry in entries if entry is not None]
--- a/src/sedgeshunt/membership/registration.py
+++ b/src/sedgeshunt/membership/registration.py
@@ -5,7 +5,7 @@
 
 from sedgeshunt.identifiers import Seconds
 from sedgeshunt.ownership.lease import Registration
-from sedgeshunt.registry.entries import InstanceEntry, read_entry
+from sedgeshunt.registry.entries import InstanceEntry
 from sedgeshunt.registry.keys import make_instance_key
 from sedgeshunt.registry.store_view import StoreView
 
@@ -31,4 +31,4 @@
         pair = self._view.get(make_instance_key(self._own.name))
         if pair is None:
             return True
-        return read_entry(pair.value, InstanceEntry) != self._own
+        return self._view.read_entry(pair, InstanceEntry) != self._own
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -39,7 +39,6 @@
     PrimaryNote,
     ReplacementIntent,
     encode_entry,
-    read_entry,
 )
 from sedgeshunt.registry.keys import (
     OWNERS_PREFIX,
@@ -114,7 +113,7 @@
             return None
         known = self._owners.get(key)
         if known is None or known[0] is not pair:
-            known = pair, read_entry(pair.value, OwnerEntry)
+            known = pair, self._view.read_entry(pair, OwnerEntry)
             self._owners[key] = known
         return known[1]
 
@@ -132,7 +131,7 @@
             return remembered
         known = self._records.get(key)
         if known is None or known[0] is not pair:
-            known = pair, read_entry(pair.value, GroupRecord)
+            known = pair, self._view.read_entry(pair, GroupRecord)
             self._records[key] = known
         return choose_newer(known[1], remembered)
 
--- a/src/sedgeshunt/registry/configuration.py
+++ b/src/sedgeshunt/registry/configuration.py
@@ -17,7 +17,6 @@
     CustomerId,
     GroupId,
     KeyDigest,
-    Revision,
     Seconds,
     TrafficClass,
 )
@@ -30,6 +29,7 @@
 )
 from sedgeshunt.registry.feeds import LARGE_DOCUMENT_BYTES, MAX_SPREAD_TIME
 from sedgeshunt.registry.store_view import StoreView
+from sedgeshunt.registry.unreadable import UnreadableEntries
 from sedgeshunt.revisions import NOTHING, read_count, read_era
 
 NAME_SELECTOR = 'name='
@@ -58,7 +58,7 @@
         self._documents = documents
         self._decisions = decisions
         self._targets: dict[str, KnownTarget] = {}
-        self._unreadable: dict[str, Revision] = {}
+        self._unreadable = UnreadableEntries(decisions)
         self._listeners: list[Callable[[], None]] = []
         self._loaded = Event()
         view.listen(self._follow_change)
@@ -235,19 +235,13 @@
         pair = self._view.get(key)
         if pair is None:
             self._targets.pop(key, None)
-            self._unreadable.pop(key, None)
+            self._unreadable.forget(key)
             return
         try:
             self._targets[key] = self._documents.read_target(pair)
-        except SedgeshuntError as unreadable:
-            # Recorded once for each change, however often it is read.
-            if self._unreadable.get(key) == pair.revision:
-                return
-            self._unreadable[key] = pair.revision
-            reasons = {'why': str(unreadable)}
-            self._decisions.record(
-                Decision(DecisionKind.CONFIGURATION_REFUSED, reasons=reasons),
-            )
+        except Exception as failure:
+            # Anyone may write an entry, and an error would end the process.
+            self._unreadable.report(pair, failure)
 
     def _refuse_older(
         self, pair: KeyValue, declared: DeclaredConfiguration
--- a/src/sedgeshunt/registry/entries.py
+++ b/src/sedgeshunt/registry/entries.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 from msgspec.json import encode
 
-from sedgeshunt.decoding import Undecodable, decode_document
+from sedgeshunt.decoding import decode_document
 from sedgeshunt.identifiers import (
     CopyPlace,
     Era,
@@ -20,7 +20,7 @@
 )
 from sedgeshunt.ports import FIRST_ERA, Address
 
-_Entry = TypeVar('_Entry', bound=Struct)
+Entry = TypeVar('Entry', bound=Struct)
 
 
 class InstanceEntry(Struct, frozen=True):
@@ -93,9 +93,6 @@
     return encode(entry)
 
 
-def read_entry(document: bytes, kind: type[_Entry]) -> _Entry | None:
-    """Decode an entry, or return None if it is invalid."""
-    try:
-        return decode_document(document, kind)
-    except Undecodable:
-        return None
+def read_entry(document: bytes, kind: type[Entry]) -> Entry:
+    """Decode an entry; raise Undecodable."""
+    return decode_document(document, kind)
--- a/src/sedgeshunt/registry/store_view.py
+++ b/src/sedgeshunt/registry/store_view.py
@@ -20,6 +20,7 @@
 from contextlib import AsyncExitStack, suppress
 
 from sedgeshunt.clocks import read_clock
+from sedgeshunt.decoding import Undecodable
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
 from sedgeshunt.exceptions import PlatformUnavailable
 from sedgeshunt.groups.backoff import Backoff
@@ -31,8 +32,10 @@
 )
 from sedgeshunt.registry.changes import ChangeLog, StoreChanges
 from sedgeshunt.registry.current_store import CurrentStore
+from sedgeshunt.registry.entries import Entry, read_entry
 from sedgeshunt.registry.feeds import ChangeFeed, Followers, NoFeed
 from sedgeshunt.registry.gathering import WatchBatching
+from sedgeshunt.registry.unreadable import UnreadableEntries
 from sedgeshunt.revisions import NOTHING, begin_era, read_era
 
 # Delays before retries while the store does not answer; the longest is short
@@ -93,6 +96,7 @@
         self._newest_reported = Revision(0)
         self._behind_since: Monotonic | None = None
         self._items: dict[str, KeyValue] = {}
+        self._unreadable = UnreadableEntries(decisions)
         self._log = ChangeLog()
         self.followers = Followers(self._log, self._items.values)
         self._listeners: list[Listener] = []
@@ -114,6 +118,14 @@
         """Return one item, None if it is not there."""
         return self._items.get(key)
 
+    def read_entry(self, pair: KeyValue, kind: type[Entry]) -> Entry | None:
+        """Decode an entry of a proxy; report it and return None if invalid."""
+        try:
+            return read_entry(pair.value, kind)
+        except Undecodable as failure:
+            self._unreadable.report(pair, failure)
+            return None
+
     def list_prefix(self, prefix: str) -> list[KeyValue]:
         """List the items under `prefix` in the order of their keys."""
         return [
@@ -317,6 +329,7 @@
             return
         if event.value is None:
             self._items.pop(event.key, None)
+            self._unreadable.forget(event.key)
         else:
             self._items[event.key] = KeyValue(
                 event.key,
@@ -339,6 +352,7 @@
         }
         self._items.clear()
         self._items.update(listed | own)
+        self._unreadable.retain(self._items)
         self._listed_at = read_clock()
         self.revision = Revision(max(self.revision, revision))
         self._log.reset(self.revision)
--- a/tests/features/entries.feature
+++ b/tests/features/entries.feature
@@ -14,6 +14,15 @@
     Then "db-1" is the only target
     And 2 refusals were recorded
 
+  Scenario: An error while one entry is read costs that entry only
+    Guards against an unforeseen error that ends the process, and against one that
+    is neither logged nor counted.
+    Given a database "db-1" and an entry whose reader fails
+    When the entries are listed 3 times
+    And the foreign entry is written again
+    Then "db-1" is the only target
+    And 2 errors with a trace were recorded and counted
+
   Scenario: A nested entry is refused like any other that is invalid
     Guards against a decoder that fails with an error that its caller does not
     expect, which ended every proxy.
--- a/tests/features/steps/entries_steps.py
+++ b/tests/features/steps/entries_steps.py
@@ -1,5 +1,7 @@
 """Check how entries written by others are read."""
 
+from collections import Counter
+from contextlib import suppress
 from ipaddress import ip_address
 from json import dumps
 from math import inf
@@ -13,6 +15,7 @@
 
 from sedgeshunt.customers.directory import DIGEST_BYTES
 from sedgeshunt.decisions import DecisionKind, MemoryDecisionLog
+from sedgeshunt.decoding import Undecodable
 from sedgeshunt.exceptions import SedgeshuntError
 from sedgeshunt.identifiers import GroupId, Revision
 from sedgeshunt.platform.conversation import parse_start
@@ -22,10 +25,13 @@
     StoreDocuments,
 )
 from sedgeshunt.platform.lines import MessageMalformed
+from sedgeshunt.metrics import NoMetrics
 from sedgeshunt.ports import KeyValue
 from sedgeshunt.registry.configuration import LiveConfiguration
+from sedgeshunt.registry.directory import KnownTarget
 from sedgeshunt.registry.entries import InstanceEntry, OwnerEntry, read_entry
 from sedgeshunt.registry.store_view import Listener
+from sedgeshunt.statements.counts import DecisionCounts
 from tests.standins.foreign import make_nested
 
 GROUP = 'songbook'
@@ -65,6 +71,28 @@
 )
 
 
+class FailingDocuments(StoreDocuments):
+    """Fail on one entry as a fault of the program would."""
+
+    def read_target(self, pair: KeyValue) -> KnownTarget:
+        """Raise an error that no caller expects for the foreign entry."""
+        if pair.key == FOREIGN:
+            raise ZeroDivisionError('unforeseen')
+        return super().read_target(pair)
+
+
+class CountedNames(NoMetrics):
+    """Keep the counts by their names."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.counts: Counter[str] = Counter()
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to one count."""
+        self.counts[name] += amount
+
+
 class FixedView:
     """Stand in for a view of the store."""
 
@@ -123,7 +151,8 @@
     @settings(max_examples=100, deadline=None, database=None)
     @draw(context.entries, st.sampled_from([InstanceEntry, OwnerEntry]))
     def check(document: bytes, kind: type[Struct]) -> None:
-        assert read_entry(document, kind) is None
+        with suppress(Undecodable):
+            raise AssertionError(read_entry(document, kind))
 
     check()
 
@@ -149,12 +178,23 @@
 
 @given('a database "{name}" and a foreign entry beside it')
 def write_entries(context: Any, name: str) -> None:
+    write_beside(context, name, StoreDocuments())
+
+
+@given('a database "{name}" and an entry whose reader fails')
+def write_failing(context: Any, name: str) -> None:
+    write_beside(context, name, FailingDocuments())
+
+
+def write_beside(context: Any, name: str, documents: StoreDocuments) -> None:
+    """Write the entry of a database and one of another client."""
     context.view = FixedView()
     context.decisions = MemoryDecisionLog()
+    context.metrics = CountedNames()
     context.live = LiveConfiguration(
         context.view,
-        StoreDocuments(),
-        context.decisions,
+        documents,
+        DecisionCounts(context.metrics, context.decisions),
     )
     entry = {'service': GROUP, 'address': '10.0.0.1:80', 'zone': 'east'}
     context.view.put(CONFIGURATION_KEY, dumps(DECLARED).encode(), 1)
@@ -181,6 +221,16 @@
     assert [known.target.name for known in members.targets] == [name]
 
 
+@then('{count:d} errors with a trace were recorded and counted')
+def check_errors(context: Any, count: int) -> None:
+    failed = context.decisions.list_decisions(DecisionKind.ENTRY_FAILED)
+    assert len(failed) == count, failed
+    for decision in failed:
+        assert decision.reasons['key'] == FOREIGN
+        assert 'ZeroDivisionError: unforeseen' in decision.reasons['trace']
+    assert context.metrics.counts['decisions.entry-failed'] == count
+
+
 @then('{count:d} refusals were recorded')
 def check_refusals(context: Any, count: int) -> None:
     refused = context.decisions.list_decisions(
