Don't use a connection again that HTTP has ended

Cause: HttpConnection.is_usable looked at the socket alone. After an answer with "Connection: close" the protocol's state is MUST_CLOSE while the end of the stream has not arrived yet; the connection was kept, and the next request on it raised LocalProtocolError, which no caller of the client expects.

Evidence: "A service ends a connection after its answer" raised LocalProtocolError before this change, "A store that ends its connections is no reason to end" found no proxy ready within 10 s, with the same error in its log. Both pass with it. Ruled out: a connection that the store closes in time was never kept.

Change: a connection is usable while the protocol is idle, and an event that the protocol refuses is an HttpBroken like any other.

--- a/src/sedgeshunt/adapters/http_connection.py
+++ b/src/sedgeshunt/adapters/http_connection.py
@@ -7,6 +7,7 @@
 from h11 import (
     CLIENT,
     DONE,
+    IDLE,
     NEED_DATA,
     PAUSED,
     SERVER,
@@ -76,7 +77,8 @@
 
     def is_usable(self) -> bool:
         """Tell whether another exchange may begin on it."""
-        return not (self._writer.is_closing() or self._reader.at_eof())
+        # HTTP may have ended the connection before its end of stream arrives.
+        return self._is_open() and self._protocol.our_state is IDLE
 
     async def exchange(self, host: str, request: HttpRequest) -> HttpReply:
         """Send a request and return the whole answer; raise HttpBroken."""
@@ -156,14 +158,19 @@
         self._writer.transport.abort()
 
     def _send(self, head: Event, body: bytes) -> None:
-        parts = [self._protocol.send(head) or b'']
-        if body:
-            parts.append(self._protocol.send(Data(data=body)) or b'')
-        parts.append(self._protocol.send(EndOfMessage()) or b'')
-        if not self.is_usable():
+        content = [Data(data=body)] if body else []
+        events = [head, *content, EndOfMessage()]
+        try:
+            parts = [self._protocol.send(event) or b'' for event in events]
+        except ProtocolError as failure:
+            raise HttpBroken(str(failure)) from failure
+        if not self._is_open():
             raise HttpBroken('the connection was closed')
         self._writer.write(b''.join(parts))
 
+    def _is_open(self) -> bool:
+        return not (self._writer.is_closing() or self._reader.at_eof())
+
     async def _read_head(self) -> Response:
         while True:
             event = await self._next_event()
--- a/tests/features/platform_process.feature
+++ b/tests/features/platform_process.feature
@@ -126,6 +126,21 @@
     When the service moves during the call
     Then the next call arrives at its new address
 
+  Scenario: A service ends a connection after its answer
+    Guards against a second request on a connection that HTTP has ended although
+    it is still open, which raised an error that no caller expects.
+    Given a service that ends each connection with its answer, later
+    When it is called 3 times
+    Then each call is answered on a connection of its own
+
+  Scenario: A store that ends its connections is no reason to end
+    Guards against a proxy that ends, or does not start, while the store closes
+    each connection after one answer.
+    Given a store that ends each connection with its answer
+    And processes "east-1, west-1"
+    When a caller of "kigali" at "west-1" runs "WRITE turn 7" over the wire
+    Then the wire response starts with "COMPLETE db-east/"
+
   Scenario: Metrics count requests
     Given processes "east-1"
     When a caller of "kigali" at "east-1" runs "WRITE turn 7" over the wire
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -1,7 +1,14 @@
 """Check proxy processes over their sockets."""
 
-from asyncio import create_task, sleep
+from asyncio import (
+    StreamReader,
+    StreamWriter,
+    create_task,
+    sleep,
+    start_server,
+)
 from contextlib import AsyncExitStack
+from http import HTTPStatus
 from json import dumps
 from signal import SIGHUP, SIGTERM
 from time import monotonic
@@ -18,7 +25,7 @@
 )
 from behave import given, then, when
 
-from sedgeshunt.adapters.json_client import JsonClient
+from sedgeshunt.adapters.json_client import JsonClient, JsonReply
 from sedgeshunt.platform.lines import MAX_MESSAGE_BYTES
 from sedgeshunt.ports import Address
 from tests.features.driver_bench import LoopThread
@@ -54,6 +61,7 @@
     ).encode(),
 }
 LONGEST_LOG_LINE = 2000
+CLOSE_DELAY = 0.3
 # Table columns: start of the answer, and session state after it.
 ANSWER, STATE = 'answer', 'state'
 
@@ -332,6 +340,30 @@
     context.delay = seconds
 
 
+@given('a service that ends each connection with its answer, later')
+def serve_ended(context: Any) -> None:
+    context.loop = LoopThread()
+    context.add_cleanup(context.loop.close)
+    context.accepted = 0
+
+
+@when('it is called {times:d} times')
+def call_ended(context: Any, times: int) -> None:
+    context.replies = context.loop.run(_call_ended(context, times))
+
+
+@then('each call is answered on a connection of its own')
+def check_connections(context: Any) -> None:
+    statuses = {reply.status for reply in context.replies}
+    assert statuses == {HTTPStatus.OK}, statuses
+    assert context.accepted == len(context.replies)
+
+
+@given('a store that ends each connection with its answer')
+def end_connections(context: Any) -> None:
+    open_platform(context).platform.front.ends_connections = True
+
+
 @when('the service moves during the call')
 def move_service(context: Any) -> None:
     context.loop.run(_move_during_call(context))
@@ -355,6 +387,28 @@
         await client.exchange('GET', '/')
 
 
+async def _call_ended(context: Any, times: int) -> list[JsonReply]:
+    async def answer(reader: StreamReader, writer: StreamWriter) -> None:
+        context.accepted += 1
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nConnection: close\r\n'
+            b'Content-Length: 2\r\n\r\n{}',
+        )
+        # The end of the stream arrives after the next request.
+        await sleep(CLOSE_DELAY)
+        writer.close()
+
+    server = await start_server(answer, HOST, 0)
+    address = Address(HOST, server.sockets[0].getsockname()[1])
+    client = JsonClient([address], keeps_connections=True)
+    try:
+        return [await client.exchange('GET', '/') for _ in range(times)]
+    finally:
+        await client.close()
+        server.close()
+
+
 async def _serve_as(
     context: Any,
     name: str,
