Take an answer of the store that can't be read for none

Callers saw nothing yet; a store, or something in its place, that answers with a document of another form would have ended every proxy.

Cause: the fields of an answer were read by name from whatever the document was. An empty list, a map without the fields, no body, fields of other types and values that are not base64 raised TypeError, KeyError or ValueError in the lease, the watch and the listing.

Change: each kind of answer has a type. One that can't be read counts as unavailable for a read, and as a lost answer for a commit, which may have been made. An era of more than six digits, which no revision can hold, is ignored.

--- a/src/sedgeshunt/decoding.py
+++ b/src/sedgeshunt/decoding.py
@@ -4,6 +4,7 @@
 from struct import error as StructError
 from typing import Any, TypeVar
 
+from msgspec import convert
 from msgspec.json import decode
 
 from sedgeshunt.exceptions import SedgeshuntError
@@ -45,6 +46,14 @@
         raise Undecodable(describe_failure(failure)) from failure
 
 
+def convert_document(document: Any, kind: type[Decoded]) -> Decoded:
+    """Convert a decoded document to one type; raise Undecodable."""
+    try:
+        return convert(document, kind)
+    except MALFORMED as failure:
+        raise Undecodable(describe_failure(failure)) from failure
+
+
 def load_document(document: bytes) -> Any:
     """Decode a JSON document of any type; raise Undecodable."""
     try:
--- a/src/sedgeshunt/platform/store.py
+++ b/src/sedgeshunt/platform/store.py
@@ -3,15 +3,18 @@
 from base64 import b64decode, b64encode
 from collections.abc import AsyncIterator, Sequence
 from random import uniform
-from typing import Any, NoReturn
+from typing import Annotated, Any, NoReturn, TypeVar
 from urllib.parse import urlencode
 
+from msgspec import Meta, Struct
+
 from sedgeshunt.adapters.json_client import (
     CallFailed,
     JsonClient,
     JsonReply,
     ServiceAway,
 )
+from sedgeshunt.decoding import Undecodable, convert_document
 from sedgeshunt.exceptions import (
     AnswerLost,
     LeaseLapsed,
@@ -31,7 +34,7 @@
     WatchCompacted,
     WatchEvent,
 )
-from sedgeshunt.revisions import make_revision, read_count
+from sedgeshunt.revisions import COUNT_MASK, make_revision, read_count
 
 # The store usually answers in 4 ms, and in 350 ms when it is slowest.
 CALL_TIMEOUT = Seconds(0.8)
@@ -51,6 +54,45 @@
 MILLISECONDS = 1000
 STALE = '1'
 ERA_HEADER = 'store-era'
+MAX_ERA_DIGITS = 6
+
+
+# Counts of changes leave room for the era beside them.
+_Count = Annotated[int, Meta(ge=0, le=COUNT_MASK)]
+
+
+class _Item(Struct):
+    key: str
+    revision: _Count
+    value: str | None = None
+    created: _Count = 0
+    deleted: bool = False
+
+
+class _Page(Struct):
+    items: list[_Item]
+    has_more: bool
+    at_revision: _Count
+
+
+class _Events(Struct):
+    events: list[_Item]
+    at_revision: _Count
+
+
+class _Conflict(Struct):
+    items: list[_Item]
+
+
+class _Commit(Struct):
+    revision: _Count
+
+
+class _Lease(Struct):
+    lease_id: int
+
+
+_Document = TypeVar('_Document', bound=Struct)
 
 
 class MetadataStore(KeyValueService):
@@ -119,7 +161,10 @@
         except CallFailed as failure:
             # The store may have applied it, or may apply it seconds later.
             raise AnswerLost(changes[0].key) from failure
-        return _read_commit(reply)
+        try:
+            return _read_commit(reply)
+        except Undecodable as failure:
+            raise AnswerLost(changes[0].key) from failure
 
     async def watch(
         self,
@@ -138,19 +183,19 @@
                 'after': read_count(seen),
                 'wait_timeout_ms': int(wait * MILLISECONDS),
             }
-            limit = Seconds(wait + WATCH_MARGIN)
-            reply = await self._read('/kv-watch', query, limit)
-            seen = max(seen, _read_revision(reply, 'at_revision'))
-            yield [
-                _read_event(event, reply) for event in reply.document['events']
-            ]
+            reply = await self._read(
+                '/kv-watch', query, Seconds(wait + WATCH_MARGIN)
+            )
+            listed = _read_document(reply, _Events)
+            seen = max(seen, _make_revision(reply, listed.at_revision))
+            yield [_make_event(event, reply) for event in listed.events]
 
     async def grant_lease(self, ttl: Seconds) -> int:
         """Create a lease and return its id; raise PlatformUnavailable."""
         body = {'ttl_ms': int(ttl * MILLISECONDS)}
         reply = await self._call('POST', '/kv-lease', body)
         _check_status(reply)
-        return int(reply.document['lease_id'])
+        return _read_document(reply, _Lease).lease_id
 
     async def keep_lease(self, lease: int) -> bool:
         """Renew a lease; return False if it has expired."""
@@ -177,10 +222,10 @@
         has_more = True
         while has_more:
             reply = await self._read('/kv-range', query, LIST_TIMEOUT)
-            items = reply.document['items']
-            pairs = [_read_item(item, reply) for item in items]
-            yield Listing(_read_revision(reply, 'at_revision'), pairs)
-            has_more = bool(reply.document['has_more'] and pairs)
+            document = _read_document(reply, _Page)
+            pairs = [_make_pair(item, reply) for item in document.items]
+            yield Listing(_make_revision(reply, document.at_revision), pairs)
+            has_more = document.has_more and bool(pairs)
             if has_more:
                 query['after'] = pairs[-1].key
 
@@ -224,11 +269,19 @@
 
 def _read_era(reply: JsonReply) -> Era:
     text = reply.headers.get(ERA_HEADER, '')
-    return Era(int(text)) if text.isdecimal() else FIRST_ERA
+    is_valid = text.isdecimal() and len(text) <= MAX_ERA_DIGITS
+    return Era(int(text)) if is_valid else FIRST_ERA
+
+
+def _read_document(reply: JsonReply, kind: type[_Document]) -> _Document:
+    try:
+        return convert_document(reply.document, kind)
+    except Undecodable as failure:
+        raise PlatformUnavailable(failure.reason) from failure
 
 
-def _read_revision(reply: JsonReply, name: str) -> Revision:
-    return make_revision(_read_era(reply), reply.document[name])
+def _make_revision(reply: JsonReply, count: int) -> Revision:
+    return make_revision(_read_era(reply), count)
 
 
 def _check_status(reply: JsonReply) -> None:
@@ -244,13 +297,12 @@
     if reply.status == NOT_FOUND:
         raise LeaseLapsed
     if reply.status == CONFLICT:
-        items = reply.document['items']
-        current = [
-            _read_item(item, reply) for item in items if item.get('revision')
-        ]
+        items = _read_document(reply, _Conflict).items
+        current = [_make_pair(item, reply) for item in items if item.revision]
         return CommitResult(False, Revision(0), current)
     _check_status(reply)
-    return CommitResult(True, _read_revision(reply, 'revision'))
+    committed = convert_document(reply.document, _Commit)
+    return CommitResult(True, _make_revision(reply, committed.revision))
 
 
 def _make_put(put: Put) -> dict[str, Any]:
@@ -261,22 +313,27 @@
     }
 
 
-def _read_item(item: dict[str, Any], reply: JsonReply) -> KeyValue:
-    era = _read_era(reply)
+def _make_pair(item: _Item, reply: JsonReply) -> KeyValue:
     return KeyValue(
-        item['key'],
-        b64decode(item.get('value') or ''),
-        make_revision(era, item['revision']),
-        make_revision(era, item.get('created', 0)),
+        item.key,
+        _read_value(item),
+        _make_revision(reply, item.revision),
+        _make_revision(reply, item.created),
     )
 
 
-def _read_event(event: dict[str, Any], reply: JsonReply) -> WatchEvent:
-    era = _read_era(reply)
-    is_deleted = bool(event.get('deleted'))
+def _make_event(item: _Item, reply: JsonReply) -> WatchEvent:
     return WatchEvent(
-        event['key'],
-        None if is_deleted else b64decode(event['value']),
-        make_revision(era, event['revision']),
-        make_revision(era, event.get('created', 0)),
+        item.key,
+        None if item.deleted else _read_value(item),
+        _make_revision(reply, item.revision),
+        _make_revision(reply, item.created),
     )
+
+
+def _read_value(item: _Item) -> bytes:
+    try:
+        return b64decode(item.value or '')
+    except ValueError as failure:
+        reason = f'the value of {item.key} is not base64: {failure}'
+        raise PlatformUnavailable(reason) from failure
--- a/tests/features/platform_process.feature
+++ b/tests/features/platform_process.feature
@@ -141,6 +141,23 @@
     When a caller of "kigali" at "west-1" runs "WRITE turn 7" over the wire
     Then the wire response starts with "COMPLETE db-east/"
 
+  Scenario Outline: An answer of the store that can't be read ends no process
+    Guards against an error in reading an answer of the store that ends the proxy.
+    Given processes "east-1, west-1"
+    When the store answers for 2 s with <content>
+    Then a caller of "kigali" at "east-1" is served within 300 ms
+    And a caller of "kigali" at "west-1" is served within 300 ms
+
+    Examples:
+      | content              |
+      | an empty list        |
+      | an empty map         |
+      | nothing              |
+      | nested lists         |
+      | fields of other types |
+      | items that are texts |
+      | values not in base64 |
+
   Scenario: Metrics count requests
     Given processes "east-1"
     When a caller of "kigali" at "east-1" runs "WRITE turn 7" over the wire
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -61,6 +61,33 @@
     ).encode(),
 }
 LONGEST_LOG_LINE = 2000
+# Answers of the store by their name in the feature.
+BODIES = {
+    'an empty list': '[]',
+    'an empty map': '{}',
+    'nothing': '',
+    'nested lists': make_nested('x', '[', ']', 4000, is_whole=True).decode(),
+    'fields of other types': dumps(
+        {
+            'items': 3,
+            'events': 'x',
+            'at_revision': [],
+            'lease_id': {},
+            'has_more': {},
+        },
+    ),
+    'items that are texts': dumps(
+        {'items': ['x'], 'events': ['x'], 'at_revision': 1, 'has_more': False},
+    ),
+    'values not in base64': dumps(
+        {
+            'items': [{'key': 'op/config', 'value': 'x', 'revision': 10**6}],
+            'events': [{'key': 'op/config', 'value': 'x', 'revision': 10**6}],
+            'at_revision': 10**6,
+            'has_more': False,
+        },
+    ),
+}
 CLOSE_DELAY = 0.3
 # Table columns: start of the answer, and session state after it.
 ANSWER, STATE = 'answer', 'state'
@@ -364,6 +391,13 @@
     open_platform(context).platform.front.ends_connections = True
 
 
+@when('the store answers for {seconds:g} s with {content}')
+def answer_badly(context: Any, seconds: float, content: str) -> None:
+    context.platform.platform.front.body = BODIES[content]
+    context.platform.wait(seconds)
+    context.platform.platform.front.body = None
+
+
 @when('the service moves during the call')
 def move_service(context: Any) -> None:
     context.loop.run(_move_during_call(context))
--- a/tests/standins/metadata_front.py
+++ b/tests/standins/metadata_front.py
@@ -58,6 +58,8 @@
         self.group = group
         # If set, the status of every response.
         self.refusal: int | None = None
+        # If set, the body of every response.
+        self.body: str | None = None
         # Whether each response is the last one on its connection.
         self.ends_connections = False
         # While true, no call is answered.
@@ -86,6 +88,8 @@
         if self.refusal is not None:
             return Response(status=self.refusal, text='no')
         response = await self._handle(handle, request)
+        if self.body is not None:
+            response = Response(text=self.body)
         if self.ends_connections:
             response.force_close()
         response.headers['Store-Era'] = str(self.service.store.era)
