Take an answer of a target that can't be read for a lost connection

Callers would have seen every proxy that asks a target for its STATUS end, for as long as the target answers so.

Cause: the fields of STATUS and the numbers of a position were converted without a check. A row of fewer fields, or a number that is none or has over 4,300 digits, raised IndexError or ValueError in the tasks that look after a group's primary, and so in the task group of the process. The position of START and READY is read by the same code.

Change: numbers are parsed in one place and have at most 18 digits, which fit into 64 bits. A row or position that can't be parsed ends the connection as lost. So does READY without COMPLETE or ERROR before it, which passed for a success without a result.

--- a/src/sedgeshunt/connections/target_session.py
+++ b/src/sedgeshunt/connections/target_session.py
@@ -83,6 +83,8 @@
     point: Point | None
     signature: str = ''
     refusal: TargetRefusal | None = None
+    # The target has reported success or failure.
+    has_result: bool = True
 
     @property
     def lacks_statement(self) -> bool:
--- a/src/sedgeshunt/platform/lines.py
+++ b/src/sedgeshunt/platform/lines.py
@@ -13,6 +13,9 @@
 MAX_MESSAGE_BYTES = 1024 * 1024
 LINE_END = b'\r\n'
 FIELD_SEPARATOR = ' '
+# Any number of so many digits fits into 64 bits.
+MAX_DIGITS = 18
+MAX_QUOTED = 40
 
 
 class MessageTooLong(SedgeshuntError):
@@ -63,6 +66,13 @@
     return parts
 
 
+def parse_number(text: str) -> int:
+    """Parse a count of at most 18 digits; raise MessageMalformed."""
+    if not text.isdecimal() or len(text) > MAX_DIGITS:
+        raise MessageMalformed(f'"{text[:MAX_QUOTED]}" is no count')
+    return int(text)
+
+
 def make_line(*parts: str) -> bytes:
     """Encode a word and its fields as one line."""
     return FIELD_SEPARATOR.join(parts).encode() + LINE_END
--- a/src/sedgeshunt/platform/statements.py
+++ b/src/sedgeshunt/platform/statements.py
@@ -6,6 +6,7 @@
 from sedgeshunt.identifiers import Position, StatementId, Term
 from sedgeshunt.platform.lines import (
     MessageMalformed,
+    parse_number,
     split_line,
 )
 from sedgeshunt.statements.statement import (
@@ -51,10 +52,8 @@
     """Parse a log position, None for "-"; raise MessageMalformed."""
     if text == NO_POINT:
         return None
-    term, dot, number = text.partition('.')
-    if not (dot and term.isdecimal() and number.isdecimal()):
-        raise MessageMalformed(f'"{text[:40]}" is no place in a log')
-    return Point(Term(int(term)), Position(int(number)))
+    term, _, number = text.partition('.')
+    return Point(Term(parse_number(term)), Position(parse_number(number)))
 
 
 def add_point_condition(point: Point | None, text: str) -> str:
--- a/src/sedgeshunt/platform/targets.py
+++ b/src/sedgeshunt/platform/targets.py
@@ -36,6 +36,7 @@
     MessageMalformed,
     MessageTooLong,
     make_line,
+    parse_number,
     read_line,
     split_line,
 )
@@ -74,6 +75,7 @@
 
     def __init__(self) -> None:
         self.is_complete = False
+        self.has_result = False
         self.rows: list[str] = []
         self.signature = ''
         self.refusal: TargetRefusal | None = None
@@ -86,8 +88,10 @@
             self.rows.append(rest)
         elif word == 'COMPLETE':
             self.signature = rest
+            self.has_result = True
         elif word == 'ERROR':
             self.refusal = _parse_refusal(rest)
+            self.has_result = True
             self.is_complete = self.refusal.kind in _CLOSING_REFUSALS
         elif word == 'READY':
             phase, point_text = split_line(rest, 1)
@@ -142,7 +146,10 @@
         self._writer.write(
             make_line('QUERY', statement, add_point_condition(after, text)),
         )
-        return await self._read_reply()
+        reply = await self._read_reply()
+        if not reply.has_result:
+            raise self._abort('sent no result')
+        return reply
 
     async def execute(
         self,
@@ -205,7 +212,10 @@
         reply = await self.run(PROXY_STATEMENT_ID, text)
         if reply.refusal is not None or not reply.rows:
             return None
-        return _parse_status(reply.rows[0])
+        try:
+            return _parse_status(reply.rows[0])
+        except MessageMalformed as failure:
+            raise self._abort(str(failure)) from failure
 
     async def _read_reply(self) -> TargetReply:
         builder = _ReplyBuilder()
@@ -225,6 +235,7 @@
             self.point,
             builder.signature,
             builder.refusal,
+            has_result=builder.has_result,
         )
 
     async def _read_line(self) -> str:
@@ -292,12 +303,11 @@
 
 
 def _parse_status(row: str) -> LogStatus:
-    # Role, term, received log position, held term, lag in ms, busy,
-    # connections.
-    fields = row.split()
+    # These are followed by the lag in ms, busy, and the connections.
+    fields = split_line(row, 4)
     return LogStatus(
         LogRole.PRIMARY if fields[0] == PRIMARY_ROLE else LogRole.REPLICA,
-        Term(int(fields[1])),
+        Term(parse_number(fields[1])),
         parse_point(fields[2]) or ORIGIN,
-        Term(int(fields[3])),
+        Term(parse_number(fields[3])),
     )
--- a/tests/features/platform_bench.py
+++ b/tests/features/platform_bench.py
@@ -75,6 +75,7 @@
         self._owned = AsyncExitStack()
         self.front: MetadataFront
         self.group: StatementGroup
+        self.databases: StatementFront
         self.port = 0
 
     def start(self) -> None:
@@ -122,6 +123,7 @@
             self.group.add(target)
         databases = StatementFront(self.group)
         await databases.start()
+        self.databases = databases
         self._owned.callback(databases.stop)
         self.front = MetadataFront(KeyValueStandIn(network), self.group)
         await self.publish_all()
--- a/tests/features/platform_process.feature
+++ b/tests/features/platform_process.feature
@@ -158,6 +158,28 @@
       | items that are texts |
       | values not in base64 |
 
+  Scenario Outline: An answer of a target that can't be read ends no process
+    Guards against an error in reading an answer of a target that ends the proxy.
+    Given processes "east-1, west-1"
+    When the targets answer "<statement>" for 3 s with "<line>"
+    Then processes "east-1, west-1" are running
+    When the targets answer as before
+    Then a caller of "kigali" at "east-1" is served again
+    And a caller of "kigali" at "west-1" is served again
+
+    Examples:
+      | statement | line                       |
+      | STATUS    | ROW                        |
+      | STATUS    | ROW primary                |
+      | STATUS    | ROW primary 1 1.x 0 0 0 0  |
+      | STATUS    | ROW primary one 1.0 0 0 0  |
+      | STATUS    | ROW primary MANY 1.0 0 0 0 |
+      | STATUS    | ROW primary 1 MANY.1 0 0 0 |
+      | START     | READY I MANY.1             |
+      | READ      | READY I 1.MANY             |
+      | READ      | COMPLETE                   |
+      | READ      | ROWS 1                     |
+
   Scenario: Metrics count requests
     Given processes "east-1"
     When a caller of "kigali" at "east-1" runs "WRITE turn 7" over the wire
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -7,7 +7,7 @@
     sleep,
     start_server,
 )
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from http import HTTPStatus
 from json import dumps
 from signal import SIGHUP, SIGTERM
@@ -398,6 +398,41 @@
     context.platform.platform.front.body = None
 
 
+@when('the targets answer "{word}" for {seconds:g} s with "{line}"')
+def answer_odd(context: Any, word: str, seconds: float, line: str) -> None:
+    platform = context.platform.platform
+    platform.databases.lines[word] = line.replace('MANY', '9' * 5000)
+    # The owner queries the status of all targets when it starts anew.
+    context.platform.proxies['east-1'].close()
+    context.platform.proxies['east-1'].start()
+    for proxy in context.platform.proxies:
+        caller = context.platform.call(proxy)
+        with suppress(OSError):
+            caller.connect('kigali')
+            caller.send(b'QUERY q READ turn\r\n')
+    context.platform.wait(seconds)
+
+
+@then('processes "{names}" are running')
+def check_running(context: Any, names: str) -> None:
+    for name in names.split(', '):
+        process = context.platform.proxies[name]
+        assert process.is_running(), process.output.read_text()[-2000:]
+
+
+@when('the targets answer as before')
+def answer_well(context: Any) -> None:
+    context.platform.platform.databases.lines.clear()
+
+
+@then('a caller of "{database}" at "{proxy}" is served again')
+def check_again(context: Any, database: str, proxy: str) -> None:
+    caller = context.platform.call(proxy)
+    _connect(caller, database)
+    process: ProxyUnderTest = context.platform.proxies[proxy]
+    process.wait_until(lambda: caller.ask('READ turn')[0].startswith('ROW'))
+
+
 @when('the service moves during the call')
 def move_service(context: Any) -> None:
     context.loop.run(_move_during_call(context))
--- a/tests/standins/statement_front.py
+++ b/tests/standins/statement_front.py
@@ -45,6 +45,8 @@
     def __init__(self, group: StatementGroup) -> None:
         """Serve the databases of `group`, whose name callers give."""
         self.group = group
+        # Lines to answer instead, by the first word of the request.
+        self.lines: dict[str, str] = {}
         self._servers: list[Server] = []
 
     async def start(self) -> None:
@@ -89,12 +91,17 @@
         session = LosingSession(self.group, target, PROXIES)
         conversation = _Conversation(session)
         place = _write_point(target.applied_end)
-        writer.write(f'READY I {place}\r\n'.encode())
+        ready = self.lines.get('START', f'READY I {place}')
+        writer.write(f'{ready}\r\n'.encode())
         try:
             while line := (await reader.readline()).decode().rstrip('\r\n'):
                 _, name, text = line.split(' ', 2)
                 reply = await conversation.run(StatementId(name), text)
-                writer.write(_write_reply(reply))
+                written = _write_reply(reply)
+                instead = self.lines.get(text.partition(' ')[0])
+                if instead is not None:
+                    written = f'{instead}\r\nREADY I -\r\n'.encode()
+                writer.write(written)
                 await writer.drain()
         finally:
             await session.close()
