Refuse entries whose id or address can't be used

What was possible: the id of a database's entry is the rest of its key, which another client of the store chooses, and it is sent to a target as one word of START. An id with a line end would begin another message there; one with a blank shifts the fields. An entry of a proxy with a port over 65535 would raise OverflowError in the task of its link, and end the process.

No run of processes showed the end of a process or a message sent so.

Change: an id is one printable word, a proxy's entry has a name, a port from 1 to 65535 and a capacity above 0. Others are unreadable like the rest.

--- a/src/sedgeshunt/platform/documents.py
+++ b/src/sedgeshunt/platform/documents.py
@@ -156,7 +156,7 @@
             labels[STATE_LABEL] = LEAVING
         return KnownTarget(
             Target(
-                TargetId(pair.key.removeprefix(TARGETS_PREFIX)),
+                _parse_id(pair.key),
                 GroupId(read.service),
                 host,
                 port,
@@ -176,6 +176,15 @@
         raise DocumentUnreadable(key, failure.reason) from failure
 
 
+def _parse_id(key: str) -> TargetId:
+    # The id is sent to the target as one word of a line. A line end in it would
+    # begin another message.
+    name = key.removeprefix(TARGETS_PREFIX)
+    if not name.isprintable() or name.split() != [name]:
+        raise DocumentUnreadable(ascii(key), 'the id is not one word')
+    return TargetId(name)
+
+
 def _parse_address(key: str, address: str) -> tuple[str, int]:
     # Other writers' entries aren't validated. A host name would cause a DNS
     # lookup, and a port out of range would end the connecting task.
--- a/src/sedgeshunt/registry/entries.py
+++ b/src/sedgeshunt/registry/entries.py
@@ -1,8 +1,8 @@
 """Define the entries that proxies write into the store."""
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 from msgspec.json import encode
 
 from sedgeshunt.decoding import decode_document
@@ -20,19 +20,20 @@
 )
 from sedgeshunt.ports import FIRST_ERA, Address
 
+MAX_PORT = 65535
 Entry = TypeVar('Entry', bound=Struct)
 
 
 class InstanceEntry(Struct, frozen=True):
     """Hold how an instance is reached."""
 
-    name: ProxyId
+    name: Annotated[ProxyId, Meta(min_length=1)]
     incarnation: Incarnation
     zone: ZoneId
     host: str
-    port: int
+    port: Annotated[int, Meta(ge=1, le=MAX_PORT)]
     # Relative speed, from the settings: larger instances own more groups.
-    capacity: float = 1
+    capacity: Annotated[float, Meta(gt=0)] = 1
 
     @property
     def address(self) -> Address:
--- a/tests/features/entries.feature
+++ b/tests/features/entries.feature
@@ -34,6 +34,27 @@
     Given entries of any depth and length
     Then none of them is read as an entry of a proxy
 
+  Scenario: The id of an entry is one word on the wire
+    Guards against a key of another client that ends the line in which the id is
+    sent to a target, and begins a statement that no caller sent.
+    Given entries with an id of any text
+    Then each one is refused or its id is one word of a line
+
+  Scenario Outline: An entry of a proxy has a usable address and capacity
+    Guards against a link to an address that raises another error than a refusal,
+    which ends the process.
+    Given an entry of a proxy with <content>
+    Then it is no entry of a proxy
+
+    Examples:
+      | content                |
+      | {"port": 0}            |
+      | {"port": 70000}        |
+      | {"port": -1}           |
+      | {"capacity": 0}        |
+      | {"capacity": -1}       |
+      | {"name": ""}           |
+
   Scenario: A document with any customers is read completely or refused
     A document of the operator may have any content. If it is accepted, each
     customer has a name and a limit above 0, and each key belongs to one customer.
--- a/tests/features/platform_process.feature
+++ b/tests/features/platform_process.feature
@@ -57,6 +57,7 @@
       | maps   | 100000 nested maps          |
       | number | a number of 5000 digits    |
       | name   | an address of 900000 bytes |
+      | a b    | a usable address           |
     And "west-1" is killed and started again
     Then a caller of "kigali" at "east-1" is served within 300 ms
     And a caller of "kigali" at "west-1" is served within 300 ms
--- a/tests/features/steps/entries_steps.py
+++ b/tests/features/steps/entries_steps.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from contextlib import suppress
 from ipaddress import ip_address
-from json import dumps
+from json import dumps, loads
 from math import inf
 from typing import Any
 
@@ -24,7 +24,7 @@
     TARGETS_PREFIX,
     StoreDocuments,
 )
-from sedgeshunt.platform.lines import MessageMalformed
+from sedgeshunt.platform.lines import MessageMalformed, make_line
 from sedgeshunt.metrics import NoMetrics
 from sedgeshunt.ports import KeyValue
 from sedgeshunt.registry.configuration import LiveConfiguration
@@ -35,6 +35,7 @@
 from tests.standins.foreign import make_nested
 
 GROUP = 'songbook'
+SOME = Revision(1)
 FOREIGN = f'{TARGETS_PREFIX}foreign'
 LARGEST_PORT = 65535
 DECLARED = {
@@ -176,6 +177,51 @@
     check()
 
 
+@given('entries with an id of any text')
+def draw_ids(context: Any) -> None:
+    context.ids = st.text(max_size=40) | st.sampled_from(
+        ['', 'a b', 'a\r\nQUERY - RESET', 'a\n', '\u2028'],
+    )
+
+
+@then('each one is refused or its id is one word of a line')
+def check_ids(context: Any) -> None:
+    document = dumps({'service': GROUP, 'address': '10.0.0.1:80', 'zone': 'a'})
+
+    @settings(max_examples=300, deadline=None, database=None)
+    @draw(context.ids)
+    def check(name: str) -> None:
+        pair = KeyValue(f'{TARGETS_PREFIX}{name}', document.encode(), SOME)
+        try:
+            known = StoreDocuments().read_target(pair)
+        except SedgeshuntError as refusal:
+            assert len(refusal.format_message().splitlines()) == 1
+            return
+        words = make_line('START', GROUP, known.target.name).decode().split()
+        assert words == ['START', GROUP, name]
+
+    check()
+
+
+@given('an entry of a proxy with {content}')
+def make_proxy_entry(context: Any, content: str) -> None:
+    fields = {
+        'name': 'east-9',
+        'incarnation': 'x',
+        'zone': 'east',
+        'host': '127.0.0.1',
+        'port': 9,
+        'capacity': 1.0,
+    }
+    context.document = dumps(fields | loads(content)).encode()
+
+
+@then('it is no entry of a proxy')
+def check_proxy_entry(context: Any) -> None:
+    with suppress(Undecodable):
+        raise AssertionError(read_entry(context.document, InstanceEntry))
+
+
 @given('a database "{name}" and a foreign entry beside it')
 def write_entries(context: Any, name: str) -> None:
     write_beside(context, name, StoreDocuments())
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -56,6 +56,9 @@
     '200000 nested lists': make_nested('x', '[', ']', 200000, is_whole=True),
     '100000 nested maps': make_nested('x', '{"x":', '}', 100000, is_whole=True),
     'a number of 5000 digits': f'{{"born": {"9" * 5000}}}'.encode(),
+    'a usable address': dumps(
+        {'service': 'songbook', 'zone': 'east', 'address': '127.0.0.1:9'},
+    ).encode(),
     'an address of 900000 bytes': dumps(
         {'service': 'songbook', 'zone': 'east', 'address': '9' * 900000},
     ).encode(),
