Report a settings file that is nested too deeply as no TOML

Operators would have seen a proxy end when its settings file was replaced by such a document and it got SIGHUP, or within 2 s without a signal.

Cause: the parser reports too deep a nesting with RecursionError, as the decoder of entries does; the reader listed two other exceptions. Files of objects had the same gap.

Evidence: "A settings file that is nested too deeply changes nothing" failed before this change (no line within 10 s, the process was gone).

--- a/src/sedgeshunt/configuration/documents.py
+++ b/src/sedgeshunt/configuration/documents.py
@@ -5,7 +5,7 @@
 from itertools import chain, repeat
 from re import MULTILINE
 from re import compile as compile_pattern
-from tomllib import TOMLDecodeError, loads
+from tomllib import loads
 from typing import Any
 
 from msgspec import NODEFAULT, convert, to_builtins
@@ -16,6 +16,7 @@
 from sedgeshunt.configuration.fields import list_field_problems
 from sedgeshunt.configuration.keys import OBJECT_TYPES, ObjectKey
 from sedgeshunt.configuration.objects import ConfigurationObject, ObjectKind
+from sedgeshunt.decoding import MALFORMED
 from sedgeshunt.identifiers import Revision
 
 _REVISION = 'revision'
@@ -80,7 +81,7 @@
     def read_file(self, file: OperatorFile) -> None:
         try:
             document = loads(file.text)
-        except TOMLDecodeError as failure:
+        except MALFORMED as failure:
             self.problems.append(f'{file.source}: invalid TOML: {failure}')
             return
         for name, content in document.items():
--- a/src/sedgeshunt/settings_check.py
+++ b/src/sedgeshunt/settings_check.py
@@ -3,12 +3,13 @@
 from collections.abc import Callable, Iterator, Mapping
 from enum import Enum
 from pathlib import Path
-from tomllib import TOMLDecodeError, loads
+from tomllib import loads
 from typing import Any, get_args
 
 from msgspec import NODEFAULT, Meta, Struct, ValidationError, convert
 from msgspec.structs import FieldInfo, fields
 
+from sedgeshunt.decoding import MALFORMED
 from sedgeshunt.exceptions import SettingsInvalid
 
 DecodeHook = Callable[[type[Any], Any], Any]
@@ -21,7 +22,7 @@
     except OSError as failure:
         problem = f'{failure.strerror}; give the path of a readable file'
         raise SettingsInvalid(str(path), [problem]) from failure
-    except (TOMLDecodeError, UnicodeDecodeError) as failure:
+    except MALFORMED as failure:
         problem = f'not TOML: {failure}; mend the line it names'
         raise SettingsInvalid(str(path), [problem]) from failure
 
--- a/tests/features/platform_process.feature
+++ b/tests/features/platform_process.feature
@@ -114,6 +114,13 @@
     Then its log line "settings-reloaded" names "store is missing"
     And a caller of "kigali" at "east-1" is served within 300 ms
 
+  Scenario: A settings file that is nested too deeply changes nothing
+    Guards against an error in reading the changed file that ends the proxy.
+    Given processes "east-1"
+    When the settings of "east-1" become 4000 nested lists and it gets SIGHUP
+    Then its log line "settings-reloaded" names "not TOML"
+    And a caller of "kigali" at "east-1" is served within 300 ms
+
   Scenario: The store moves to another address
     Given processes "east-1"
     When the store of "east-1" moves to a second address without a signal
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -308,6 +308,15 @@
     context.proxy.signal(SIGHUP)
 
 
+@when(
+    'the settings of "{proxy}" become {depth:d} nested lists and it gets SIGHUP'
+)
+def nest_settings(context: Any, proxy: str, depth: int) -> None:
+    context.proxy = context.platform.proxies[proxy]
+    context.proxy.settings.write_text(f'x = {"[" * depth}{"]" * depth}')
+    context.proxy.signal(SIGHUP)
+
+
 @when('the store of "{proxy}" moves to a second address without a signal')
 def move_store(context: Any, proxy: str) -> None:
     context.proxy = context.platform.proxies[proxy]
