Close a connection whose COMMIT was refused

Callers of the MySQL path saw: after a write with a request id whose COMMIT the target refused, the next caller's write on that connection became part of the transaction that was still open. It was acknowledged and never committed.

Cause: WriteRunner returned the refusal and gave the connection back as clean. A target may refuse COMMIT and keep the transaction, as one that has just become read-only does. The transactions of callers close their connection unless COMMIT succeeded; only this path did not.

Evidence: "The primary refuses a commit, without none" failed before this change: acknowledged writes are kept: turn; transactions never interleave: ['song', 'turn']. It passes with it, and its counterpart with the safeguard disabled still shows the fault.

--- a/src/sedgeshunt/requests/writes.py
+++ b/src/sedgeshunt/requests/writes.py
@@ -125,6 +125,8 @@
             )
         committed = await service.run_on(connection, request, 'COMMIT')
         if isinstance(committed, Err):
+            # A target that refuses COMMIT may keep the transaction open.
+            connection.invalidate()
             return committed
         answer = outcome.ok_value
         return Ok(
--- a/tests/features/promises_transactions.feature
+++ b/tests/features/promises_transactions.feature
@@ -18,6 +18,24 @@
       | none              | kept    |
       | closed connection | broken  |
 
+  Scenario Outline: The primary refuses a commit, without <safeguard>
+    Guards against a connection that is used again while the transaction whose
+    COMMIT was refused is still open on it: the next caller's write would become
+    part of that transaction.
+    Given proxies in three zones, with the safeguard "<safeguard>" disabled
+    When caller "ana" connects to "p2"
+    And caller "ben" connects to "p2"
+    And the primary refuses the next commit
+    And caller "ana" asks with id "one" to write "song"
+    And caller "ben" writes "turn"
+    Then caller "ben" gets the outcome "done"
+    And the promise "transactions never interleave" is <verdict>
+
+    Examples:
+      | safeguard         | verdict |
+      | none              | kept    |
+      | closed connection | broken  |
+
   Scenario Outline: The connection breaks during a transaction, without <safeguard>
     The first write is rolled back with the connection. If the transaction
     continued, only the later writes would be committed, although the caller
--- a/tests/features/steps/promise_failures_steps.py
+++ b/tests/features/steps/promise_failures_steps.py
@@ -40,6 +40,11 @@
     context.bench.act(context.bench.find_primary().freeze)
 
 
+@when('the primary refuses the next commit')
+def refuse_commit(context: Any) -> None:
+    context.bench.find_primary().commits_to_refuse = 1
+
+
 @when('database {number:d} is frozen')
 def freeze_one(context: Any, number: int) -> None:
     context.bench.act(context.bench.group[f'{GROUP}-db{number}'].freeze)
--- a/tests/standins/executors.py
+++ b/tests/standins/executors.py
@@ -110,6 +110,10 @@
         self.transaction = None
         if transaction is not None and transaction.is_aborted:
             raise refuse_read_only()
+        if statement.kind is Kind.COMMIT and self._member.commits_to_refuse:
+            self._member.commits_to_refuse -= 1
+            self.transaction = transaction
+            raise TargetRejected(1290, 'HY000', 'running with an option')
         point = None
         if transaction is not None and transaction.statements:
             point = self._commit_writes(transaction)
--- a/tests/standins/members.py
+++ b/tests/standins/members.py
@@ -30,6 +30,8 @@
         self.alive = True
         self.frozen = False
         self.delay = float(0)
+        # Number of COMMITs to refuse; their transactions stay open.
+        self.commits_to_refuse = 0
         self._timer: TimerHandle | None = None
 
     @property
