End a message at CR LF alone

Callers saw: a text with a line feed, such as a note of two lines, was cut there, acknowledged, and what followed was taken for another message.

Cause: read_line read up to a line feed, and dropped any CR and LF before the end. The protocol ends a line with CR LF, and its last field extends to there. The answers of targets are read by the same function, so that a row with a line feed would have been taken for two messages.

Evidence: "A line feed is part of a text" failed before this change: the target ran 'WRITE turn first'.

Change: messages are read up to CR LF, and only that is removed. The limit of the readers is one less, as the buffer is searched for two bytes: a message of 1 MiB and a byte without a line end would otherwise be waited for. The longest message that is taken in stays the same.

--- a/src/sedgeshunt/platform/callers.py
+++ b/src/sedgeshunt/platform/callers.py
@@ -24,7 +24,7 @@
     SessionEnd,
 )
 from sedgeshunt.platform.lines import (
-    MAX_MESSAGE_BYTES,
+    READER_LIMIT,
     MessageMalformed,
     MessageTooLong,
     make_line,
@@ -80,7 +80,7 @@
             self._serve,
             self.address.host,
             self.address.port,
-            limit=MAX_MESSAGE_BYTES,
+            limit=READER_LIMIT,
             backlog=512,
         )
 
--- a/src/sedgeshunt/platform/lines.py
+++ b/src/sedgeshunt/platform/lines.py
@@ -12,6 +12,8 @@
 # Limit of the platform's wire protocol.
 MAX_MESSAGE_BYTES = 1024 * 1024
 LINE_END = b'\r\n'
+# A reader with this limit refuses longer messages, with or without a line end.
+READER_LIMIT = MAX_MESSAGE_BYTES - len(LINE_END) + 1
 FIELD_SEPARATOR = ' '
 # Any number of so many digits fits into 64 bits.
 MAX_DIGITS = 18
@@ -48,13 +50,13 @@
     Raise MessageTooLong or MessageMalformed.
     """
     try:
-        line = await reader.readuntil(b'\n')
+        line = await reader.readuntil(LINE_END)
     except IncompleteReadError:
         return None
     except LimitOverrunError as failure:
         raise MessageTooLong from failure
     try:
-        return line.rstrip(LINE_END).decode()
+        return line.removesuffix(LINE_END).decode()
     except UnicodeDecodeError as failure:
         raise MessageMalformed('the line is no UTF-8 text') from failure
 
--- a/src/sedgeshunt/platform/targets.py
+++ b/src/sedgeshunt/platform/targets.py
@@ -32,7 +32,7 @@
 )
 from sedgeshunt.platform.lines import (
     FIELD_SEPARATOR,
-    MAX_MESSAGE_BYTES,
+    READER_LIMIT,
     MessageMalformed,
     MessageTooLong,
     make_line,
@@ -283,7 +283,7 @@
         reader, writer = await open_connection(
             target.host,
             target.port,
-            limit=MAX_MESSAGE_BYTES,
+            limit=READER_LIMIT,
         )
         watch_silence(writer)
         session = WireTargetSession(target, reader, writer)
--- a/tests/features/platform_bench.py
+++ b/tests/features/platform_bench.py
@@ -183,6 +183,10 @@
         """Return the lines up to READY or the end of the connection."""
         return self._loop.run(self._read())
 
+    def read_until(self, end: bytes) -> bytes:
+        """Return what arrives up to some bytes."""
+        return self._loop.run(self._reader.readuntil(end))
+
     def read_line(self) -> str:
         """Return the next line, empty at the end of the connection."""
         line = self._loop.run(self._reader.readline())
--- a/tests/features/platform_process.feature
+++ b/tests/features/platform_process.feature
@@ -72,6 +72,14 @@
       | BEGIN LATER  | ERROR MALFORMED | I     |
       | WRITE turn 1 | COMPLETE        | I     |
 
+  Scenario: A line feed is part of a text
+    Guards against a text with a line feed that is taken for two messages, so that
+    a statement is run that no caller sent, or a row for the end of an answer.
+    Given processes "east-1, west-1"
+    When a caller at "west-1" writes a text with a line feed and another message
+    Then the targets ran one statement with that text
+    And a caller at "east-1" reads the same text in one row
+
   Scenario: A caller that does not read does not block others
     Its answers fill the socket buffers; then its next statement has to wait.
     Given processes "east-1"
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -445,6 +445,35 @@
     process.wait_until(lambda: caller.ask('READ turn')[0].startswith('ROW'))
 
 
+@when(
+    'a caller at "{proxy}" writes a text with a line feed and another message'
+)
+def write_lines(context: Any, proxy: str) -> None:
+    context.written = (
+        'first\nQUERY q9 WRITE turn second\r\rCOMPLETE -\nREADY I -'
+    )
+    caller = context.platform.call(proxy)
+    _connect(caller, 'kigali')
+    caller.send(f'QUERY q1 WRITE turn {context.written}\r\n'.encode())
+    assert caller.read_until(b'READY I -\r\n').startswith(b'COMPLETE')
+
+
+@then('the targets ran one statement with that text')
+def check_one_run(context: Any) -> None:
+    runs = context.platform.platform.group.runs
+    texts = [(run.statement, run.text) for run in runs]
+    assert texts == [('q1', f'WRITE turn {context.written}')], texts
+
+
+@then('a caller at "{proxy}" reads the same text in one row')
+def check_row(context: Any, proxy: str) -> None:
+    caller = context.platform.call(proxy)
+    _connect(caller, 'kigali')
+    caller.send(b'QUERY q2 READ turn\r\n')
+    answer = caller.read_until(b'\r\nREADY I -\r\n')
+    assert answer.startswith(f'ROW {context.written}\r\n'.encode()), answer
+
+
 @when('the service moves during the call')
 def move_service(context: Any) -> None:
     context.loop.run(_move_during_call(context))
--- a/tests/standins/statement_front.py
+++ b/tests/standins/statement_front.py
@@ -1,6 +1,12 @@
 """Serve the stand-in databases over the callers' wire protocol."""
 
-from asyncio import Server, StreamReader, StreamWriter, start_server
+from asyncio import (
+    IncompleteReadError,
+    Server,
+    StreamReader,
+    StreamWriter,
+    start_server,
+)
 from contextlib import suppress
 from functools import partial
 
@@ -22,6 +28,7 @@
 from tests.standins.statement_sessions import LosingSession
 
 HOST = '127.0.0.1'
+LINE_END = b'\r\n'
 PROXIES = Place('proxies', 'east')
 _PHASES = {
     SessionPhase.IDLE: 'I',
@@ -79,7 +86,7 @@
         reader: StreamReader,
         writer: StreamWriter,
     ) -> None:
-        start = (await reader.readline()).decode().split()
+        start = (await _read_line(reader)).split()
         if len(start) < 4 or start[3] != target.name:
             writer.write(b'ERROR MISROUTED another one\r\n')
             return
@@ -94,7 +101,7 @@
         ready = self.lines.get('START', f'READY I {place}')
         writer.write(f'{ready}\r\n'.encode())
         try:
-            while line := (await reader.readline()).decode().rstrip('\r\n'):
+            while line := await _read_line(reader):
                 _, name, text = line.split(' ', 2)
                 reply = await conversation.run(StatementId(name), text)
                 written = _write_reply(reply)
@@ -184,6 +191,14 @@
     }
 
 
+async def _read_line(reader: StreamReader) -> str:
+    try:
+        line = await reader.readuntil(LINE_END)
+    except IncompleteReadError:
+        return ''
+    return line.removesuffix(LINE_END).decode()
+
+
 def _write_reply(reply: TargetReply) -> bytes:
     lines = [f'ROW {row}' for row in reply.rows]
     if reply.refusal is None:
