Let the process soak refuse setups, garble answers and write foreign entries

The soak knew neither entries of other clients, nor targets that refuse the messages that set up a connection, nor answers that can't be read, and judged no session values.

Change: six more faults, entries drawn by depth, length and types. Callers set session values; each statement must have run with those of its session, and a process that ends by itself counts as a fault.

--- a/tests/features/platform_bench.py
+++ b/tests/features/platform_bench.py
@@ -97,7 +97,7 @@
 
     def write(self, key: str, value: bytes) -> None:
         """Write any bytes to the store, as another client does."""
-        self._loop.run(self._write(key, value))
+        self._loop.run(self.write_entry(key, value))
 
     async def publish_all(self) -> None:
         """Publish the documents of the operator and the databases."""
@@ -106,9 +106,10 @@
             await self._publish(f'servers/{target.name}', _describe(target))
 
     async def _publish(self, key: str, document: object) -> None:
-        await self._write(key, dumps(document).encode())
+        await self.write_entry(key, dumps(document).encode())
 
-    async def _write(self, key: str, value: bytes) -> None:
+    async def write_entry(self, key: str, value: bytes) -> None:
+        """Write any bytes to the store."""
         self.front.service.store.commit((), (Put(key, value),))
 
     async def _start(self) -> None:
--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -7,15 +7,27 @@
 from signal import SIGCONT, SIGHUP, SIGSTOP, SIGTERM
 
 from sedgeshunt.clocks import read_clock
+from sedgeshunt.connections.target_session import RefusalKind
 from tests.features.platform_bench import (
     GRACE_SECONDS,
     PlatformBench,
     ProxyUnderTest,
 )
-from tests.standins.statement_group import WORK
+from tests.standins.foreign import draw_entry
+from tests.standins.statement_group import (
+    WORK,
+    SetupMessage,
+    SetupRefusals,
+)
 
 # A process that ended may be noticed this much later.
 CHECK_DELAY = 0.3
+REFUSALS = (
+    RefusalKind.BUSY,
+    RefusalKind.BEHIND,
+    RefusalKind.FAILED,
+    RefusalKind.TIMED_OUT,
+)
 NAMES = ('east-1', 'north-1', 'west-1')
 
 
@@ -30,6 +42,8 @@
     killed_at: dict[str, float] = field(default_factory=dict)
     # Stops that took longer than the grace.
     overdue: list[str] = field(default_factory=list)
+    # Processes that ended by themselves.
+    ended: list[str] = field(default_factory=list)
 
 
 Fault = Callable[[Scene], Awaitable[None]]
@@ -141,7 +155,60 @@
     primary.is_down = False
 
 
+async def write_entries(scene: Scene) -> None:
+    """Have another client write entries beside those of the databases."""
+    platform = scene.bench.platform
+    for number in range(scene.random.randrange(1, 5)):
+        key = f'servers/foreign-{number}'
+        await platform.write_entry(key, draw_entry(scene.random))
+        await sleep(scene.random.uniform(0, 0.3))
+
+
+async def refuse_setup(scene: Scene) -> None:
+    """Have a database refuse part of the messages that set up connections."""
+    target = scene.random.choice(list(scene.bench.platform.group.targets))
+    grey = scene.bench.platform.group.targets[target]
+    grey.setup_refusals = SetupRefusals(
+        frozenset(SetupMessage),
+        REFUSALS,
+        scene.random.uniform(0.1, 0.6),
+        Random(scene.random.random()),
+    )
+    await sleep(scene.random.uniform(0.5, 3))
+    grey.setup_refusals = None
+
+
+async def garble_statuses(scene: Scene) -> None:
+    """Have all databases answer STATUS with a row that can't be read."""
+    lines = scene.bench.platform.databases.lines
+    lines['STATUS'] = scene.random.choice(('ROW', 'ROW primary x', 'ROWS 1'))
+    await sleep(scene.random.uniform(0.1, 1))
+    lines.pop('STATUS', None)
+
+
+async def garble_store(scene: Scene) -> None:
+    """Have the store answer with documents that can't be read."""
+    front = scene.bench.platform.front
+    front.body = scene.random.choice(('', '[]', '{}', '[' * 5000))
+    await sleep(scene.random.uniform(0.1, 2))
+    front.body = None
+
+
+async def end_connections(scene: Scene) -> None:
+    """Have the store end each connection after one answer."""
+    front = scene.bench.platform.front
+    front.ends_connections = True
+    await sleep(scene.random.uniform(0.5, 4))
+    front.ends_connections = False
+
+
 FAULTS: tuple[Fault, ...] = (
+    write_entries,
+    refuse_setup,
+    refuse_setup,
+    garble_statuses,
+    garble_store,
+    end_connections,
     pause_proxy,
     kill_proxy,
     stop_proxy,
@@ -164,4 +231,7 @@
         return None
     name = scene.random.choice(idle)
     scene.busy.add(name)
-    return scene.bench.proxies[name]
+    proxy = scene.bench.proxies[name]
+    if not proxy.is_running():
+        scene.ended.append(name)
+    return proxy
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -26,6 +26,8 @@
 RECOVERY = 12.0
 STATEMENTS = 12
 PAUSE = 0.02
+# Share of statements before which a caller sets a session value.
+SET_SHARE = 0.3
 # Share of statements before which a caller reads what the proxy has sent.
 READ_SHARE = 0.5
 CURRENT, OWN_WRITES = 'kigali', 'catalogue'
@@ -42,6 +44,8 @@
     acknowledged: str = ''
     # Values whose writes are in doubt, and may take effect at any time.
     in_doubt: set[str] = field(default_factory=set)
+    # Values that the present session has set.
+    values: dict[str, str] = field(default_factory=dict)
 
     def may_be(self, found: str) -> bool:
         """Tell whether a read may find a value."""
@@ -60,6 +64,8 @@
     outcomes: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
     promised: set[str] = field(default_factory=set)
+    # The session values that each statement must run with.
+    values: dict[str, dict[str, str]] = field(default_factory=dict)
     until: float = 0
     ids: 'count[int]' = field(default_factory=lambda: count(1))
 
@@ -110,13 +116,23 @@
             session.close()
 
     async def _use_open(self, session: Session, notes: Notes) -> None:
+        notes.values = {}
         for _ in range(STATEMENTS):
+            if self.random.random() < SET_SHARE:
+                await self._set_value(session, notes)
             await self._write(session, notes)
             await self._read(session, notes)
             await sleep(PAUSE)
 
+    async def _set_value(self, session: Session, notes: Notes) -> None:
+        name = self.random.choice(('lang', 'zone'))
+        text = f'{notes.item}{next(self.ids)}'
+        if await self._ask(session, text, f'SET {name} {text}') == 'COMPLETE':
+            notes.values = {**notes.values, name: text}
+
     async def _write(self, session: Session, notes: Notes) -> None:
         name = f'{self.seed}w{next(self.ids)}'
+        self.values[name] = notes.values
         notes.in_doubt.add(name)
         word = await self._ask(session, name, f'WRITE {notes.item} {name}')
         if word == 'COMPLETE':
@@ -128,6 +144,7 @@
 
     async def _read(self, session: Session, notes: Notes) -> None:
         name = f'{self.seed}r{next(self.ids)}'
+        self.values[name] = notes.values
         word = await self._ask(session, name, f'READ {notes.item}')
         if word == 'COMPLETE' and not notes.may_be(session.row):
             self.violations.append(
@@ -157,6 +174,7 @@
 
     async def _is_well(self, notes: Notes) -> bool:
         session = Session(self.bench.proxies[NAMES[0]].ports['callers'])
+        notes.values = {}
         try:
             await wait_for(session.open(CURRENT), PATIENCE)
             await self._read(session, notes)
@@ -172,7 +190,20 @@
         self.violations += [
             f'{name} outlasted its grace' for name in self.scene.overdue
         ]
+        self.violations += [
+            f'{name} ended by itself' for name in self.scene.ended
+        ]
+        self.violations += [
+            f'{name} is not running'
+            for name, proxy in self.bench.proxies.items()
+            if not proxy.is_running()
+        ]
         group = self.bench.platform.group
+        self.violations += [
+            f'{run.statement} ran with {run.values}, not with {values}'
+            for run in group.runs
+            if (values := self.values.get(run.statement, {})) != run.values
+        ]
         runs = Counter(
             run.statement for run in group.runs if run.text.startswith('WRITE')
         )
