--- a/src/sedgeshunt/registry/configuration.py
+++ b/src/sedgeshunt/registry/configuration.py
@@ -173,6 +173,9 @@
                 Decision(DecisionKind.CONFIGURATION_REFUSED, reasons=reasons),
             )
             return
+        except Exception as failure:
+            self._unreadable.report(pair, failure)
+            return
         # Compared by the operator's version, as a restore of the store resets
         # revisions.
         if declared.version <= self.version:
--- a/tests/features/entries.feature
+++ b/tests/features/entries.feature
@@ -23,6 +23,15 @@
     Then "db-1" is the only target
     And 2 errors with a trace were recorded and counted
 
+  Scenario: An error while the configuration is read leaves the one in force
+    Guards against an unforeseen error in reading a document of the operator that
+    ends the process.
+    Given a database "db-1" and an entry whose reader fails
+    When the entries are listed 1 times
+    And a configuration is written whose reader fails
+    Then version 1 of the configuration is in force
+    And 2 errors with a trace were recorded and counted
+
   Scenario: A nested entry is refused like any other that is invalid
     Guards against a decoder that fails with an error that its caller does not
     expect, which ended every proxy.
