Show what the proxies logged when a check of processes fails

A scenario that failed and a soak that broke a promise said what the caller saw, and the logs were gone with the folder. Both give the lines now.

--- a/tests/features/platform_bench.py
+++ b/tests/features/platform_bench.py
@@ -346,6 +346,13 @@
         self.loop.close()
         self._folder.cleanup()
 
+    def read_logs(self) -> dict[str, str]:
+        """Return what each proxy has logged."""
+        return {
+            name: proxy.output.read_text()
+            for name, proxy in self.proxies.items()
+        }
+
     def wait(self, seconds: float) -> None:
         """Run the event loop for some seconds."""
         self.loop.run(sleep(seconds))
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -161,8 +161,9 @@
     _connect(caller, database)
     for row in context.table:
         lines = caller.ask(row['text'])
-        assert lines[0].startswith(row[ANSWER]), (row['text'], lines)
-        assert lines[-1].startswith(f'READY {row[STATE]}'), (row['text'], lines)
+        seen = (row['text'], lines, context.platform.read_logs())
+        assert lines[0].startswith(row[ANSWER]), seen
+        assert lines[-1].startswith(f'READY {row[STATE]}'), seen
 
 
 @then('the wire response starts with "{line}"')
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -26,6 +26,9 @@
 RECOVERY = 12.0
 STATEMENTS = 12
 PAUSE = 0.02
+# Of a proxy's log, if a promise was broken.
+MAX_LINES = 12
+MAX_LINE = 300
 # Share of statements before which a caller sets a session value.
 SET_SHARE = 0.3
 # Share of statements before which a caller reads what the proxy has sent.
@@ -66,6 +69,8 @@
     promised: set[str] = field(default_factory=set)
     # The session values that each statement must run with.
     values: dict[str, dict[str, str]] = field(default_factory=dict)
+    # What the proxies logged of interest, if a promise was broken.
+    warnings: list[str] = field(default_factory=list)
     until: float = 0
     ids: 'count[int]' = field(default_factory=lambda: count(1))
 
@@ -84,6 +89,12 @@
         )
         await self._check_recovery(notes)
         self._check_runs()
+        if self.violations:
+            self.warnings = [
+                f'{name}: {line[:MAX_LINE]}'
+                for name, log in self.bench.read_logs().items()
+                for line in _list_warnings(log)
+            ]
 
     async def _break_things(self) -> None:
         while read_clock() < self.until:
@@ -217,6 +228,14 @@
             self.violations.append(f'tokens of orders go down: {tokens}')
 
 
+def _list_warnings(log: str) -> list[str]:
+    """List the latest lines that tell of a cut, a fault or a stop."""
+    marks = ('-cut"', 'failed"', 'proxy-st', 'Error')
+    lines = log.splitlines()
+    found = [line for line in lines if any(mark in line for mark in marks)]
+    return found[-MAX_LINES:]
+
+
 def run_seed(seed: int, seconds: float) -> Soak:
     """Run one seed on stand-ins and processes of its own."""
     bench = PlatformBench()
@@ -257,6 +276,8 @@
         )
         for violation in soak.violations[:10]:
             print(f'  {violation}')
+        for line in soak.warnings:
+            print(f'  {line}')
     print(f'{given.seeds} seeds, {failed} failed')
     leave(1 if failed else 0)
 
