Keep the message of an unforeseen error out of the log

The message of an error that is not one of ours may quote the document, and the operator's document has the keys of customers. `entry-failed` has the type of the error and its trace of code lines.

--- a/src/sedgeshunt/registry/unreadable.py
+++ b/src/sedgeshunt/registry/unreadable.py
@@ -1,7 +1,7 @@
 """Report entries of the store that can't be read."""
 
 from collections.abc import Collection
-from traceback import format_exception
+from traceback import format_tb
 
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
 from sedgeshunt.exceptions import SedgeshuntError
@@ -30,11 +30,15 @@
         if self._reported.get(pair.key) == pair.revision:
             return
         self._reported[pair.key] = pair.revision
-        reasons = {'key': pair.key[:MAX_KEY], 'why': str(failure)[:MAX_TRACE]}
-        kind = DecisionKind.CONFIGURATION_REFUSED
-        if not isinstance(failure, SedgeshuntError):
+        reasons = {'key': pair.key[:MAX_KEY]}
+        if isinstance(failure, SedgeshuntError):
+            kind = DecisionKind.CONFIGURATION_REFUSED
+            reasons['why'] = str(failure)
+        else:
             kind = DecisionKind.ENTRY_FAILED
-            trace = ''.join(format_exception(failure))
+            # The message of such an error may quote the key of a customer.
+            reasons['why'] = type(failure).__name__
+            trace = ''.join(format_tb(failure.__traceback__))
             reasons['trace'] = trace[-MAX_TRACE:]
         self._decisions.record(Decision(kind, reasons=reasons))
 
