Take a host name that can't be resolved for an unreachable proxy

What was possible: an entry of a proxy that another client writes, with a host name such as "a..b" or with a label of 64 letters, ends every proxy that connects to it.

Cause: the name is encoded for DNS before it is looked up, which raises UnicodeError, a ValueError. The connector expected OSError and TimeoutError; the error passed the task of the link and the task group of the process.

Evidence: "A proxy's entry with an address that can't be resolved" failed before this change for both names: the process was gone, with UnicodeError in its log.

--- a/src/sedgeshunt/adapters/forwarding.py
+++ b/src/sedgeshunt/adapters/forwarding.py
@@ -79,7 +79,8 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError) as failure:
+        except (OSError, TimeoutError, ValueError) as failure:
+            # ValueError: a host name that has no form for DNS.
             peer = f'{address.host}:{address.port}'
             reason = str(failure) or f'no answer in {limit} s'
             raise PeerUnreachable(peer, reason) from failure
--- a/tests/features/platform_process.feature
+++ b/tests/features/platform_process.feature
@@ -72,6 +72,18 @@
       | BEGIN LATER  | ERROR MALFORMED | I     |
       | WRITE turn 1 | COMPLETE        | I     |
 
+  Scenario Outline: A proxy's entry with an address that can't be resolved
+    Guards against an error in connecting to a listed proxy that ends the process.
+    Given processes "east-1"
+    When another client lists a proxy at host "<host>"
+    Then processes "east-1" are running
+    And a caller of "kigali" at "east-1" is served within 300 ms
+
+    Examples:
+      | host                                                             |
+      | xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx |
+      | a..b                                                             |
+
   Scenario: A line feed is part of a text
     Guards against a text with a line feed that is taken for two messages, so that
     a statement is run that no caller sent, or a row for the end of an answer.
--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -26,8 +26,11 @@
 from behave import given, then, when
 
 from sedgeshunt.adapters.json_client import JsonClient, JsonReply
+from sedgeshunt.identifiers import Incarnation, ProxyId, ZoneId
 from sedgeshunt.platform.lines import MAX_MESSAGE_BYTES
 from sedgeshunt.ports import Address
+from sedgeshunt.registry.entries import InstanceEntry, encode_entry
+from sedgeshunt.registry.keys import make_instance_key
 from tests.features.driver_bench import LoopThread
 from tests.features.platform_bench import (
     Caller,
@@ -252,6 +255,15 @@
         context.platform.platform.write(key, ENTRIES[row['content']])
 
 
+@when('another client lists a proxy at host "{host}"')
+def list_proxy(context: Any, host: str) -> None:
+    name = ProxyId('east-9')
+    entry = InstanceEntry(name, Incarnation('x'), ZoneId('east'), host, 9)
+    key = make_instance_key(name)
+    context.platform.platform.write(key, encode_entry(entry))
+    context.platform.wait(2)
+
+
 @when('"{proxy}" is killed and started again')
 def start_again(context: Any, proxy: str) -> None:
     process: ProxyUnderTest = context.platform.proxies[proxy]
