Show five ways in which an ownership outlives its evidence

Callers of a group with two owners get acknowledgements from a superseded primary.

- GroupOwnership reads the lease's id after the claim's answer; the key may be bound to an earlier lease, which ends by itself.
- StoreView.record puts a written key back though the watch has shown its deletion, so that the owner never writes it again.
- After a 404 to a renewal, and after the release of the lease at a stop, the ownership goes on until the lease's time would have been over.
- A statement is sent after its wait for a slot without a second look at the ownership: it runs at a primary that another proxy may have replaced, and the outcome of a write is unknown where it could have been refused as not run.

No logic is changed.

--- /dev/null
+++ b/tests/features/ownership_evidence.feature
@@ -0,0 +1,40 @@
+Feature: An ownership lasts no longer than what proves it
+  An owner holds its group by the lease to which its key is bound. It may not
+  count on a lease that has ended, nor on one that another key is bound to.
+
+  Scenario: The lease is replaced before the claim is answered
+    Guards against an ownership held by a lease that its key is not bound to.
+    Given a proxy "east-1" whose claims are answered 0.6 s late
+    When its lease ends after the claim has been committed
+    And 0.7 s go by
+    Then it owns the group only if the owner's key is in the store
+
+  Scenario: The deletion of a key is seen before the answer to its write
+    Guards against a key in the view that the store no longer holds.
+    Given a proxy "east-1" whose claims are answered 0.6 s late
+    When its lease ends after the claim has been committed
+    And 0.7 s go by
+    Then its view holds the owner's key only if the store does
+
+  Scenario: The store answers that the lease has ended
+    Guards against an ownership that goes on after its lease was reported ended.
+    Given an ownership that a lease proves
+    When the lease ends in the store
+    And the proxy learns of it
+    Then the ownership is not valid
+
+  Scenario: A stopping proxy releases its lease
+    Guards against an ownership that goes on after its own lease was revoked.
+    Given an ownership that a lease proves
+    When the proxy releases its lease
+    Then the ownership is not valid
+
+  Scenario: The ownership ends while a statement waits for a slot
+    Guards against a statement sent to a primary by a proxy that lost the group.
+    Given proxies "east-1"
+    And all slots of the primary are busy for 0.3 s
+    When a write waits for a slot
+    And the ownership ends
+    And 1 s goes by
+    Then the write is refused as not run
+    And no target has run the write
