Bind an ownership to the lease of its key

Callers can be served by two owners if one holds its group by a lease that its key isn't bound to. GroupOwnership read the lease's id once the claim had been answered, and again at each renewal of the claim. If the lease ended meanwhile, the id was that of the next lease: the key ended with the first one, the ownership went on for as long as the second was renewed.

GroupRecords.claim now returns the lease under which it wrote the key, and the ownership is bound to that.

--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -22,6 +22,7 @@
 )
 from sedgeshunt.ownership.group_ownership import (
     MAX_EXTENSION,
+    ClaimedKey,
     GroupOwnership,
 )
 from sedgeshunt.ownership.lease import InstanceLease
@@ -138,9 +139,9 @@
     async def wait_ownership(self) -> GroupOwnership:
         """Wait until this instance owns the group."""
         while True:
-            token = await self._try_claim()
-            if token is not None:
-                return self._start_ownership(token)
+            key = await self._try_claim()
+            if key is not None:
+                return self._start_ownership(key)
             await self._wait_change(self._find_check_interval())
 
     async def hold(self, ownership: GroupOwnership) -> None:
@@ -223,16 +224,18 @@
         if self._context.lease.id is None:
             return
         with suppress(PlatformUnavailable, AnswerLost, LeaseLapsed):
-            token = await records.claim(
+            key = await records.claim(
                 self.group,
                 ownership.candidates,
                 is_continued=True,
             )
-            if token is not None and ownership.is_held():
-                ownership.renew(token, self._find_claim_number())
-                self._record_decision(DecisionKind.GROUP_CLAIMED_AGAIN, token)
+            if key is not None and ownership.is_held():
+                ownership.renew(key, self._find_claim_number())
+                self._record_decision(
+                    DecisionKind.GROUP_CLAIMED_AGAIN, key.token
+                )
 
-    async def _try_claim(self) -> OwnerToken | None:
+    async def _try_claim(self) -> ClaimedKey | None:
         context = self._context
         records = context.records
         owner = records.find_owner(self.group)
@@ -355,7 +358,7 @@
     async def _claim(
         self,
         candidates: Sequence[ProxyId],
-    ) -> OwnerToken | None:
+    ) -> ClaimedKey | None:
         if not self._context.lease.is_short():
             # The failure of an owner must show quickly.
             self._context.lease.shorten()
@@ -372,12 +375,12 @@
             await sleep(RANK_DELAY)
         return None
 
-    def _start_ownership(self, token: OwnerToken) -> GroupOwnership:
+    def _start_ownership(self, key: ClaimedKey) -> GroupOwnership:
         context = self._context
         ownership = GroupOwnership(
             self.group,
             context.records.owner,
-            token,
+            key,
             context.lease,
             context.received,
             self.changed.set,
@@ -387,7 +390,7 @@
         self._owner_absent_since = None
         self._eligible_since = None
         self._resume_promises()
-        self._record_decision(DecisionKind.GROUP_CLAIMED, token)
+        self._record_decision(DecisionKind.GROUP_CLAIMED, key.token)
         return ownership
 
     async def _keep_candidates(self, ownership: GroupOwnership) -> None:
--- a/src/sedgeshunt/ownership/group_ownership.py
+++ b/src/sedgeshunt/ownership/group_ownership.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from msgspec import Struct
+
 from sedgeshunt.clocks import read_boottime
 from sedgeshunt.identifiers import (
     Boottime,
@@ -19,6 +21,13 @@
 MAX_EXTENSION = Seconds(30)
 
 
+class ClaimedKey(Struct, frozen=True):
+    """Hold the token of a written owner key and the lease it is bound to."""
+
+    token: OwnerToken
+    lease: int
+
+
 class GroupOwnership:
     """Hold one period of ownership, from a claim to its end."""
 
@@ -31,22 +40,22 @@
         self,
         group: GroupId,
         owner: ProxyId,
-        token: OwnerToken,
+        key: ClaimedKey,
         lease: InstanceLease,
         promises: PromisesReceived,
         on_handover: Callable[[], object],
     ) -> None:
-        """Start under `lease`; call `on_handover` to request a handover."""
+        """Start with `key`; call `on_handover` to request a handover."""
         self.group = group
         self.owner = owner
-        self.token = token
+        self.token = key.token
         # The number of its latest claim in the record of the group.
         self.claim = 0
         self.is_over = False
         # Set once the group is to be handed over to another instance.
         self.next_owner: ProxyId | None = None
         self._lease = lease
-        self._lease_id = lease.id or 0
+        self._lease_id = key.lease
         self._promises = promises
         self._on_handover = on_handover
         # Instances that may claim, by the record in the store and by pending
@@ -76,11 +85,11 @@
         """End the ownership for good."""
         self.is_over = True
 
-    def renew(self, token: OwnerToken, claim: int) -> None:
+    def renew(self, key: ClaimedKey, claim: int) -> None:
         """Continue under a new claim that was made before this one ended."""
-        self.token = token
+        self.token = key.token
         self.claim = claim
-        self._lease_id = self._lease.id or 0
+        self._lease_id = key.lease
 
     def _extend(self, now: Boottime) -> None:
         lease_end = self._lease.find_expiry(self._lease_id)
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -23,7 +23,7 @@
     TargetLife,
     Term,
 )
-from sedgeshunt.ownership.group_ownership import GroupOwnership
+from sedgeshunt.ownership.group_ownership import ClaimedKey, GroupOwnership
 from sedgeshunt.ownership.lease import InstanceLease
 from sedgeshunt.ports import (
     CommitResult,
@@ -179,11 +179,11 @@
         candidates: Collection[ProxyId],
         *,
         is_continued: bool = False,
-    ) -> OwnerToken | None:
+    ) -> ClaimedKey | None:
         """Claim the group unless its state in the store has changed.
 
-        `is_continued` marks a claim by the current owner. Return the token,
-        None if the claim failed; raise PlatformUnavailable, AnswerLost or
+        `is_continued` marks a claim by the current owner. Return the written
+        key, None if the claim failed; raise PlatformUnavailable, AnswerLost or
         LeaseLapsed.
         """
         seen = self._read_group(group)
@@ -199,7 +199,7 @@
         self,
         seen: _GroupSnapshot,
         record: bytes,
-    ) -> OwnerToken | None:
+    ) -> ClaimedKey | None:
         lease = self._lease.id
         if lease is None:
             raise LeaseLapsed
@@ -213,7 +213,7 @@
             return None
         self._record_write(seen.owner_key, owner, committed.revision)
         self._record_write(seen.record_key, record, committed.revision)
-        return OwnerToken(committed.revision)
+        return ClaimedKey(OwnerToken(committed.revision), lease)
 
     def _confirm_primary(self, claimed: GroupRecord) -> GroupRecord:
         """Mark the primary of a record as confirmed in the current era."""
--- a/tests/features/steps/ownership_evidence_steps.py
+++ b/tests/features/steps/ownership_evidence_steps.py
@@ -7,7 +7,7 @@
 
 from sedgeshunt.decisions import DecisionKind
 from sedgeshunt.identifiers import OwnerToken, ProxyId, Seconds
-from sedgeshunt.ownership.group_ownership import GroupOwnership
+from sedgeshunt.ownership.group_ownership import ClaimedKey, GroupOwnership
 from sedgeshunt.ownership.promises import PromisesReceived
 from sedgeshunt.ports import Put
 from sedgeshunt.registry.keys import make_owner_key
@@ -84,11 +84,12 @@
 def prove_ownership(context: Any) -> None:
     bench = open_bench(context)
     bench.start(NAME)
+    lease = bench.nodes[NAME].service.find_lease()
     context.ownership = GroupOwnership(
         GROUP,
         ProxyId(NAME),
-        OwnerToken(1),
-        bench.nodes[NAME].service.find_lease(),
+        ClaimedKey(OwnerToken(1), lease.id or 0),
+        lease,
         PromisesReceived(),
         bool,
     )
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -14,7 +14,7 @@
     ProxyId,
     Seconds,
 )
-from sedgeshunt.ownership.group_ownership import GroupOwnership
+from sedgeshunt.ownership.group_ownership import ClaimedKey, GroupOwnership
 from sedgeshunt.ownership.promises import (
     PROMISE_TIME,
     PromisesMade,
@@ -347,7 +347,7 @@
     context.ownership = GroupOwnership(
         GROUP,
         ProxyId('east-1'),
-        OwnerToken(1),
+        ClaimedKey(OwnerToken(1), lease.id or 0),
         lease,
         context.received,
         bool,
