Don't put a deleted item back into the view of the store

An owner can believe in a key that the store has deleted, so that it never writes it again while another proxy claims the group. StoreView.record put the item of an own write into the view whenever the view had none. The answer to a write can arrive after the watch has shown the item's deletion, on a late process or a slow store; the watch doesn't show it a second time, so the item stayed until the next listing.

An item that the view lacks is recorded only if its revision is above the one up to which the view has applied all changes.

The scenario 'The deletion of a key is seen before the answer to its write' failed before and passes now; store_changes, store_return, ownership and membership (76 scenarios) pass.

--- a/src/sedgeshunt/registry/store_view.py
+++ b/src/sedgeshunt/registry/store_view.py
@@ -217,7 +217,13 @@
     def record(self, pair: KeyValue) -> None:
         """Record an item that this proxy has just written or read."""
         known = self._items.get(pair.key)
-        if known is None or known.revision < pair.revision:
+        if known is None:
+            # The answer to a write may arrive after the watch has shown that
+            # the item was deleted again.
+            is_newer = pair.revision > self.revision
+        else:
+            is_newer = pair.revision > known.revision
+        if is_newer:
             self._items[pair.key] = pair
             self._notify(pair.key)
 
