End an ownership once its lease is known to have ended

An owner can go on for up to 0.95 s after it knows that its lease is gone, and its key with it: GroupOwnership kept the latest expiry that it had seen. After a 404 to a renewal, after the release of the lease at a stop, and after a restore of the store, InstanceLease reported no expiry any more, but the kept one counted.

The expiry is asked for each time now. What promises add is kept apart, and still only extends an ownership that is valid; its longest time is counted from the latest expiry known, as before.

The scenarios 'The store answers that the lease has ended' and 'A stopping proxy releases its lease' failed before and pass now; ownership, store_return, membership and shutdown (78 scenarios) pass.

--- a/src/sedgeshunt/ownership/group_ownership.py
+++ b/src/sedgeshunt/ownership/group_ownership.py
@@ -61,20 +61,22 @@
         # Instances that may claim, by the record in the store and by pending
         # changes of it.
         self.candidates: frozenset[ProxyId] = frozenset()
+        # The latest known expiry of the lease, even if it ended earlier.
         self._lease_end = Boottime(0)
-        self._held_until = Boottime(0)
+        # Until when promises extend the ownership.
+        self._promised_until = Boottime(0)
 
     def is_held(self) -> bool:
         """Return whether nobody else can own the group at this moment."""
         if self.is_over:
             return False
         now = read_boottime()
-        self._extend(now)
-        return now < self._held_until
+        return now < self._find_end(now)
 
     def is_held_for(self, span: Seconds) -> bool:
         """Return whether nobody else can own the group within `span`."""
-        return self.is_held() and read_boottime() + span < self._held_until
+        now = read_boottime()
+        return self.is_held() and now + span < self._find_end(now)
 
     def hand_over_to(self, next_owner: ProxyId) -> None:
         """Request a handover to another instance."""
@@ -91,17 +93,18 @@
         self.claim = claim
         self._lease_id = key.lease
 
-    def _extend(self, now: Boottime) -> None:
+    def _find_end(self, now: Boottime) -> Boottime:
+        """Return until when the ownership is valid."""
+        # Asked each time, as the lease may end before its expiry.
         lease_end = self._lease.find_expiry(self._lease_id)
         self._lease_end = Boottime(max(self._lease_end, lease_end))
-        self._held_until = Boottime(max(self._held_until, lease_end))
         # Promises only extend an ownership that is still valid. After a gap
         # another instance may have owned the group without notice here.
-        if now >= self._held_until:
-            return
-        others = self.candidates - {self.owner}
-        promised = self._promises.find_expiry(others) if others else lease_end
-        longest = self._lease_end + MAX_EXTENSION
-        self._held_until = Boottime(
-            max(self._held_until, min(promised, longest)),
-        )
+        if now < max(lease_end, self._promised_until):
+            others = self.candidates - {self.owner}
+            promised = self._promises.find_expiry(others)
+            longest = self._lease_end + MAX_EXTENSION
+            self._promised_until = Boottime(
+                max(self._promised_until, min(promised, longest)),
+            )
+        return Boottime(max(lease_end, self._promised_until))
