Look at the ownership again before a statement is sent

A statement that waits for a slot or a connection, on a starved proxy for hundreds of milliseconds, was sent to the primary although the proxy had lost the group meanwhile: it ran at a primary that another owner may have replaced. Its answer was voided, so that callers got an unknown outcome for a write that need not have run. The ownership was checked before the wait and after the answer only.

TargetExecutor checks directly before it sends: not after the target was given up, nor, at a primary, once the ownership isn't held. The statement is refused as not run.

The scenario 'The ownership ends while a statement waits for a slot' failed before (the write ran, its outcome was unknown) and passes now; replacement, promotion, promises, statement_sessions, overload, routing, whole_path, placement and acknowledgement (152 scenarios) pass.

--- a/src/sedgeshunt/execution/primary_manager.py
+++ b/src/sedgeshunt/execution/primary_manager.py
@@ -148,6 +148,7 @@
             max(1, members.group.connection_limit - RESERVED_CONNECTIONS),
             known.slots + PIPELINED_STATEMENTS,
             is_primary=True,
+            may_send=self._ownership.is_held,
         )
         executor.tip = leader.status.received
         self._acknowledged = None
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -56,6 +56,11 @@
 # this multiple of the time left for its objective.
 STATEMENT_TIMEOUT_FACTOR = 2
 
+
+def _always_may_send() -> bool:
+    return True
+
+
 # None: the work found no connection.
 Outcome = TypeVar('Outcome', bound=Result[Answer, Refusal] | None)
 
@@ -86,10 +91,15 @@
         concurrency: int,
         *,
         is_primary: bool = False,
+        may_send: Callable[[], bool] = _always_may_send,
     ) -> None:
-        """Limit the open connections and the statements run at once."""
+        """Limit the open connections and the statements run at once.
+
+        `may_send` returns whether statements may be sent at this moment.
+        """
         self.target = target
         self._is_primary = is_primary
+        self._may_send = may_send
         self.pool = SessionPool(
             connector, target, max_connections, concurrency, self
         )
@@ -300,6 +310,8 @@
             deadline = Monotonic(
                 min(deadline, read_clock() + statement_timeout)
             )
+        if self.is_abandoned or not self._may_send():
+            return Err(self._refuse_unsent())
         reply = await self.send_request(
             session,
             lambda: self._send(session, call, after),
@@ -377,6 +389,15 @@
             return Err(self._refuse_setup(refusal.reason))
         return Err(self._convert_refusal(refusal))
 
+    def _refuse_unsent(self) -> NotRun:
+        name = self.target.name
+        return NotRun(
+            Cause.SUPERSEDED,
+            f'target {name}: it was given up before the statement was sent',
+            LOST_RETRY,
+            name,
+        )
+
     def _refuse_setup(self, reason: str) -> NotRun:
         name = self.target.name
         return NotRun(
