Let a release name the claim that has ended, not a later one

Two proxies own a group at once: one by its key, the other by a release of that key's claim which the first never made.

GroupOwnership took the number of its claim from the record of the group once the claim had been answered. On a late process its lease may have ended by then and another proxy may have claimed the group: the number was that of the other claim. As the late ownership isn't valid, it ends at once, and its end is announced to all candidates under that number. They take the other proxy's claim for released: no lease and no promise holds them back, and the next one writes its key over the one in the store. Until the watch shows this to the robbed owner, both serve the primary.

The number is part of what the claim returns now.

The scenario 'A claim is answered after another proxy has claimed' (whole proxies, virtual time; the answer to one claim is late, no key is touched) found "['north-1', 'west-2'] own the group at once" before and passes now; ownership and store_return (58 scenarios) pass.

--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -230,7 +230,7 @@
                 is_continued=True,
             )
             if key is not None and ownership.is_held():
-                ownership.renew(key, self._find_claim_number())
+                ownership.renew(key)
                 self._record_decision(
                     DecisionKind.GROUP_CLAIMED_AGAIN, key.token
                 )
@@ -386,7 +386,6 @@
             self.changed.set,
         )
         ownership.candidates = frozenset(self._list_candidates())
-        ownership.claim = self._find_claim_number()
         self._owner_absent_since = None
         self._eligible_since = None
         self._resume_promises()
--- a/src/sedgeshunt/ownership/group_ownership.py
+++ b/src/sedgeshunt/ownership/group_ownership.py
@@ -22,10 +22,12 @@
 
 
 class ClaimedKey(Struct, frozen=True):
-    """Hold the token of a written owner key and the lease it is bound to."""
+    """Hold what one claim has written: an owner key, bound to a lease."""
 
     token: OwnerToken
     lease: int
+    # The number of the claim in the record of the group.
+    claim: int
 
 
 class GroupOwnership:
@@ -50,7 +52,7 @@
         self.owner = owner
         self.token = key.token
         # The number of its latest claim in the record of the group.
-        self.claim = 0
+        self.claim = key.claim
         self.is_over = False
         # Set once the group is to be handed over to another instance.
         self.next_owner: ProxyId | None = None
@@ -87,10 +89,10 @@
         """End the ownership for good."""
         self.is_over = True
 
-    def renew(self, key: ClaimedKey, claim: int) -> None:
+    def renew(self, key: ClaimedKey) -> None:
         """Continue under a new claim that was made before this one ended."""
         self.token = key.token
-        self.claim = claim
+        self.claim = key.claim
         self._lease_id = key.lease
 
     def _find_end(self, now: Boottime) -> Boottime:
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -193,18 +193,19 @@
         )
         if is_continued:
             claimed = self._confirm_primary(claimed)
-        return await self._write_claim(seen, encode_entry(claimed))
+        return await self._write_claim(seen, claimed)
 
     async def _write_claim(
         self,
         seen: _GroupSnapshot,
-        record: bytes,
+        claimed: GroupRecord,
     ) -> ClaimedKey | None:
         lease = self._lease.id
         if lease is None:
             raise LeaseLapsed
         # The owner key may be left by an earlier process of this instance.
         owner = encode_entry(OwnerEntry(self.owner, self.incarnation))
+        record = encode_entry(claimed)
         committed = await self._store.commit(
             seen.compares,
             (Put(seen.owner_key, owner, lease), Put(seen.record_key, record)),
@@ -213,7 +214,7 @@
             return None
         self._record_write(seen.owner_key, owner, committed.revision)
         self._record_write(seen.record_key, record, committed.revision)
-        return ClaimedKey(OwnerToken(committed.revision), lease)
+        return ClaimedKey(OwnerToken(committed.revision), lease, claimed.claims)
 
     def _confirm_primary(self, claimed: GroupRecord) -> GroupRecord:
         """Mark the primary of a record as confirmed in the current era."""
--- a/tests/features/ownership_evidence.feature
+++ b/tests/features/ownership_evidence.feature
@@ -16,6 +16,18 @@
     And 0.7 s go by
     Then its view holds the owner's key only if the store does
 
+  Scenario: A claim is answered after another proxy has claimed
+    Guards against a release that names the claim of another proxy.
+    Given proxies "east-1, north-1, west-1, west-2"
+    When 5 s go by
+    And the next claim is answered 1.5 s late
+    And "east-1" is killed
+    And the lease of the next owner ends
+    And another proxy claims the group and its watch falls silent
+    And 1.5 s go by
+    Then no two proxies own the group
+    And the store holds the key of that proxy
+
   Scenario: The store answers that the lease has ended
     Guards against an ownership that goes on after its lease was reported ended.
     Given an ownership that a lease proves
--- a/tests/features/steps/ownership_evidence_steps.py
+++ b/tests/features/steps/ownership_evidence_steps.py
@@ -1,6 +1,7 @@
 """Check that an ownership ends with what proves it."""
 
 from asyncio import create_task, sleep
+from functools import partial
 from typing import Any
 
 from behave import given, then, when
@@ -22,33 +23,72 @@
 
 @given('a proxy "{name}" whose claims are answered {delay:g} s late')
 def start_late(context: Any, name: str, delay: float) -> None:
-    bench = open_bench(context)
-    bench.restart(name)
-    service: Any = bench.nodes[name].service
-    client = service._store._store
-    commit = client.commit
-
-    async def commit_late(compares: Any, changes: Any) -> Any:
-        done = await commit(compares, changes)
-        if any(_is_claim(change) for change in changes):
-            await sleep(delay)
-        return done
-
-    client.commit = commit_late
+    open_bench(context).restart(name)
+    delay_claim(context, delay)
+
+
+@when('the next claim is answered {delay:g} s late')
+def delay_claim(context: Any, delay: float) -> None:
+    delayed: list[str] = []
+    for node in context.nodes.nodes.values():
+        client = node.service._store._store
+        client.commit = partial(
+            _commit_late, client.commit, delay, delayed, node.name
+        )
+    context.delayed = delayed
+
+
+async def _commit_late(
+    commit: Any,
+    delay: float,
+    delayed: list[str],
+    name: str,
+    compares: Any,
+    changes: Any,
+) -> Any:
+    done = await commit(compares, changes)
+    if not delayed and done.succeeded and any(map(_is_claim, changes)):
+        delayed.append(name)
+        await sleep(delay)
+    return done
 
 
 @when('its lease ends after the claim has been committed')
+@when('the lease of the next owner ends')
 def end_lease_of_claim(context: Any) -> None:
+    context.nodes.time.wait_until(lambda: bool(context.delayed))
+    end_lease_of(context, context.delayed[0])
+
+
+@when('another proxy claims the group and its watch falls silent')
+def wait_other_claim(context: Any) -> None:
     bench = context.nodes
-    bench.time.wait_until(
-        lambda: bench.read(make_owner_key(GROUP)) is not None,
-    )
-    end_lease(context)
+    bench.time.wait_until(lambda: bench.find_owner() is not None)
+    context.other = bench.find_owner()
+    bench.store.deaf_clients.add(context.other)
+
+
+@then('no two proxies own the group')
+def check_one_owner(context: Any) -> None:
+    # Fails if there are two.
+    context.nodes.find_owner()
+
+
+@then('the store holds the key of that proxy')
+def check_key_kept(context: Any) -> None:
+    key = context.nodes.read(make_owner_key(GROUP))
+    assert key is not None
+    assert context.other.encode() in key, key
 
 
 @when('the lease ends in the store')
 def end_lease(context: Any) -> None:
-    lease = context.nodes.nodes[NAME].service.find_lease()
+    end_lease_of(context, NAME)
+
+
+def end_lease_of(context: Any, name: str) -> None:
+    """End a proxy's lease in the store, without telling the proxy."""
+    lease = context.nodes.nodes[name].service.find_lease()
     store = context.nodes.store.store
     context.nodes.time.act(lambda: store.revoke_lease(lease.id))
 
@@ -88,7 +128,7 @@
     context.ownership = GroupOwnership(
         GROUP,
         ProxyId(NAME),
-        ClaimedKey(OwnerToken(1), lease.id or 0),
+        ClaimedKey(OwnerToken(1), lease.id or 0, claim=1),
         lease,
         PromisesReceived(),
         bool,
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -347,7 +347,7 @@
     context.ownership = GroupOwnership(
         GROUP,
         ProxyId('east-1'),
-        ClaimedKey(OwnerToken(1), lease.id or 0),
+        ClaimedKey(OwnerToken(1), lease.id or 0, claim=1),
         lease,
         context.received,
         bool,
