Write by what each group is held, and why it is claimed or lost

Now group-held and group-not-held are written at the start, at each change of the evidence (lease or promises) and at the end, which is noticed later: left_ms is then negative. Each has token, claim, lease, the time since the renewal was sent, who renewed, and the time left. At most 4 of each kind in 30 s for one ownership; the next line says how many were left out. group-claimed, group-claimed-again, group-released and group-lost have the same fields and say why. group-key-lost (warning) says once that the key of a held group is gone. No decision depends on them.

--- a/src/sedgeshunt/logs.py
+++ b/src/sedgeshunt/logs.py
@@ -60,6 +60,7 @@
     DecisionKind.WRITES_REFUSED: LogLevel.WARNING,
     DecisionKind.ZONE_CUT: LogLevel.WARNING,
     DecisionKind.PAUSED: LogLevel.WARNING,
+    DecisionKind.GROUP_KEY_LOST: LogLevel.WARNING,
     DecisionKind.SESSION_CUT: LogLevel.WARNING,
     DecisionKind.CALL_CUT: LogLevel.WARNING,
 }
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -6,7 +6,7 @@
 from contextlib import suppress
 
 from sedgeshunt.clocks import read_boottime
-from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.decisions import DecisionLog
 from sedgeshunt.exceptions import (
     AnswerLost,
     LeaseLapsed,
@@ -15,11 +15,11 @@
 from sedgeshunt.identifiers import (
     Boottime,
     GroupId,
-    OwnerToken,
     ProxyId,
     Seconds,
     ZoneId,
 )
+from sedgeshunt.ownership.claim_lines import ClaimLines
 from sedgeshunt.ownership.group_ownership import (
     MAX_EXTENSION,
     ClaimedKey,
@@ -124,6 +124,9 @@
         self._eligible_since: Boottime | None = None
         self._claim_uncertain_until = Boottime(0)
         self._withheld: frozenset[ProxyId] = frozenset()
+        self._lines = ClaimLines(
+            group, context.records, context.releases, context.decisions
+        )
 
     @property
     def is_claim_expected(self) -> bool:
@@ -153,13 +156,14 @@
                     ownership
                 ):
                     break
+                self._lines.check_key(ownership)
                 await self._reclaim(ownership)
                 await self._wait_change(IDLE_CHECK_INTERVAL)
             keeping.cancel()
+        self._lines.record_lost(ownership)
         # A release spares others the wait until promises and lease expire.
         ownership.end()
         self._context.releases.record_own(self.group, ownership.claim)
-        self._record_decision(DecisionKind.GROUP_LOST, ownership.token)
 
     def _find_check_interval(self) -> Seconds:
         if self._owner_absent_since is not None or self.is_claim_expected:
@@ -185,7 +189,7 @@
         if self._context.records.reaches_store():
             with suppress(PlatformUnavailable, AnswerLost):
                 await self._context.records.release(self.group, next_owner)
-        self._record_decision(DecisionKind.GROUP_RELEASED, ownership.token)
+        self._lines.record_released(ownership)
         return True
 
     def _is_owner_released(self) -> bool:
@@ -223,6 +227,7 @@
             return
         if self._context.lease.id is None:
             return
+        why = self._lines.find_key_state(ownership)
         with suppress(PlatformUnavailable, AnswerLost, LeaseLapsed):
             key = await records.claim(
                 self.group,
@@ -231,9 +236,7 @@
             )
             if key is not None and ownership.is_held():
                 ownership.renew(key, self._find_claim_number())
-                self._record_decision(
-                    DecisionKind.GROUP_CLAIMED_AGAIN, key.token
-                )
+                self._lines.record_claimed_again(ownership, why)
 
     async def _try_claim(self) -> ClaimedKey | None:
         context = self._context
@@ -363,6 +366,7 @@
             # The failure of an owner must show quickly.
             self._context.lease.shorten()
             return None
+        self._lines.note_attempt(self._owner_absent_since)
         try:
             return await self._context.records.claim(self.group, candidates)
         except (PlatformUnavailable, LeaseLapsed):
@@ -390,7 +394,7 @@
         self._owner_absent_since = None
         self._eligible_since = None
         self._resume_promises()
-        self._record_decision(DecisionKind.GROUP_CLAIMED, key.token)
+        self._lines.record_claimed(ownership)
         return ownership
 
     async def _keep_candidates(self, ownership: GroupOwnership) -> None:
@@ -421,8 +425,3 @@
         for owner in self._withheld:
             self._context.made.allow(owner, self.group)
         self._withheld = frozenset()
-
-    def _record_decision(self, kind: DecisionKind, token: OwnerToken) -> None:
-        self._context.decisions.record(
-            Decision(kind, self.group, reasons={'token': str(token)}),
-        )
--- a/src/sedgeshunt/ownership/group_ownership.py
+++ b/src/sedgeshunt/ownership/group_ownership.py
@@ -12,6 +12,11 @@
     ProxyId,
     Seconds,
 )
+from sedgeshunt.ownership.evidence import (
+    Basis,
+    HoldEvidence,
+    Renewal,
+)
 from sedgeshunt.ownership.lease import InstanceLease
 from sedgeshunt.ownership.promises import PromisesReceived
 
@@ -65,13 +70,21 @@
         self._lease_end = Boottime(0)
         # Until when promises extend the ownership.
         self._promised_until = Boottime(0)
+        # For the lines: by what it was held last, and when.
+        self._basis = Basis.NONE
+        self._held_at = Boottime(0)
+        self._renewal = Renewal()
+        # Called with the evidence at each change of its kind.
+        self.on_change: Callable[[HoldEvidence, Basis], None] = _ignore
 
     def is_held(self) -> bool:
         """Return whether nobody else can own the group at this moment."""
         if self.is_over:
             return False
         now = read_boottime()
-        return now < self._find_end(now)
+        end = self._find_end(now)
+        self._note_basis(now, end)
+        return now < end
 
     def is_held_for(self, span: Seconds) -> bool:
         """Return whether nobody else can own the group within `span`."""
@@ -85,7 +98,24 @@
 
     def end(self) -> None:
         """End the ownership for good."""
+        now = read_boottime()
+        end = self._find_end(now)
         self.is_over = True
+        self._note_basis(now, end)
+
+    def describe(self) -> HoldEvidence:
+        """Return by what it is held at this moment."""
+        now = read_boottime()
+        end = self._find_end(now)
+        return HoldEvidence(
+            self.token,
+            self.claim,
+            self._lease_id,
+            self._find_basis(now, end),
+            Seconds(now - self._renewal.sent_at),
+            Seconds(max(end, self._held_at) - now),
+            self._renewal.is_relayed,
+        )
 
     def renew(self, key: ClaimedKey, claim: int) -> None:
         """Continue under a new claim that was made before this one ended."""
@@ -93,10 +123,26 @@
         self.claim = claim
         self._lease_id = key.lease
 
+    def _find_basis(self, now: Boottime, end: Boottime) -> Basis:
+        if self.is_over or now >= end:
+            return Basis.NONE
+        lease_end = self._lease.find_expiry(self._lease_id)
+        return Basis.LEASE if now < lease_end else Basis.PROMISES
+
+    def _note_basis(self, now: Boottime, end: Boottime) -> None:
+        before = self._basis
+        self._basis = self._find_basis(now, end)
+        if self._basis is not Basis.NONE:
+            self._held_at = now
+        if self._basis is not before:
+            self.on_change(self.describe(), before)
+
     def _find_end(self, now: Boottime) -> Boottime:
         """Return until when the ownership is valid."""
         # Asked each time, as the lease may end before its expiry.
         lease_end = self._lease.find_expiry(self._lease_id)
+        if lease_end > self._lease_end:
+            self._renewal = self._lease.renewal
         self._lease_end = Boottime(max(self._lease_end, lease_end))
         # Promises only extend an ownership that is still valid. After a gap
         # another instance may have owned the group without notice here.
@@ -108,3 +154,7 @@
                 max(self._promised_until, min(promised, longest)),
             )
         return Boottime(max(lease_end, self._promised_until))
+
+
+def _ignore(evidence: HoldEvidence, before: Basis) -> None:
+    """Record nothing."""
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -14,6 +14,7 @@
     PlatformUnavailable,
 )
 from sedgeshunt.identifiers import Boottime, Era, Seconds
+from sedgeshunt.ownership.evidence import Renewal
 from sedgeshunt.ports import Put
 from sedgeshunt.registry.current_store import CurrentStore
 from sedgeshunt.registry.entries import InstanceEntry, encode_entry
@@ -118,6 +119,8 @@
         self._decisions = decisions
         self._held_until = Boottime(0)
         self._renewed_at = Boottime(0)
+        # The renewal by which the lease is held.
+        self.renewal = Renewal()
         # When a peer last showed that the store answers.
         self._evidence_at = Boottime(0)
         self._timing = LONG_LEASE
@@ -333,11 +336,18 @@
         is_kept = await self._relay.keep_lease(lease, self._store.era)
         is_kept = is_kept and lease == self.id
         if is_kept:
-            self._record_renewal(sent_at)
+            self._record_renewal(sent_at, is_relayed=True)
         return is_kept
 
-    def _record_renewal(self, sent_at: Boottime) -> None:
+    def _record_renewal(
+        self,
+        sent_at: Boottime,
+        *,
+        is_relayed: bool = False,
+    ) -> None:
         end = sent_at + self._timing.duration - CLOCK_DRIFT_MARGIN
+        if end > self._held_until:
+            self.renewal = Renewal(sent_at, is_relayed)
         self._held_until = Boottime(max(self._held_until, end))
 
     async def _register(self, lease: int) -> None:
--- /dev/null
+++ b/tests/features/ownership_lines.feature
@@ -0,0 +1,47 @@
+Feature: The log shows by what each group is held
+  A reader of the logs of all proxies can tell for each moment which of them
+  held a group, under which claim, and how old the evidence for it was.
+
+  Scenario: The owner holds its group by promises in an outage of the store
+    Guards against two owners in an outage whose lines are alike.
+    Given proxies "north-1, east-1, west-1"
+    When the store is down for 6 s
+    And 2 s go by
+    Then "east-1" wrote these lines of its group
+      | line          | evidence | before |
+      | group-claimed | lease    |        |
+      | group-held    | lease    | none   |
+      | group-held    | promises | lease  |
+      | group-held    | lease    | promises |
+    And each of them names token, claim, lease and the age of the evidence
+
+  Scenario: The time of an ownership is over
+    Guards against an end that no line shows, as nothing happens at that moment.
+    Given proxies "north-1, east-1, west-1"
+    When "east-1" is cut off from proxies and store
+    And 3 s go by
+    Then "east-1" wrote that it held its group no more 0 to 260 ms after the end
+    And "east-1" wrote that it lost its group as "time over"
+    And the next owner wrote that it claimed as "owner gone"
+
+  Scenario: The key of an owner is deleted while its lease is held
+    Guards against a key that is gone while its owner goes on unnoticed.
+    Given proxies "north-1, east-1, west-1"
+    When the store loses the owner's key
+    And 1 s goes by
+    Then "east-1" wrote once that its key is gone
+    And "east-1" wrote that it claimed again as its key was gone
+
+  Scenario: A stopping owner hands its group over
+    Guards against a release that can't be told from a loss.
+    Given proxies "north-1, east-1, west-1"
+    When "east-1" hands over
+    And 1 s goes by
+    Then "east-1" wrote that it lost its group as "released"
+    And the next owner wrote that it claimed as "handed over"
+
+  Scenario: The evidence of an ownership changes again and again
+    Guards against a flood of lines while the store answers now and then.
+    Given an ownership whose evidence changes 40 times within 20 s
+    Then 4 lines say that it is held
+    And the first line after 30 s says that 36 were left out
--- /dev/null
+++ b/tests/features/steps/ownership_lines_steps.py
@@ -0,0 +1,152 @@
+"""Check the lines that show by what a group is held."""
+
+from collections.abc import Mapping, Sequence
+from itertools import cycle, islice
+from typing import Any
+from unittest.mock import patch
+
+from behave import given, then, when
+
+from sedgeshunt.decisions import Decision, DecisionKind, MemoryDecisionLog
+from sedgeshunt.identifiers import Boottime, OwnerToken, Seconds
+from sedgeshunt.ownership.evidence import Basis, HoldEvidence
+from sedgeshunt.ownership.hold_lines import HoldLines
+from sedgeshunt.ports import Delete
+from sedgeshunt.registry.keys import make_owner_key
+from tests.features.node_bench import GROUP, NodeBench
+
+HOLDING = (
+    DecisionKind.GROUP_CLAIMED,
+    DecisionKind.GROUP_HELD,
+    DecisionKind.GROUP_NOT_HELD,
+)
+FIELDS = ('token', 'claim', 'lease', 'age_ms', 'left_ms', 'renewed_by')
+CLOCK = 'sedgeshunt.ownership.hold_lines.read_boottime'
+CHANGE_INTERVAL = 0.5
+FIRST_CHANGE = 100
+AFTER_WINDOW = 31
+
+
+@when("the store loses the owner's key")
+def lose_key(context: Any) -> None:
+    bench: NodeBench = context.nodes
+    key = make_owner_key(GROUP)
+    bench.time.act(lambda: bench.store.store.commit((), (Delete(key),)))
+
+
+@then('"{node}" wrote these lines of its group')
+def check_lines(context: Any, node: str) -> None:
+    context.lines = _list_lines(context.nodes, node, HOLDING)
+    written = [
+        (
+            line.kind.value,
+            line.reasons['evidence'],
+            line.reasons.get('before', ''),
+        )
+        for line in context.lines
+    ]
+    rows = context.table
+    assert written == [
+        (row['line'], row['evidence'], row['before']) for row in rows
+    ], written
+
+
+@then('each of them names token, claim, lease and the age of the evidence')
+def check_fields(context: Any) -> None:
+    for line in context.lines:
+        assert not set(FIELDS) - line.reasons.keys(), line
+        assert 0 <= int(line.reasons['age_ms']), line
+        assert int(line.reasons['left_ms']) > 0, line
+
+
+@then(
+    '"{node}" wrote that it held its group no more '
+    + '{least:d} to {most:d} ms after the end',
+)
+def check_end(context: Any, node: str, least: int, most: int) -> None:
+    line = _find_line(context.nodes, node, DecisionKind.GROUP_NOT_HELD)
+    assert line['evidence'] == Basis.NONE.value, line
+    assert least <= -int(line['left_ms']) <= most, line
+
+
+@then('"{node}" wrote that it lost its group as "{why}"')
+def check_loss(context: Any, node: str, why: str) -> None:
+    line = _find_line(context.nodes, node, DecisionKind.GROUP_LOST)
+    assert line['why'] == why, line
+
+
+@then('the next owner wrote that it claimed as "{why}"')
+def check_claim(context: Any, why: str) -> None:
+    owner = context.nodes.find_owner()
+    line = _find_line(context.nodes, owner, DecisionKind.GROUP_CLAIMED)
+    assert line['why'] == why, line
+    assert line['owner_before'] in {'east-1', ''}, line
+
+
+@then('"{node}" wrote once that its key is gone')
+def check_key_loss(context: Any, node: str) -> None:
+    line = _find_line(context.nodes, node, DecisionKind.GROUP_KEY_LOST)
+    assert line['evidence'] == Basis.LEASE.value, line
+
+
+@then('"{node}" wrote that it claimed again as its key was gone')
+def check_second_claim(context: Any, node: str) -> None:
+    first = _find_line(context.nodes, node, DecisionKind.GROUP_CLAIMED)
+    line = _find_line(context.nodes, node, DecisionKind.GROUP_CLAIMED_AGAIN)
+    assert line['why'] == f'the key of the token {first["token"]} is gone'
+    assert int(line['token']) > int(first['token']), line
+
+
+@given('an ownership whose evidence changes {count:d} times within 20 s')
+def change_evidence(context: Any, count: int) -> None:
+    context.decisions = MemoryDecisionLog()
+    context.lines = HoldLines(GROUP, context.decisions)
+    bases = islice(cycle((Basis.LEASE, Basis.PROMISES)), count)
+    for place, basis in enumerate(bases):
+        _change(context.lines, basis, FIRST_CHANGE + place * CHANGE_INTERVAL)
+
+
+@then('{count:d} lines say that it is held')
+def check_volume(context: Any, count: int) -> None:
+    lines = context.decisions.list_decisions(DecisionKind.GROUP_HELD)
+    assert len(lines) == count, lines
+
+
+@then('the first line after 30 s says that {count:d} were left out')
+def check_left_out(context: Any, count: int) -> None:
+    _change(context.lines, Basis.LEASE, FIRST_CHANGE + AFTER_WINDOW)
+    lines = context.decisions.list_decisions(DecisionKind.GROUP_HELD)
+    assert lines[-1].reasons['dropped'] == str(count), lines[-1]
+
+
+def _change(lines: HoldLines, basis: Basis, moment: float) -> None:
+    evidence = HoldEvidence(
+        OwnerToken(1),
+        claim=1,
+        lease=1,
+        basis=basis,
+        age=Seconds(0),
+        left=Seconds(1),
+    )
+    with patch(CLOCK, return_value=Boottime(moment)):
+        lines.record(evidence, Basis.NONE)
+
+
+def _find_line(
+    bench: NodeBench,
+    node: str | None,
+    kind: DecisionKind,
+) -> Mapping[str, str]:
+    assert node is not None
+    lines = _list_lines(bench, node, (kind,))
+    assert len(lines) == 1, lines
+    return lines[0].reasons
+
+
+def _list_lines(
+    bench: NodeBench,
+    node: str,
+    kinds: Sequence[DecisionKind],
+) -> list[Decision]:
+    written = bench.nodes[node].decisions.list_decisions()
+    return [line for line in written if line.kind in kinds]
