Change the recorded candidates and the ones asked in the same order

An owner can extend its ownership by promises while a proxy that it doesn't ask for one may claim the group. The change of candidates and a repeated claim both write the list of candidates. If the group was claimed again, with the candidates of before and after, between a change and its late answer, the answer narrowed the candidates whose promises the owner asks for, though the record had all of them again.

Both are written under one lock now.

The scenario 'The group is claimed again while its candidates change' failed before (the record had north-1, the owner asked without it) and passes now; ownership, ownership_lines, store_return and membership (74 scenarios in all) pass. No run shows two owners by this way.

--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -1,7 +1,7 @@
 """Claim groups for this instance and keep them while it owns them."""
 
 from abc import ABC, abstractmethod
-from asyncio import Event, TaskGroup, get_running_loop, sleep
+from asyncio import Event, Lock, TaskGroup, get_running_loop, sleep
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 
@@ -124,6 +124,9 @@
         self._eligible_since: Boottime | None = None
         self._claim_uncertain_until = Boottime(0)
         self._withheld: frozenset[ProxyId] = frozenset()
+        # Held while the candidates are written, so that those of the record and
+        # those asked for promises change in the same order.
+        self._writing_candidates = Lock()
         self._lines = ClaimLines(
             group, context.records, context.releases, context.decisions
         )
@@ -229,11 +232,12 @@
             return
         why = self._lines.find_key_state(ownership)
         with suppress(PlatformUnavailable, AnswerLost, LeaseLapsed):
-            key = await records.claim(
-                self.group,
-                ownership.candidates,
-                is_continued=True,
-            )
+            async with self._writing_candidates:
+                key = await records.claim(
+                    self.group,
+                    ownership.candidates,
+                    is_continued=True,
+                )
             if key is not None and ownership.is_held():
                 ownership.renew(key)
                 self._lines.record_claimed_again(ownership, why)
@@ -404,10 +408,18 @@
             record = self._context.records.find_record(self.group)
             if record is None or chosen == frozenset(record.candidates):
                 continue
-            # Until the store has answered, candidates of both lists may claim.
-            ownership.candidates = ownership.candidates | chosen
-            if await self._context.records.change_candidates(ownership, chosen):
-                ownership.candidates = chosen
+            async with self._writing_candidates:
+                await self._change_candidates(ownership, chosen)
+
+    async def _change_candidates(
+        self,
+        ownership: GroupOwnership,
+        chosen: frozenset[ProxyId],
+    ) -> None:
+        # Until the store has answered, candidates of both lists may claim.
+        ownership.candidates = ownership.candidates | chosen
+        if await self._context.records.change_candidates(ownership, chosen):
+            ownership.candidates = chosen
 
     def _withhold_promises(self, owners: frozenset[ProxyId]) -> None:
         if self._withheld != owners:
--- a/tests/features/ownership_evidence.feature
+++ b/tests/features/ownership_evidence.feature
@@ -50,3 +50,12 @@
     And 1 s goes by
     Then the write is refused as not run
     And no target has run the write
+
+  Scenario: The group is claimed again while its candidates change
+    Guards against a candidate whose promise the owner doesn't ask for.
+    Given proxies "east-1, north-1, west-1"
+    When the next change of candidates is answered 0.6 s late
+    And "north-1" is killed
+    And the owner's key is deleted once the candidates are changed
+    And 0.8 s go by
+    Then the owner asks all recorded candidates for promises
--- a/tests/features/steps/ownership_evidence_steps.py
+++ b/tests/features/steps/ownership_evidence_steps.py
@@ -10,8 +10,9 @@
 from sedgeshunt.identifiers import OwnerToken, ProxyId, Seconds
 from sedgeshunt.ownership.group_ownership import ClaimedKey, GroupOwnership
 from sedgeshunt.ownership.promises import PromisesReceived
-from sedgeshunt.ports import Put
-from sedgeshunt.registry.keys import make_owner_key
+from sedgeshunt.ports import Delete, Put
+from sedgeshunt.registry.entries import GroupRecord, read_entry
+from sedgeshunt.registry.keys import make_owner_key, make_record_key
 from sedgeshunt.requests.outcome import NotRun
 from tests.features.node_bench import GROUP
 from tests.features.node_callers import open_bench
@@ -120,6 +121,40 @@
     assert is_stored or view.get(make_owner_key(GROUP)) is None
 
 
+@when('the next change of candidates is answered {delay:g} s late')
+def delay_change(context: Any, delay: float) -> None:
+    client = context.nodes.nodes[NAME].service._store._store
+    commit = client.commit
+    context.changed = []
+
+    async def commit_late(compares: Any, changes: Any) -> Any:
+        before = _read_record(context)
+        done = await commit(compares, changes)
+        after = _read_record(context)
+        if not context.changed and after.candidates != before.candidates:
+            context.changed.append(after)
+            await sleep(delay)
+        return done
+
+    client.commit = commit_late
+
+
+@when("the owner's key is deleted once the candidates are changed")
+def delete_key(context: Any) -> None:
+    bench = context.nodes
+    bench.time.wait_until(lambda: bool(context.changed))
+    key = make_owner_key(GROUP)
+    bench.time.act(lambda: bench.store.store.commit((), (Delete(key),)))
+
+
+@then('the owner asks all recorded candidates for promises')
+def check_candidates(context: Any) -> None:
+    owner = context.nodes.nodes[NAME].service.find_access(GROUP).owner
+    recorded = frozenset(_read_record(context).candidates)
+    asked = owner.ownership.candidates
+    assert recorded <= asked, (recorded, asked)
+
+
 @given('an ownership that a lease proves')
 def prove_ownership(context: Any) -> None:
     bench = open_bench(context)
@@ -177,5 +212,10 @@
     assert 'WRITE waiting 1' not in runs, runs
 
 
+def _read_record(context: Any) -> GroupRecord:
+    document = context.nodes.read(make_record_key(GROUP))
+    return read_entry(document, GroupRecord)
+
+
 def _is_claim(change: Any) -> bool:
     return isinstance(change, Put) and change.key == make_owner_key(GROUP)
