Count a lease by the time that the store grants

The platform's page says that a lease is granted with the time that applies, which need not be the one asked for. Nobody read it: an owner whose lease is shorter in the store goes on after its key has gone. The holder of a seat did the same.

grant_lease returns the time with the id; both count the shorter of the two.

Whether a platform of the users grants less than asked isn't known.

--- a/src/sedgeshunt/adapters/platform.py
+++ b/src/sedgeshunt/adapters/platform.py
@@ -30,6 +30,7 @@
     CommitResult,
     Compare,
     Delete,
+    GrantedLease,
     KeyValueService,
     Listing,
     Put,
@@ -99,12 +100,14 @@
                 yield batch
             await sleep(REARM_PAUSE)
 
-    async def grant_lease(self, ttl: Seconds) -> int:
-        """Return a new lease's id; raise PlatformUnavailable."""
+    async def grant_lease(self, ttl: Seconds) -> GrantedLease:
+        """Create a lease; raise PlatformUnavailable."""
         with _explaining():
             body = {'TTL': str(ceil(ttl))}
             granted = await self._client.post('/v3/lease/grant', body)
-            return int(granted['ID'])
+            return GrantedLease(
+                int(granted['ID']), Seconds(float(granted['TTL']))
+            )
 
     async def keep_lease(self, lease: int) -> bool:
         """Renew a lease; tell False when it has lapsed."""
--- a/src/sedgeshunt/connections/seats.py
+++ b/src/sedgeshunt/connections/seats.py
@@ -40,6 +40,7 @@
         self._decisions = decisions
         self._on_change = on_change
         self._lease: int | None = None
+        self._ttl = LEASE_TTL
         self._valid_until = Monotonic(0)
         self._is_waiting = False
         self._random = Random(str(proxy))
@@ -89,7 +90,9 @@
 
     async def _renew(self, requested_at: Monotonic) -> None:
         if self._lease is None:
-            self._lease = await self._platform.grant_lease(LEASE_TTL)
+            granted = await self._platform.grant_lease(LEASE_TTL)
+            self._lease = granted.id
+            self._ttl = min(LEASE_TTL, granted.ttl)
         elif not await self._platform.keep_lease(self._lease):
             self._drop_seat('the lease lapsed')
             return
@@ -100,7 +103,7 @@
     def _extend_validity(self, requested_at: Monotonic) -> None:
         # Counted from before the request, as the service may renew the lease
         # at any moment after it but never before.
-        self._valid_until = Monotonic(requested_at + LEASE_TTL - LAPSE_MARGIN)
+        self._valid_until = Monotonic(requested_at + self._ttl - LAPSE_MARGIN)
 
     async def _claim_free(self, lease: int) -> None:
         self._is_waiting = False
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -124,6 +124,7 @@
         # When a peer last showed that the store answers.
         self._evidence_at = Boottime(0)
         self._timing = LONG_LEASE
+        self._duration = LONG_LEASE.duration
         self._short_until = Boottime(0)
         self._registered_at = Boottime(0)
         self._renew_now = Event()
@@ -281,10 +282,11 @@
 
     async def _take_lease(self, timing: LeaseTiming) -> None:
         """Register under a new lease; the previous one expires by itself."""
-        lease = await self._store.grant_lease(timing.duration)
-        await self._register(lease)
-        self.id = lease
+        granted = await self._store.grant_lease(timing.duration)
+        await self._register(granted.id)
+        self.id = granted.id
         self._timing = timing
+        self._duration = min(timing.duration, granted.ttl)
         # The validity of the previous lease doesn't apply to this one.
         self._held_until = Boottime(0)
 
@@ -345,7 +347,7 @@
         *,
         is_relayed: bool = False,
     ) -> None:
-        end = sent_at + self._timing.duration - CLOCK_DRIFT_MARGIN
+        end = sent_at + self._duration - CLOCK_DRIFT_MARGIN
         if end > self._held_until:
             self.renewal = Renewal(sent_at, is_relayed)
         self._held_until = Boottime(max(self._held_until, end))
--- a/src/sedgeshunt/platform/store.py
+++ b/src/sedgeshunt/platform/store.py
@@ -27,6 +27,7 @@
     CommitResult,
     Compare,
     Delete,
+    GrantedLease,
     KeyValue,
     KeyValueService,
     Listing,
@@ -90,6 +91,7 @@
 
 class _Lease(Struct):
     lease_id: int
+    ttl_ms: Annotated[int, Meta(ge=0)]
 
 
 _Document = TypeVar('_Document', bound=Struct)
@@ -190,12 +192,14 @@
             seen = max(seen, _make_revision(reply, listed.at_revision))
             yield [_make_event(event, reply) for event in listed.events]
 
-    async def grant_lease(self, ttl: Seconds) -> int:
-        """Create a lease and return its id; raise PlatformUnavailable."""
+    async def grant_lease(self, ttl: Seconds) -> GrantedLease:
+        """Create a lease; raise PlatformUnavailable."""
         body = {'ttl_ms': int(ttl * MILLISECONDS)}
         reply = await self._call('POST', '/kv-lease', body)
         _check_status(reply)
-        return _read_document(reply, _Lease).lease_id
+        granted = _read_document(reply, _Lease)
+        ttl = Seconds(granted.ttl_ms / MILLISECONDS)
+        return GrantedLease(granted.lease_id, ttl)
 
     async def keep_lease(self, lease: int) -> bool:
         """Renew a lease; return False if it has expired."""
--- a/src/sedgeshunt/ports.py
+++ b/src/sedgeshunt/ports.py
@@ -148,6 +148,13 @@
     created: Revision = Revision(0)
 
 
+class GrantedLease(Struct, frozen=True):
+    """Hold a new lease's id and the time to live that applies to it."""
+
+    id: int
+    ttl: Seconds
+
+
 class KeyValueService(ABC):
     """Keep what must last: compare-and-swap, leases and watches."""
 
@@ -191,8 +198,11 @@
         """
 
     @abstractmethod
-    async def grant_lease(self, ttl: Seconds) -> int:
-        """Return a new lease's id; raise PlatformUnavailable."""
+    async def grant_lease(self, ttl: Seconds) -> GrantedLease:
+        """Create a lease; raise PlatformUnavailable.
+
+        The service decides on the time to live; `ttl` is a request.
+        """
 
     @abstractmethod
     async def keep_lease(self, lease: int) -> bool:
--- a/src/sedgeshunt/registry/current_store.py
+++ b/src/sedgeshunt/registry/current_store.py
@@ -17,6 +17,7 @@
     CommitResult,
     Compare,
     Delete,
+    GrantedLease,
     KeyValueService,
     Listing,
     Put,
@@ -125,8 +126,8 @@
                 self._check_watch(after)
                 yield events
 
-    async def grant_lease(self, ttl: Seconds) -> int:
-        """Return a new lease's id; raise PlatformUnavailable."""
+    async def grant_lease(self, ttl: Seconds) -> GrantedLease:
+        """Create a lease; raise PlatformUnavailable."""
         requested_in = self._era
         lease = await self._store.grant_lease(ttl)
         self._observe_store_era()
--- a/tests/features/ownership_evidence.feature
+++ b/tests/features/ownership_evidence.feature
@@ -35,6 +35,14 @@
     And the proxy learns of it
     Then the ownership is not valid
 
+  Scenario: The store grants a shorter time than was asked for
+    Guards against an ownership that outlasts the lease of its key.
+    Given a store that grants leases of 0.6 s
+    And an ownership that a lease proves
+    When the store goes down
+    And 0.6 s go by
+    Then the ownership is not valid
+
   Scenario: A stopping proxy releases its lease
     Guards against an ownership that goes on after its own lease was revoked.
     Given an ownership that a lease proves
--- a/tests/features/steps/driver_services_steps.py
+++ b/tests/features/steps/driver_services_steps.py
@@ -88,7 +88,9 @@
         listing = await gateway.list_prefix('/o/')
         found = [(pair.key, pair.value) for pair in listing.pairs]
         assert found == [('/o/a', b'\xff'), ('/o/b', b'2')], listing
-        lease = await gateway.grant_lease(Seconds(1.5))
+        granted = await gateway.grant_lease(Seconds(1.5))
+        assert granted.ttl == 2, granted
+        lease = granted.id
         assert await gateway.keep_lease(lease)
         await gateway.revoke_lease(lease)
         assert not await gateway.keep_lease(lease)
--- a/tests/features/steps/ownership_evidence_steps.py
+++ b/tests/features/steps/ownership_evidence_steps.py
@@ -155,6 +155,11 @@
     assert recorded <= asked, (recorded, asked)
 
 
+@given('a store that grants leases of {ttl:g} s')
+def shorten_leases(context: Any, ttl: float) -> None:
+    open_bench(context).store.store.longest_ttl = ttl
+
+
 @given('an ownership that a lease proves')
 def prove_ownership(context: Any) -> None:
     bench = open_bench(context)
--- a/tests/standins/keyvalues.py
+++ b/tests/standins/keyvalues.py
@@ -59,6 +59,8 @@
         self.compacted = Revision(0)
         self.changed = Signal()
         self.era = FIRST_ERA
+        # Leases are granted for this time at most.
+        self.longest_ttl = float('inf')
         self._copies: deque[Copy] = deque(maxlen=MAX_COPIES)
         self._pairs: dict[str, KeyValue] = {}
         self._events: list[WatchEvent] = []
@@ -113,6 +115,7 @@
         """Create a lease and return its id."""
         self._last_lease += 1
         lease = self._last_lease
+        ttl = min(ttl, self.longest_ttl)
         self._leases[lease] = Lease(ttl, self._start_timer(lease, ttl))
         self._copy()
         return lease
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -15,6 +15,7 @@
     CommitResult,
     Compare,
     Delete,
+    GrantedLease,
     InstanceList,
     KeyValue,
     KeyValueService,
@@ -99,9 +100,10 @@
                     for event in events
                 ]
 
-    async def grant_lease(self, ttl: Seconds) -> int:
-        """Return a new lease's id."""
-        return await self._call('grant', lambda: self._store.grant_lease(ttl))
+    async def grant_lease(self, ttl: Seconds) -> GrantedLease:
+        """Create a lease."""
+        lease = await self._call('grant', lambda: self._store.grant_lease(ttl))
+        return GrantedLease(lease, min(ttl, Seconds(self._store.longest_ttl)))
 
     async def keep_lease(self, lease: int) -> bool:
         """Renew a lease; tell False when it has lapsed."""
