Write by what right a statement was sent to a primary

The owner notes the evidence at the moment when a statement is sent. answer-voided (warning) is written for each answer that was voided as the ownership or the primary had been given up; primary-statement for sent statements that were late, refused or unknown, and for one in 1,000 of the others. Both have token, claim, lease, evidence, age and time left at the send, target and term, and what held at the answer. At most 20, 20, 5, 5 and 1 a second (voided, unknown, refused, late, sampled). The page counts voided answers, statements sent in the last 100 ms of an ownership or past it, renewals by peers, and the time for which groups were held by promises alone.

--- a/src/sedgeshunt/decisions.py
+++ b/src/sedgeshunt/decisions.py
@@ -52,6 +52,8 @@
     PEER_REGAINED = 'peer-regained'
     SESSION_CUT = 'session-cut'
     CALL_CUT = 'call-cut'
+    ANSWER_VOIDED = 'answer-voided'
+    PRIMARY_STATEMENT = 'primary-statement'
 
 
 class Decision(Struct, frozen=True):
--- a/src/sedgeshunt/execution/group_access.py
+++ b/src/sedgeshunt/execution/group_access.py
@@ -101,6 +101,7 @@
                 ownership, state, self.probe, self._parts, self.freshness
             ),
             self.freshness,
+            self._parts.lines,
         )
         self.owner = owner
         try:
--- a/src/sedgeshunt/execution/group_owner.py
+++ b/src/sedgeshunt/execution/group_owner.py
@@ -7,6 +7,11 @@
 
 from sedgeshunt.clocks import read_boottime
 from sedgeshunt.execution.hedging import Hedger
+from sedgeshunt.execution.primary_lines import (
+    PrimaryLines,
+    SendNote,
+    start_note,
+)
 from sedgeshunt.execution.primary_manager import PrimaryManager
 from sedgeshunt.execution.primary_state import PrimaryState
 from sedgeshunt.execution.runner import (
@@ -46,12 +51,14 @@
         state: PrimaryState,
         manager: PrimaryManager,
         freshness: FreshnessHistory,
+        lines: PrimaryLines,
     ) -> None:
         """Start without a primary; run() finds it."""
         self.ownership = ownership
         self._state = state
         self._manager = manager
         self._freshness = freshness
+        self._lines = lines
         self._hedger = Hedger(is_last_resort=True)
         self._prompt_hedger = Hedger(is_last_resort=False)
         # Prompt calls under way, including those without a slot yet.
@@ -147,8 +154,9 @@
         if isinstance(found, Err):
             return found
         executor = found.ok_value
+        note = start_note()
         outcome = await _run_at(executor, call, transactions, deadline)
-        checked = self._check(executor, call, outcome)
+        checked = self._check(executor, call, outcome, note)
         if checked.is_err() and call.transaction is not None:
             await _drop(transactions, call.transaction)
         return checked
@@ -165,16 +173,34 @@
         if not may_go_on or not self.ownership.is_held():
             await _drop(transactions, transaction.id)
             return Err(_refuse_not_owner(Cause.TRANSACTION_LOST))
+        note = start_note()
         outcome = await run_in_transaction(
             transaction, call, transactions, deadline
         )
-        return self._check(transaction.executor, call, outcome)
+        return self._check(transaction.executor, call, outcome, note)
 
     def _check(
         self,
         executor: TransactionExecutor,
         call: StatementCall,
         outcome: Result[Answer, Refusal],
+        note: SendNote,
+    ) -> Result[Answer, Refusal]:
+        checked = self._void_stale(executor, call, outcome)
+        self._lines.record(
+            call,
+            note,
+            self.ownership,
+            outcome,
+            is_voided=checked is not outcome,
+        )
+        return checked
+
+    def _void_stale(
+        self,
+        executor: TransactionExecutor,
+        call: StatementCall,
+        outcome: Result[Answer, Refusal],
     ) -> Result[Answer, Refusal]:
         # This process may have been paused between request and reply and lost
         # the group meanwhile, or the primary may have been replaced before its
--- a/src/sedgeshunt/execution/primary_context.py
+++ b/src/sedgeshunt/execution/primary_context.py
@@ -6,6 +6,7 @@
 
 from sedgeshunt.connections.target_session import TargetSessionConnector
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.execution.primary_lines import PrimaryLines
 from sedgeshunt.execution.replacement import PrimaryReplacement
 from sedgeshunt.identifiers import GroupId, ProxyId, TargetId
 from sedgeshunt.ownership.group_ownership import GroupOwnership
@@ -38,6 +39,7 @@
     records: GroupRecords
     peers: NextOwnerFinder
     decisions: DecisionLog
+    lines: PrimaryLines
 
     def record_decision(
         self,
--- a/src/sedgeshunt/execution/primary_manager.py
+++ b/src/sedgeshunt/execution/primary_manager.py
@@ -2,6 +2,7 @@
 
 from asyncio import sleep, timeout
 from contextlib import suppress
+from functools import partial
 
 from sedgeshunt.clocks import read_boottime, read_clock
 from sedgeshunt.connections.target_session import LogStatus
@@ -20,6 +21,7 @@
 )
 from sedgeshunt.execution.primary_context import PrimaryContext
 from sedgeshunt.execution.primary_finder import FoundPrimary, PrimaryFinder
+from sedgeshunt.execution.primary_lines import check_send
 from sedgeshunt.execution.primary_probe import PrimaryProbe
 from sedgeshunt.execution.primary_state import PrimaryState
 from sedgeshunt.execution.target_executor import TargetExecutor
@@ -148,7 +150,12 @@
             max(1, members.group.connection_limit - RESERVED_CONNECTIONS),
             known.slots + PIPELINED_STATEMENTS,
             is_primary=True,
-            may_send=self._ownership.is_held,
+            may_send=partial(
+                check_send,
+                self._ownership,
+                known.target.name,
+                leader.status.term,
+            ),
         )
         executor.tip = leader.status.received
         self._acknowledged = None
--- a/src/sedgeshunt/logs.py
+++ b/src/sedgeshunt/logs.py
@@ -63,6 +63,7 @@
     DecisionKind.GROUP_KEY_LOST: LogLevel.WARNING,
     DecisionKind.SESSION_CUT: LogLevel.WARNING,
     DecisionKind.CALL_CUT: LogLevel.WARNING,
+    DecisionKind.ANSWER_VOIDED: LogLevel.WARNING,
 }
 
 
--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -18,6 +18,7 @@
 from sedgeshunt.execution.group_table import GroupTable, find_primary_zone
 from sedgeshunt.execution.load_levels import measure_load
 from sedgeshunt.execution.primary_context import PrimaryContext
+from sedgeshunt.execution.primary_lines import PrimaryLines
 from sedgeshunt.execution.replacement import PrimaryReplacement
 from sedgeshunt.forwarding.channel import FrameChannel, FrameConnector
 from sedgeshunt.forwarding.server import PeerConnectionHandler
@@ -162,6 +163,7 @@
             self._records,
             self._find_zone,
         )
+        self._lines = PrimaryLines(decisions)
         self._groups = GroupTable(
             self.entry,
             self._configuration,
@@ -180,6 +182,7 @@
                 self._records,
                 self._opinions,
                 decisions,
+                self._lines,
             ),
         )
         self._feed = ZoneFeed(self.entry, topology, self._neighbours)
@@ -329,6 +332,11 @@
             'store.refused_watches': self._view.refused_watches,
             'configuration.version': self._configuration.declared.version,
             'zone.isolated': self.isolation.is_isolated(),
+            'ownership.voided': self._lines.voided,
+            'ownership.sent_near_end': self._lines.sent_near_end,
+            'ownership.sent_unheld': self._lines.sent_unheld,
+            'ownership.relayed_renewals': self._lease.relayed_renewals,
+            'ownership.promises_seconds': self._claims.times.by_promises,
             'statements.running': sum(
                 executor.admission.running for executor in executors
             ),
--- a/src/sedgeshunt/ownership/claim_lines.py
+++ b/src/sedgeshunt/ownership/claim_lines.py
@@ -5,7 +5,7 @@
 from sedgeshunt.identifiers import Boottime, GroupId, OwnerToken
 from sedgeshunt.ownership.evidence import MILLISECONDS, Basis
 from sedgeshunt.ownership.group_ownership import GroupOwnership
-from sedgeshunt.ownership.hold_lines import HoldLines
+from sedgeshunt.ownership.hold_lines import HoldLines, HoldTimes
 from sedgeshunt.ownership.records import GroupRecords
 from sedgeshunt.ownership.releases import Releases
 
@@ -19,12 +19,14 @@
         records: GroupRecords,
         releases: Releases,
         decisions: DecisionLog,
+        times: HoldTimes,
     ) -> None:
         """Write to `decisions`."""
         self._group = group
         self._records = records
         self._releases = releases
         self._decisions = decisions
+        self._times = times
         self._reasons: dict[str, str] = {}
         self._missing_token: OwnerToken | None = None
 
@@ -55,7 +57,7 @@
         # Its evidence is known once it has been checked.
         ownership.is_held()
         self._record(DecisionKind.GROUP_CLAIMED, ownership, self._reasons)
-        lines = HoldLines(self._group, self._decisions)
+        lines = HoldLines(self._group, self._decisions, self._times)
         lines.record(ownership.describe(), Basis.NONE)
         ownership.on_change = lines.record
 
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -25,6 +25,7 @@
     ClaimedKey,
     GroupOwnership,
 )
+from sedgeshunt.ownership.hold_lines import HoldTimes
 from sedgeshunt.ownership.lease import InstanceLease
 from sedgeshunt.ownership.promises import (
     OUTAGE_PROMISE_TIME,
@@ -101,6 +102,7 @@
         self.find_instance = peers.find_instance
         self.is_ownership_reported = peers.is_ownership_reported
         self.decisions = decisions
+        self.times = HoldTimes()
         self.started_at = read_boottime()
         self.is_stopping = False
 
@@ -128,7 +130,11 @@
         # those asked for promises change in the same order.
         self._writing_candidates = Lock()
         self._lines = ClaimLines(
-            group, context.records, context.releases, context.decisions
+            group,
+            context.records,
+            context.releases,
+            context.decisions,
+            context.times,
         )
 
     @property
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -121,6 +121,8 @@
         self._renewed_at = Boottime(0)
         # The renewal by which the lease is held.
         self.renewal = Renewal()
+        # Renewals made by peers since the start.
+        self.relayed_renewals = 0
         # When a peer last showed that the store answers.
         self._evidence_at = Boottime(0)
         self._timing = LONG_LEASE
@@ -338,6 +340,7 @@
         is_kept = await self._relay.keep_lease(lease, self._store.era)
         is_kept = is_kept and lease == self.id
         if is_kept:
+            self.relayed_renewals += 1
             self._record_renewal(sent_at, is_relayed=True)
         return is_kept
 
--- a/tests/features/ownership_lines.feature
+++ b/tests/features/ownership_lines.feature
@@ -45,3 +45,20 @@
     Given an ownership whose evidence changes 40 times within 20 s
     Then 4 lines say that it is held
     And the first line after 30 s says that 36 were left out
+
+  Scenario: The answer of a statement is voided
+    Guards against a voided answer of which no line says by what right its
+    statement was sent, and how long ago.
+    Given proxies "east-1"
+    When a caller of "settle" at "east-1" runs "WRITE turn 0"
+    Then it is done
+    When a caller of "settle" at "east-1" runs "WRITE turn 1" across a suspension
+    Then its outcome is unknown
+    And "east-1" wrote a voided answer that was sent by a lease under term 1
+    And the page of "east-1" has 1 voided answers
+
+  Scenario: A sample of the statements at a primary
+    Guards against a line for each statement, and against none.
+    Given proxies "north-1, east-1, west-1"
+    When 1500 statements of "settle" at "west-1" write
+    Then "east-1" wrote 2 of them, with token, term and target
--- a/tests/features/steps/ownership_lines_steps.py
+++ b/tests/features/steps/ownership_lines_steps.py
@@ -7,10 +7,11 @@
 
 from behave import given, then, when
 
+from sedgeshunt.adapters.text_metrics import TextMetrics
 from sedgeshunt.decisions import Decision, DecisionKind, MemoryDecisionLog
 from sedgeshunt.identifiers import Boottime, OwnerToken, Seconds
 from sedgeshunt.ownership.evidence import Basis, HoldEvidence
-from sedgeshunt.ownership.hold_lines import HoldLines
+from sedgeshunt.ownership.hold_lines import HoldLines, HoldTimes
 from sedgeshunt.ports import Delete
 from sedgeshunt.registry.keys import make_owner_key
 from tests.features.node_bench import GROUP, NodeBench
@@ -97,10 +98,59 @@
     assert int(line['token']) > int(first['token']), line
 
 
+@then(
+    '"{node}" wrote a voided answer that was sent by a lease '
+    + 'under term {term:d}'
+)
+def check_voided(context: Any, node: str, term: int) -> None:
+    claim = _find_line(context.nodes, node, DecisionKind.GROUP_CLAIMED)
+    line = _find_line(context.nodes, node, DecisionKind.ANSWER_VOIDED)
+    assert line['outcome'] == 'voided', line
+    assert line['token'] == claim['token'], line
+    assert line['evidence'] == Basis.LEASE.value, line
+    assert line['evidence_after'] == Basis.NONE.value, line
+    assert int(line['left_ms']) > 0, line
+    assert int(line['left_after_ms']) < 0, line
+    assert line['term'] == str(term), line
+
+
+@then('the page of "{node}" has {count:d} voided answers')
+def check_count(context: Any, node: str, count: int) -> None:
+    metrics = TextMetrics()
+    service = context.nodes.nodes[node].service
+    context.nodes.time.act(lambda: service.measure(metrics))
+    page = metrics.write_page().decode()
+    assert f'sedgeshunt_ownership_voided {count}' in page, page
+
+
+@when('{count:d} statements of "{database}" at "{node}" write')
+def write_often(context: Any, count: int, database: str, node: str) -> None:
+    bench: NodeBench = context.nodes
+    session = bench.open(node, database)
+
+    async def write() -> None:
+        for place in range(count):
+            outcome = await bench.answer(session, f'WRITE turn {place}')
+            assert outcome.is_ok(), outcome
+
+    bench.run(write())
+
+
+@then('"{node}" wrote {count:d} of them, with token, term and target')
+def check_sample(context: Any, node: str, count: int) -> None:
+    lines = _list_lines(context.nodes, node, (DecisionKind.PRIMARY_STATEMENT,))
+    assert len(lines) == count, lines
+    for line in lines:
+        assert not {*FIELDS, 'statement'} - line.reasons.keys(), line
+        assert line.reasons['outcome'] == 'done', line
+        assert line.reasons['term'] == '1', line
+        assert line.target == 'db-east', line
+
+
 @given('an ownership whose evidence changes {count:d} times within 20 s')
 def change_evidence(context: Any, count: int) -> None:
     context.decisions = MemoryDecisionLog()
-    context.lines = HoldLines(GROUP, context.decisions)
+    context.lines = HoldLines(GROUP, context.decisions, HoldTimes())
     bases = islice(cycle((Basis.LEASE, Basis.PROMISES)), count)
     for place, basis in enumerate(bases):
         _change(context.lines, basis, FIRST_CHANGE + place * CHANGE_INTERVAL)
