Write what becomes of each promotion order and of its intent

promotion-ordered has the status or failure that was received and waited_ms; primary-replaced has since_order_ms. New lines: promotion-withheld (not sent, as the ownership ends soon), promotion-not-seen (no effect in time), intent-recorded, intent-found (once for each, with the token of the owner that recorded it) and intent-cleared with its reason: in effect, obsolete by a term, the platform's answer, or that the target is served. stored tells whether the store confirmed it.

--- a/src/sedgeshunt/execution/primary_manager.py
+++ b/src/sedgeshunt/execution/primary_manager.py
@@ -168,12 +168,20 @@
             term=leader.status.term,
             end=leader.status.received.position,
         )
-        await self._parts.records.record_primary(
+        intent = self._parts.records.find_intent(self._ownership.group)
+        is_stored = await self._parts.records.record_primary(
             self._ownership,
             known.target.name,
             leader.status.term,
             known.life,
         )
+        if intent is not None:
+            self._parts.replacement.lines.record_cleared(
+                self._ownership,
+                intent.target,
+                f'{known.target.name} is served',
+                is_stored=is_stored,
+            )
 
     async def _watch(self, executor: TargetExecutor) -> None:
         """Check the primary once and act on the result."""
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -6,13 +6,14 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from sedgeshunt.clocks import read_clock
+from sedgeshunt.clocks import read_boottime, read_clock
 from sedgeshunt.connections.target_session import (
     LogRole,
     LogStatus,
     TargetSessionConnector,
 )
-from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.decisions import DecisionLog
+from sedgeshunt.execution.order_lines import OrderLines, find_end
 from sedgeshunt.execution.statuses import read_status
 from sedgeshunt.groups.orders import (
     PromotionAnswer,
@@ -67,7 +68,7 @@
         self._connector = connector
         self._promotions = promotions
         self._records = records
-        self._decisions = decisions
+        self.lines = OrderLines(decisions)
 
     async def promote(
         self,
@@ -98,7 +99,13 @@
         # An order takes effect hundreds of milliseconds after it was sent. If
         # this owner is lost meanwhile, the next one must know about it.
         target = chosen.known.target.name
-        if not await self._records.record_intent(ownership, target, min_term):
+        is_stored = await self._records.record_intent(
+            ownership, target, min_term
+        )
+        self.lines.record_intent(
+            ownership, target, min_term, is_stored=is_stored
+        )
+        if not is_stored:
             return None
         return await self._promote(ownership, chosen.known)
 
@@ -111,17 +118,22 @@
         intent = self._records.find_intent(ownership.group)
         if intent is None:
             return False
+        self.lines.record_found(ownership, intent)
         if self._is_obsolete(ownership, intent, statuses):
-            await self._records.clear_intent(ownership)
+            why = find_end(intent, statuses)
+            await self._clear_intent(ownership, intent.target, why)
             return False
         answer = await self._order(ownership, intent.target)
         if answer is PromotionAnswer.TARGET_DOWN:
             # The target may have been primary before it went down, unrecorded
             # as the store was unreachable. The primary before it cannot be
             # trusted any more.
-            await self._records.record_uncertain_primary(
+            is_stored = await self._records.record_uncertain_primary(
                 ownership, intent.target
             )
+            self.lines.record_cleared(
+                ownership, intent.target, answer.value, is_stored=is_stored
+            )
         else:
             await sleep(POLL_INTERVAL)
         return True
@@ -204,22 +216,27 @@
         target = known.target.name
         answer = await self._order(ownership, target)
         if answer in _INEFFECTIVE_ANSWERS:
-            await self._records.clear_intent(ownership)
+            await self._clear_intent(ownership, target, answer.value)
             return None
         give_up = read_clock() + EFFECT_TIMEOUT
         while read_clock() < give_up and ownership.is_held():
             await sleep(POLL_INTERVAL)
             status = await read_status(self._connector, known)
             if status is not None and status.role is LogRole.PRIMARY:
-                self._record_decision(
-                    DecisionKind.PRIMARY_REPLACED,
-                    ownership,
-                    target,
-                    term=status.term,
-                )
+                self.lines.record_effect(ownership, target, status.term)
                 return Successor(known, status)
+        self.lines.record_no_effect(ownership, target)
         return None
 
+    async def _clear_intent(
+        self,
+        ownership: GroupOwnership,
+        target: TargetId,
+        why: str,
+    ) -> None:
+        is_stored = await self._records.clear_intent(ownership)
+        self.lines.record_cleared(ownership, target, why, is_stored=is_stored)
+
     async def _order(
         self,
         ownership: GroupOwnership,
@@ -228,32 +245,19 @@
         # The order must not arrive after this ownership has ended, when
         # another owner may already be serving a primary.
         if not ownership.is_held_for(ORDER_TIMEOUT):
+            self.lines.record_withheld(ownership, target)
             return PromotionAnswer.NOT_TAKEN
+        sent_at = read_boottime()
         answer = await self._promotions.order(
             PromotionOrder(
                 ownership.group, target, ownership.owner, ownership.token
             ),
             ORDER_TIMEOUT,
         )
-        self._record_decision(
-            DecisionKind.PROMOTION_ORDERED,
-            ownership,
-            target,
-            answer=answer.value,
-        )
+        reply = self._promotions.describe_reply(ownership.group)
+        self.lines.record_order(ownership, target, answer, sent_at, reply)
         return answer
 
-    def _record_decision(
-        self,
-        kind: DecisionKind,
-        ownership: GroupOwnership,
-        target: TargetId,
-        **reasons: object,
-    ) -> None:
-        details = {name: str(reason) for name, reason in reasons.items()}
-        details['token'] = str(ownership.token)
-        self._decisions.record(Decision(kind, ownership.group, target, details))
-
 
 def _is_any_missing(
     members: GroupMembers,
--- a/src/sedgeshunt/groups/orders.py
+++ b/src/sedgeshunt/groups/orders.py
@@ -45,3 +45,7 @@
         limit: Seconds,
     ) -> PromotionAnswer:
         """Send an order and return its outcome within `limit` seconds."""
+
+    def describe_reply(self, group: GroupId) -> str:
+        """Return what was received to the latest order of a group."""
+        return ''
--- a/src/sedgeshunt/platform/promotions.py
+++ b/src/sedgeshunt/platform/promotions.py
@@ -10,7 +10,7 @@
     PromotionOrder,
     PromotionService,
 )
-from sedgeshunt.identifiers import Seconds
+from sedgeshunt.identifiers import GroupId, Seconds
 from sedgeshunt.ports import Address
 
 _ANSWERS = {
@@ -27,6 +27,7 @@
         # Data delayed by a partition is lost with its connection, so that no
         # order arrives after its sender's timeout.
         self._client = JsonClient([address])
+        self._replies: dict[GroupId, str] = {}
 
     def move(self, address: Address) -> None:
         """Use another address from the next order on."""
@@ -49,12 +50,19 @@
                 },
                 limit,
             )
-        except ServiceAway:
+        except ServiceAway as away:
+            self._replies[order.group] = str(away)
             return PromotionAnswer.NOT_TAKEN
-        except CallFailed:
+        except CallFailed as failure:
+            self._replies[order.group] = str(failure)
             return PromotionAnswer.UNANSWERED
+        self._replies[order.group] = str(reply.status)
         return _ANSWERS.get(reply.status, PromotionAnswer.NOT_TAKEN)
 
+    def describe_reply(self, group: GroupId) -> str:
+        """Return the status or failure of the latest order of a group."""
+        return self._replies.get(group, '')
+
     async def close(self) -> None:
         """Close all connections."""
         await self._client.close()
--- a/tests/features/ownership_lines.feature
+++ b/tests/features/ownership_lines.feature
@@ -62,3 +62,31 @@
     Given proxies "north-1, east-1, west-1"
     When 1500 statements of "settle" at "west-1" write
     Then "east-1" wrote 2 of them, with token, term and target
+
+  Scenario: A promotion is ordered and seen in effect
+    Guards against an order of which no line says when it was sent and when it
+    took effect.
+    Given proxies "north-1, east-1, west-1"
+    And a promotion takes 0.3 s
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the primary crashes
+    And 3 s go by
+    Then "east-1" wrote these lines of its orders
+      | line              | reasons                           |
+      | intent-recorded   | stored=True served_term=1         |
+      | promotion-ordered | answer=accepted status= waited_ms=0 |
+      | primary-replaced  | term=2                            |
+      | intent-cleared    | why=db-west is served             |
+    And its order was seen in effect after 300 to 400 ms
+
+  Scenario: The next owner finds the order of an earlier one
+    Guards against an order whose fate can't be followed from owner to owner.
+    Given proxies "north-1, east-1, west-1"
+    And a promotion takes 1.5 s
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the primary freezes
+    And "east-1" is killed as soon as it has ordered
+    And "db-east" resumes
+    And 6 s go by
+    Then the next owner wrote that it found the intent of the owner before
+    And the next owner wrote that it cleared the intent as "in effect in term 2"
--- a/tests/features/steps/ownership_lines_steps.py
+++ b/tests/features/steps/ownership_lines_steps.py
@@ -21,6 +21,15 @@
     DecisionKind.GROUP_HELD,
     DecisionKind.GROUP_NOT_HELD,
 )
+ORDERING = (
+    DecisionKind.INTENT_RECORDED,
+    DecisionKind.INTENT_FOUND,
+    DecisionKind.INTENT_CLEARED,
+    DecisionKind.PROMOTION_ORDERED,
+    DecisionKind.PROMOTION_WITHHELD,
+    DecisionKind.PROMOTION_NOT_SEEN,
+    DecisionKind.PRIMARY_REPLACED,
+)
 FIELDS = ('token', 'claim', 'lease', 'age_ms', 'left_ms', 'renewed_by')
 CLOCK = 'sedgeshunt.ownership.hold_lines.read_boottime'
 CHANGE_INTERVAL = 0.5
@@ -147,6 +156,42 @@
         assert line.target == 'db-east', line
 
 
+@then('"{node}" wrote these lines of its orders')
+def check_orders(context: Any, node: str) -> None:
+    context.lines = _list_lines(context.nodes, node, ORDERING)
+    rows = list(context.table)
+    assert [line.kind.value for line in context.lines] == [
+        row['line'] for row in rows
+    ], context.lines
+    for line, row in zip(context.lines, rows, strict=True):
+        assert line.target == 'db-west', line
+        written = ' '.join(f'{key}={line.reasons[key]}' for key in line.reasons)
+        assert row['reasons'] in written, line
+
+
+@then('its order was seen in effect after {least:d} to {most:d} ms')
+def check_effect(context: Any, least: int, most: int) -> None:
+    for line in context.lines[2:]:
+        assert least <= int(line.reasons['since_order_ms']) <= most, line
+
+
+@then('the next owner wrote that it found the intent of the owner before')
+def check_found(context: Any) -> None:
+    owner = context.nodes.find_owner()
+    before = _find_line(context.nodes, 'east-1', DecisionKind.INTENT_RECORDED)
+    line = _find_line(context.nodes, owner, DecisionKind.INTENT_FOUND)
+    assert line['intent_token'] == before['token'], line
+    assert int(line['token']) > int(before['token']), line
+
+
+@then('the next owner wrote that it cleared the intent as "{why}"')
+def check_cleared(context: Any, why: str) -> None:
+    owner = context.nodes.find_owner()
+    line = _find_line(context.nodes, owner, DecisionKind.INTENT_CLEARED)
+    assert line['why'] == why, line
+    assert line['stored'] == 'True', line
+
+
 @given('an ownership whose evidence changes {count:d} times within 20 s')
 def change_evidence(context: Any, count: int) -> None:
     context.decisions = MemoryDecisionLog()
