Write how a peer was lost, and that the own timers are late

peer-lost has why (silent, closed, stopping, or given up by this proxy), silent_ms, unanswered_ms and the calls under way; peer-regained has lost_ms; peer-refused says once for each loss why no connection could be made.

ownership_lines.feature shows a killed peer as closed and refused, a cut link as silent for 400 to 900 ms, and two lines for five late timers.

--- a/src/sedgeshunt/decisions.py
+++ b/src/sedgeshunt/decisions.py
@@ -55,6 +55,7 @@
     INTENT_CLEARED = 'intent-cleared'
     PEER_LOST = 'peer-lost'
     PEER_REGAINED = 'peer-regained'
+    PEER_REFUSED = 'peer-refused'
     SESSION_CUT = 'session-cut'
     CALL_CUT = 'call-cut'
     ANSWER_VOIDED = 'answer-voided'
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -91,6 +91,7 @@
 # Time that the reply may take to arrive after the call's own deadline.
 REPLY_SLACK = Seconds(0.05)
 RETRY_DELAY = Seconds(0.1)
+MILLISECONDS = 1000
 
 
 class LinkEvents(ABC):
@@ -132,8 +133,17 @@
         """Record a primary's log end and when it was requested."""
 
     @abstractmethod
-    def note_reachability(self, peer: ProxyId, *, is_reached: bool) -> None:
-        """Record that a peer became unreachable or reachable."""
+    def note_reachability(
+        self,
+        peer: ProxyId,
+        *,
+        is_reached: bool,
+        reasons: Mapping[str, str],
+    ) -> None:
+        """Record that a peer became unreachable or reachable, and why."""
+
+    def note_refused(self, peer: ProxyId, reason: str) -> None:
+        """Record that a peer could not be connected."""
 
 
 class PeerLink:
@@ -176,6 +186,11 @@
         # Whether the oldest pending heartbeat came soon after an earlier one.
         self._is_silence_dated = True
         self._echo = Boottime(0)
+        # For the lines: when the peer was heard or lost, and how it ended.
+        self._heard_at = read_clock()
+        self._lost_at: Monotonic | None = None
+        self._has_closed = False
+        self._is_refused = False
         self._backoff = Backoff(MIN_RECONNECT_DELAY, MAX_RECONNECT_DELAY)
 
     def is_alive(self) -> bool:
@@ -231,7 +246,8 @@
                     self.peer.address,
                     CONNECT_TIMEOUT,
                 )
-            except PeerUnreachable:
+            except PeerUnreachable as failure:
+                self._note_refused(failure.reason)
                 await sleep(self._backoff.compute_delay())
                 continue
             try:
@@ -351,13 +367,19 @@
         self._sent_at = read_clock()
         self._sent = SentHeartbeats()
         self._pending_heartbeats.clear()
-        self._events.note_reachability(self.peer.name, is_reached=True)
+        self._heard_at = read_clock()
+        self._has_closed = False
+        self._is_refused = False
+        self._events.note_reachability(
+            self.peer.name, is_reached=True, reasons=self._describe_return()
+        )
         async with TaskGroup() as tasks:
             heartbeats = tasks.create_task(self._send_heartbeats(channel))
             while (frame := await channel.receive()) is not None:
                 self._handle(frame)
                 if self._is_final:
                     break
+            self._has_closed = True
             heartbeats.cancel()
 
     async def _send_heartbeats(self, channel: FrameChannel) -> None:
@@ -465,6 +487,7 @@
 
     def _handle(self, frame: Frame) -> None:
         self._backoff.reset()
+        self._heard_at = read_clock()
         if frame.is_final:
             self._is_final = True
             self._fail_waiting(PeerStopped(self.peer.name, STOPPING_REASON))
@@ -518,11 +541,37 @@
         self.relayed = {}
         for feed in self._feeds.values():
             feed.put_nowait(None)
-        self._events.note_reachability(self.peer.name, is_reached=False)
+        self._lost_at = read_clock()
+        self._events.note_reachability(
+            self.peer.name, is_reached=False, reasons=self._describe_loss(wait)
+        )
         self._fail_waiting(
             PeerUnreachable(self.peer.name, 'the connection broke')
         )
 
+    def _note_refused(self, reason: str) -> None:
+        if not self._is_refused:
+            self._is_refused = True
+            self._events.note_refused(self.peer.name, reason)
+
+    def _describe_return(self) -> dict[str, str]:
+        if self._lost_at is None:
+            return {}
+        return {'lost_ms': _format(read_clock() - self._lost_at)}
+
+    def _describe_loss(self, wait: Seconds) -> dict[str, str]:
+        why = 'closed' if self._has_closed else 'given up'
+        if self._is_final:
+            why = 'stopping'
+        elif wait >= PEER_LOST_AFTER:
+            why = 'silent'
+        return {
+            'why': why,
+            'silent_ms': _format(read_clock() - self._heard_at),
+            'unanswered_ms': _format(wait),
+            'calls': str(len(self._waiting)),
+        }
+
     def _fail_waiting(self, failure: PeerUnreachable) -> None:
         for reply in self._waiting.values():
             if not reply.done():
@@ -557,5 +606,9 @@
         return refuse_unanswered(call, cause, text)
 
 
+def _format(span: float) -> str:
+    return str(round(span * MILLISECONDS))
+
+
 def _is_yes(answer: Frame | None) -> bool:
     return answer is not None and bool(answer.is_reached)
--- a/src/sedgeshunt/membership/heartbeats.py
+++ b/src/sedgeshunt/membership/heartbeats.py
@@ -169,12 +169,27 @@
         """Record a primary's log end and when it was requested."""
         self._groups.record_tip(group, asked_at, tip)
 
-    def note_reachability(self, peer: ProxyId, *, is_reached: bool) -> None:
-        """Record that a peer became unreachable or reachable."""
+    def note_refused(self, peer: ProxyId, reason: str) -> None:
+        """Record that a peer could not be connected."""
+        reasons = {'peer': peer, 'why': reason}
+        self._decisions.record(
+            Decision(DecisionKind.PEER_REFUSED, reasons=reasons)
+        )
+
+    def note_reachability(
+        self,
+        peer: ProxyId,
+        *,
+        is_reached: bool,
+        reasons: Mapping[str, str],
+    ) -> None:
+        """Record that a peer became unreachable or reachable, and why."""
         kind = (
             DecisionKind.PEER_REGAINED if is_reached else DecisionKind.PEER_LOST
         )
-        self._decisions.record(Decision(kind, reasons={'peer': peer}))
+        self._decisions.record(
+            Decision(kind, reasons={'peer': peer, **reasons})
+        )
         self.owners_changed.notify()
         self._groups.wake()
 
--- a/src/sedgeshunt/node.py
+++ b/src/sedgeshunt/node.py
@@ -25,6 +25,7 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.exceptions import SedgeshuntError, SettingsInvalid
 from sedgeshunt.identifiers import Seconds
+from sedgeshunt.lateness import LatenessLines
 from sedgeshunt.logs import EventLog, LogLevel, ProcessEvent, open_log
 from sedgeshunt.membership.rotation import BalancerRotation
 from sedgeshunt.membership.stop_schedule import StopSchedule, plan_stop
@@ -101,6 +102,7 @@
             beside = [
                 tasks.create_task(self._watch_isolation(node, callers)),
                 tasks.create_task(self._watch_file()),
+                tasks.create_task(LatenessLines(self._decisions).run()),
             ]
             await self._stopping.wait()
             self._log.note(ProcessEvent.STOPPING)
--- a/tests/features/ownership_lines.feature
+++ b/tests/features/ownership_lines.feature
@@ -90,3 +90,29 @@
     And 6 s go by
     Then the next owner wrote that it found the intent of the owner before
     And the next owner wrote that it cleared the intent as "in effect in term 2"
+
+  Scenario Outline: A peer is lost
+    Guards against a loss that shows as the same line whether the peer's process
+    ended, or the link or one of both processes was late.
+    Given proxies "north-1, east-1, west-1"
+    When <event>
+    And 2 s go by
+    Then "north-1" wrote that it lost "east-1" as "<why>" after <least> to <most> ms
+
+    Examples:
+      | event                                      | why    | least | most |
+      | "east-1" is killed                         | closed | 0     | 300  |
+      | nothing passes from "east-1" to "north-1"  | silent | 400   | 900  |
+
+  Scenario: A killed peer can't be connected
+    Guards against a peer that refuses connections and seems to be silent.
+    Given proxies "north-1, east-1, west-1"
+    When "east-1" is killed
+    And 2 s go by
+    Then "north-1" wrote once that "east-1" refused a connection
+
+  Scenario: The timers of a process are late
+    Guards against a starved process whose late answers look like lost links.
+    When the timers of a process are late by 0.4 s, 5 times within 2.5 s
+    Then 2 lines say so, with more than 350 ms
+    And the last one counts 1 others
--- a/tests/features/steps/links_steps.py
+++ b/tests/features/steps/links_steps.py
@@ -96,7 +96,13 @@
     def take_tip(self, group: GroupId, asked_at: Boottime, tip: Point) -> None:
         """Ignore a log end."""
 
-    def note_reachability(self, peer: ProxyId, *, is_reached: bool) -> None:
+    def note_reachability(
+        self,
+        peer: ProxyId,
+        *,
+        is_reached: bool,
+        reasons: Mapping[str, str],
+    ) -> None:
         """Ignore the change."""
 
 
--- a/tests/features/steps/ownership_lines_steps.py
+++ b/tests/features/steps/ownership_lines_steps.py
@@ -9,7 +9,13 @@
 
 from sedgeshunt.adapters.text_metrics import TextMetrics
 from sedgeshunt.decisions import Decision, DecisionKind, MemoryDecisionLog
-from sedgeshunt.identifiers import Boottime, OwnerToken, Seconds
+from sedgeshunt.identifiers import (
+    Boottime,
+    Monotonic,
+    OwnerToken,
+    Seconds,
+)
+from sedgeshunt.lateness import LatenessLines
 from sedgeshunt.ownership.evidence import Basis, HoldEvidence
 from sedgeshunt.ownership.hold_lines import HoldLines, HoldTimes
 from sedgeshunt.ports import Delete
@@ -32,6 +38,10 @@
 )
 FIELDS = ('token', 'claim', 'lease', 'age_ms', 'left_ms', 'renewed_by')
 CLOCK = 'sedgeshunt.ownership.hold_lines.read_boottime'
+LATENESS_CLOCK = 'sedgeshunt.lateness.read_clock'
+LATENESS = Seconds(0.45)
+# The second is left out, and so is the last.
+LATE_AT = (10, 10.5, 11.1, 11.6, 12)
 CHANGE_INTERVAL = 0.5
 FIRST_CHANGE = 100
 AFTER_WINDOW = 31
@@ -214,6 +224,59 @@
     assert lines[-1].reasons['dropped'] == str(count), lines[-1]
 
 
+@then(
+    '"{node}" wrote that it lost "{peer}" as "{why}" '
+    + 'after {least:d} to {most:d} ms',
+)
+def check_peer_loss(
+    context: Any, node: str, peer: str, why: str, least: int, most: int
+) -> None:
+    lines = _list_peer_lines(context, node, peer, DecisionKind.PEER_LOST)
+    assert lines, peer
+    assert lines[0]['why'] == why, lines
+    assert least <= int(lines[0]['silent_ms']) <= most, lines
+
+
+@then('"{node}" wrote once that "{peer}" refused a connection')
+def check_refusal(context: Any, node: str, peer: str) -> None:
+    lines = _list_peer_lines(context, node, peer, DecisionKind.PEER_REFUSED)
+    assert len(lines) == 1, lines
+    assert lines[0]['why'], lines
+
+
+@when('the timers of a process are late by 0.4 s, 5 times within 2.5 s')
+def delay_timers(context: Any) -> None:
+    context.decisions = MemoryDecisionLog()
+    lines = LatenessLines(context.decisions)
+    for moment in LATE_AT:
+        with patch(LATENESS_CLOCK, return_value=Monotonic(moment)):
+            lines.record(LATENESS)
+
+
+@then('{count:d} lines say so, with more than {least:d} ms')
+def check_lateness(context: Any, count: int, least: int) -> None:
+    lines = context.decisions.list_decisions(DecisionKind.PAUSED)
+    assert len(lines) == count, lines
+    for line in lines:
+        assert int(line.reasons['length_ms']) > least, line
+
+
+@then('the last one counts {count:d} others')
+def check_others(context: Any, count: int) -> None:
+    lines = context.decisions.list_decisions(DecisionKind.PAUSED)
+    assert lines[-1].reasons['others'] == str(count), lines
+
+
+def _list_peer_lines(
+    context: Any, node: str, peer: str, kind: DecisionKind
+) -> list[Mapping[str, str]]:
+    return [
+        line.reasons
+        for line in _list_lines(context.nodes, node, (kind,))
+        if line.reasons['peer'] == peer
+    ]
+
+
 def _change(lines: HoldLines, basis: Basis, moment: float) -> None:
     evidence = HoldEvidence(
         OwnerToken(1),
