Break links and the store for some proxies in the process soak

Callers of the incident saw a commit acknowledged at a replaced primary and reads on a log that lacks acknowledged commits. The soak couldn't show it: it knew no link that fails, no store that refuses some proxies only, no late or lost answer, no key that goes before its lease, no starved process.

Each link between two proxies, and from a proxy to a database, now goes through a relay that refuses, resets, holds or delays it, one way or both. The store knows its callers by the port that they call.

--- a/tests/features/platform_bench.py
+++ b/tests/features/platform_bench.py
@@ -18,17 +18,19 @@
 from aiohttp.web import AppRunner, TCPSite
 from msgspec.json import decode
 
-from benchmarks.documents import find_port
 from sedgeshunt.connections.target_session import LogRole
 from sedgeshunt.identifiers import GroupId, TargetId
 from sedgeshunt.ports import Put
 from sedgeshunt.registry.keys import make_owner_key
 from tests.features.driver_bench import LoopThread
+from tests.soak_history import RecordedGroup
 from tests.standins.metadata_front import MetadataFront
 from tests.standins.network import Network, Place
 from tests.standins.platform import KeyValueStandIn
+from tests.standins.ports import find_port
 from tests.standins.statement_front import HOST, StatementFront
-from tests.standins.statement_group import StatementGroup, StatementTarget
+from tests.standins.statement_group import StatementTarget
+from tests.standins.store_callers import StoreCaller
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 GROUP = GroupId('songbook')
@@ -74,7 +76,7 @@
         self._loop = loop
         self._owned = AsyncExitStack()
         self.front: MetadataFront
-        self.group: StatementGroup
+        self.group: RecordedGroup
         self.databases: StatementFront
         self.port = 0
 
@@ -114,7 +116,7 @@
 
     async def _start(self) -> None:
         network = Network()
-        self.group = StatementGroup(network)
+        self.group = RecordedGroup(network)
         self._owned.callback(self.group.close)
         for number, zone in enumerate(ZONES):
             name = TargetId(f'db-{zone}')
@@ -128,15 +130,19 @@
         self._owned.callback(databases.stop)
         self.front = MetadataFront(KeyValueStandIn(network), self.group)
         await self.publish_all()
-        await self._listen()
+        self.port = await self._listen()
 
     def move(self) -> None:
         """Serve the same store at a second address, too."""
-        self._loop.run(self._listen())
+        self.port = self._loop.run(self._listen())
 
-    async def _listen(self) -> None:
+    def listen_for(self, caller: StoreCaller) -> int:
+        """Serve the store to one caller at a port of its own."""
+        return self._loop.run(self._listen(caller))
+
+    async def _listen(self, caller: StoreCaller | None = None) -> int:
         runner = AppRunner(
-            self.front.make_application(),
+            self.front.make_application(caller),
             access_log=None,
             shutdown_timeout=0,
         )
@@ -144,7 +150,8 @@
         self._owned.push_async_callback(runner.cleanup)
         site = TCPSite(runner, HOST, 0)
         await site.start()
-        self.port = runner.addresses[0][1]
+        port: int = runner.addresses[0][1]
+        return port
 
 
 class Caller:
@@ -327,10 +334,11 @@
         self._folder = TemporaryDirectory()
         self.proxies: dict[str, ProxyUnderTest] = {}
 
-    def add(self, name: str) -> ProxyUnderTest:
+    def add(self, name: str, store_port: int = 0) -> ProxyUnderTest:
         """Write the settings of a proxy and return it, not started."""
         folder = Path(self._folder.name)
-        proxy = ProxyUnderTest(folder, name, self.platform.port)
+        port = store_port or self.platform.port
+        proxy = ProxyUnderTest(folder, name, port)
         self.proxies[name] = proxy
         return proxy
 
--- a/tests/features/process_soak.feature
+++ b/tests/features/process_soak.feature
@@ -9,3 +9,10 @@
     When the processes run for 8 s under the faults of seed 1
     Then callers were served, and faults happened to them
     And no promise was broken
+
+  Scenario: An owner whose key is deleted does not go on beside the next owner
+    Guards against an owner that holds by its lease after its key has gone: the
+    next owner promotes another target, and both acknowledge.
+    When the processes run for 6 s and an owner is displaced, with seed 1
+    Then callers were served, and faults happened to them
+    And no promise was broken
--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -1,18 +1,13 @@
 """Break proxies, databases and the store for a while, from outside."""
 
 from asyncio import sleep
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from random import Random
-from signal import SIGCONT, SIGHUP, SIGSTOP, SIGTERM
+from signal import SIGHUP, SIGTERM
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.connections.target_session import RefusalKind
-from tests.features.platform_bench import (
-    GRACE_SECONDS,
-    PlatformBench,
-    ProxyUnderTest,
-)
+from tests.features.platform_bench import GRACE_SECONDS
+from tests.soak_scene import Fault, Scene
 from tests.standins.foreign import draw_entry
 from tests.standins.statement_group import (
     WORK,
@@ -28,53 +23,34 @@
     RefusalKind.FAILED,
     RefusalKind.TIMED_OUT,
 )
-NAMES = ('east-1', 'north-1', 'west-1')
-
-
-@dataclass
-class Scene:
-    """Hold what can be broken, and the processes that are broken now."""
-
-    bench: PlatformBench
-    random: Random
-    busy: set[str] = field(default_factory=set)
-    # When each proxy was killed last.
-    killed_at: dict[str, float] = field(default_factory=dict)
-    # Stops that took longer than the grace.
-    overdue: list[str] = field(default_factory=list)
-    # Processes that ended by themselves.
-    ended: list[str] = field(default_factory=list)
-
-
-Fault = Callable[[Scene], Awaitable[None]]
 
 
 async def pause_proxy(scene: Scene) -> None:
     """Suspend a proxy's process for a while."""
-    proxy = _take_proxy(scene)
+    proxy = scene.reserve()
     if proxy is None:
         return
-    proxy.signal(SIGSTOP)
-    await sleep(scene.random.uniform(0.2, 3))
-    proxy.signal(SIGCONT)
-    scene.busy.discard(proxy.name)
+    seconds = scene.random.uniform(0.2, 3)
+    scene.note(f'{proxy.name} is suspended for {seconds:.2f} s')
+    await scene.suspend(proxy, seconds)
+    scene.release(proxy)
 
 
 async def kill_proxy(scene: Scene) -> None:
     """Kill a proxy's process and start it again."""
-    proxy = _take_proxy(scene)
+    proxy = scene.reserve()
     if proxy is None:
         return
-    scene.killed_at[proxy.name] = read_clock()
-    proxy.close()
+    scene.note(f'{proxy.name} is killed')
+    scene.kill(proxy)
     await sleep(scene.random.uniform(0.1, 1.5))
     proxy.start()
-    scene.busy.discard(proxy.name)
+    scene.release(proxy)
 
 
 async def stop_proxy(scene: Scene) -> None:
     """Stop a proxy gracefully and start it again."""
-    proxy = _take_proxy(scene)
+    proxy = scene.reserve()
     if proxy is None:
         return
     proxy.signal(SIGTERM)
@@ -84,16 +60,16 @@
     if read_clock() - stopped_at > GRACE_SECONDS + CHECK_DELAY:
         scene.overdue.append(proxy.name)
     proxy.start()
-    scene.busy.discard(proxy.name)
+    scene.release(proxy)
 
 
 async def reload_proxy(scene: Scene) -> None:
     """Have a proxy read its settings again."""
-    proxy = _take_proxy(scene)
+    proxy = scene.reserve()
     if proxy is None:
         return
     proxy.signal(SIGHUP)
-    scene.busy.discard(proxy.name)
+    scene.release(proxy)
 
 
 async def slow_targets(scene: Scene) -> None:
@@ -202,7 +178,7 @@
     front.ends_connections = False
 
 
-FAULTS: tuple[Fault, ...] = (
+PROCESS_FAULTS: tuple[Fault, ...] = (
     write_entries,
     refuse_setup,
     refuse_setup,
@@ -223,15 +199,3 @@
     stop_proxy,
     stop_proxy,
 )
-
-
-def _take_proxy(scene: Scene) -> ProxyUnderTest | None:
-    idle = [name for name in NAMES if name not in scene.busy]
-    if not idle:
-        return None
-    name = scene.random.choice(idle)
-    scene.busy.add(name)
-    proxy = scene.bench.proxies[name]
-    if not proxy.is_running():
-        scene.ended.append(name)
-    return proxy
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -1,18 +1,38 @@
 """Run proxies as processes under random faults and check what callers see."""
 
-from argparse import ArgumentParser
+from argparse import ArgumentParser, Namespace
 from asyncio import gather, sleep, wait_for
 from collections import Counter
+from collections.abc import Awaitable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from itertools import count
+from pathlib import Path
 from random import Random
 from signal import SIGCONT
 from sys import exit as leave
+from time import time
 
 from sedgeshunt.clocks import read_clock
-from tests.features.platform_bench import CONFIGURATION, PlatformBench
-from tests.process_faults import FAULTS, NAMES, Scene
+from tests.combined_faults import (
+    COMBINED_FAULTS,
+    COMBINED_KEY_FAULTS,
+    STARVING_FAULTS,
+)
+from tests.features.linked_bench import LinkedBench
+from tests.features.platform_bench import CONFIGURATION
+from tests.link_faults import LINK_FAULTS
+from tests.owner_periods import (
+    Overlap,
+    ProxyHistory,
+    list_overlaps,
+    list_violations,
+    read_lines,
+)
+from tests.process_faults import PROCESS_FAULTS
+from tests.soak_judge import Asked, Breach, Judge, Rule
+from tests.soak_scene import NAMES, Fault, Scene
+from tests.store_faults import KEY_FAULTS, STORE_FAULTS
 from tests.wire_session import Session, SessionDrained
 
 CALLERS = 8
@@ -28,12 +48,25 @@
 PAUSE = 0.02
 # Of a proxy's log, if a promise was broken.
 MAX_LINES = 12
+# Violations of one rule that are printed for one seed.
+MAX_OF_KIND = 3
 MAX_LINE = 300
 # Share of statements before which a caller sets a session value.
 SET_SHARE = 0.3
 # Share of statements before which a caller reads what the proxy has sent.
 READ_SHARE = 0.5
 CURRENT, OWN_WRITES = 'kigali', 'catalogue'
+FAULTS: dict[str, tuple[Fault, ...]] = {
+    'processes': PROCESS_FAULTS,
+    'links': LINK_FAULTS,
+    'store': STORE_FAULTS,
+    'keys': KEY_FAULTS,
+    'starving': STARVING_FAULTS,
+    'combined': COMBINED_FAULTS,
+    'combined-keys': COMBINED_KEY_FAULTS,
+}
+# The platform doesn't take keys before their leases end.
+KINDS = ('processes', 'links', 'store', 'starving', 'combined')
 PROMISES = frozenset(
     ('BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'TOOMANY'),
 )
@@ -47,6 +80,8 @@
     acknowledged: str = ''
     # Values whose writes are in doubt, and may take effect at any time.
     in_doubt: set[str] = field(default_factory=set)
+    # Whether the present session is on a route to the primary.
+    is_at_primary: bool = False
     # Values that the present session has set.
     values: dict[str, str] = field(default_factory=dict)
 
@@ -60,7 +95,10 @@
     """Hold one seeded run."""
 
     seed: int
-    bench: PlatformBench
+    bench: LinkedBench
+    kinds: Sequence[str] = KINDS
+    # If given, this fault happens once, and no other.
+    only: Fault | None = None
     random: Random = field(init=False)
     scene: Scene = field(init=False)
     faults: Counter[str] = field(default_factory=Counter)
@@ -69,6 +107,9 @@
     promised: set[str] = field(default_factory=set)
     # The session values that each statement must run with.
     values: dict[str, dict[str, str]] = field(default_factory=dict)
+    breaches: list[Breach] = field(default_factory=list)
+    overlaps: list[Overlap] = field(default_factory=list)
+    claims: int = 0
     # What the proxies logged of interest, if a promise was broken.
     warnings: list[str] = field(default_factory=list)
     until: float = 0
@@ -84,11 +125,12 @@
         self.until = read_clock() + seconds
         notes = [Notes(f'item{number}') for number in range(CALLERS)]
         await gather(
-            *(self._break_things() for _ in range(SERIES)),
+            *self._list_series(),
             *(self._call(one) for one in notes),
         )
         await self._check_recovery(notes)
         self._check_runs()
+        self._judge()
         if self.violations:
             self.warnings = [
                 f'{name}: {line[:MAX_LINE]}'
@@ -96,12 +138,22 @@
                 for line in _list_warnings(log)
             ]
 
+    def _list_series(self) -> list[Awaitable[None]]:
+        if self.only is not None:
+            return [self._break(self.only)]
+        return [self._break_things() for _ in range(SERIES)]
+
     async def _break_things(self) -> None:
         while read_clock() < self.until:
             await sleep(self.random.uniform(0.2, LONGEST_PAUSE))
-            fault = self.random.choice(FAULTS)
-            self.faults[fault.__name__] += 1
-            await fault(self.scene)
+            kind = self.random.choice(self.kinds)
+            await self._break(self.random.choice(FAULTS[kind]))
+
+    async def _break(self, fault: Fault) -> None:
+        self.faults[fault.__name__] += 1
+        self.scene.note(f'{fault.__name__} begins')
+        await fault(self.scene)
+        self.scene.note(f'{fault.__name__} is over')
 
     async def _call(self, notes: Notes) -> None:
         while read_clock() < self.until:
@@ -112,6 +164,7 @@
 
     async def _use_session(self, notes: Notes, database: str) -> None:
         name = self.random.choice(NAMES)
+        notes.is_at_primary = database == CURRENT
         session = Session(self.bench.proxies[name].ports['callers'])
         try:
             await wait_for(session.open(database), PATIENCE)
@@ -145,7 +198,9 @@
         name = f'{self.seed}w{next(self.ids)}'
         self.values[name] = notes.values
         notes.in_doubt.add(name)
-        word = await self._ask(session, name, f'WRITE {notes.item} {name}')
+        word = await self._ask_noted(
+            session, notes, name, f'WRITE {notes.item} {name}'
+        )
         if word == 'COMPLETE':
             notes.acknowledged = name
         if word == 'COMPLETE' or word in PROMISES:
@@ -156,13 +211,28 @@
     async def _read(self, session: Session, notes: Notes) -> None:
         name = f'{self.seed}r{next(self.ids)}'
         self.values[name] = notes.values
-        word = await self._ask(session, name, f'READ {notes.item}')
+        word = await self._ask_noted(session, notes, name, f'READ {notes.item}')
         if word == 'COMPLETE' and not notes.may_be(session.row):
             self.violations.append(
                 f'{name} found {session.row} of {notes.item} after '
                 f'{notes.acknowledged} was acknowledged',
             )
 
+    async def _ask_noted(
+        self, session: Session, notes: Notes, name: str, text: str
+    ) -> str:
+        """Run a statement, and record what its caller sees."""
+        began_at = read_clock()
+        word = ''
+        try:
+            word = await self._ask(session, name, text)
+        finally:
+            is_at_primary = notes.is_at_primary or text.startswith('WRITE')
+            self.bench.platform.group.history.asked.append(
+                Asked(name, is_at_primary, began_at, read_clock(), word)
+            )
+        return word
+
     async def _ask(self, session: Session, name: str, text: str) -> str:
         # Some callers send before they have read a request to leave.
         if session.word != 'COMPLETE' or self.random.random() < READ_SHARE:
@@ -186,17 +256,71 @@
     async def _is_well(self, notes: Notes) -> bool:
         session = Session(self.bench.proxies[NAMES[0]].ports['callers'])
         notes.values = {}
+        notes.is_at_primary = True
         try:
             await wait_for(session.open(CURRENT), PATIENCE)
             await self._read(session, notes)
             before = notes.acknowledged
             await self._write(session, notes)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, SessionDrained):
             return False
         finally:
             session.close()
         return notes.acknowledged != before
 
+    def _judge(self) -> None:
+        self.breaches = Judge(self.bench.platform.group.history).list_breaches()
+        logs = self.bench.read_logs()
+        histories = {
+            name: ProxyHistory(
+                read_lines(log),
+                self.scene.kills.get(name, []),
+                self.scene.pauses.get(name, []),
+            )
+            for name, log in logs.items()
+        }
+        self.claims = sum(log.count('"group-claimed"') for log in logs.values())
+        self.overlaps = list_overlaps(histories, time())
+        self.violations += [
+            f'{breach.rule.value}: {breach.text}'
+            for breach in self.breaches
+            if breach.rule is not Rule.STALE_RUN
+        ]
+        self.violations += [
+            f'OWNERS: {overlap.describe()}'
+            for overlap in list_violations(self.overlaps)
+        ]
+
+    async def keep(self, folder: Path) -> None:
+        """Write the logs, and all that the soak noted, into a folder."""
+        folder.mkdir(parents=True, exist_ok=True)
+        for name, log in self.bench.read_logs().items():
+            (folder / f'{name}.log').write_text(log)
+        # Times of the loop's clock, given as the time of day.
+        shift = time() - read_clock()
+        lines = list(self.scene.notes)
+        lines += [
+            (one.at + shift, f'{one.rule.value}: {one.text}')
+            for one in self.breaches
+        ]
+        group = self.bench.platform.group
+        lines += [
+            (one.at + shift, f'{one.target} leads in term {one.term}')
+            for one in group.history.promotions
+        ]
+        lines += [
+            (
+                at + shift,
+                f'{order.holder} orders {order.target} with {order.token}',
+            )
+            for at, order in group.orders
+        ]
+        text = [f'{at:.3f} {line}' for at, line in sorted(lines)]
+        text += [f'the clock of the loop is behind by {shift:.3f}']
+        text += [overlap.describe() for overlap in self.overlaps]
+        text += self.violations
+        (folder / 'notes.txt').write_text('\n'.join(text))
+
     def _check_runs(self) -> None:
         self.violations += [
             f'{name} outlasted its grace' for name in self.scene.overdue
@@ -236,21 +360,33 @@
     return found[-MAX_LINES:]
 
 
-def run_seed(seed: int, seconds: float) -> Soak:
-    """Run one seed on stand-ins and processes of its own."""
-    bench = PlatformBench()
+def run_seed(
+    seed: int,
+    seconds: float,
+    kinds: Sequence[str] = KINDS,
+    folder: Path | None = None,
+    only: Fault | None = None,
+) -> Soak:
+    """Run one seed on stand-ins and processes of its own.
+
+    Write its logs into `folder`.
+    """
+    bench = LinkedBench()
     try:
         bench.platform.group.synchronous = 1
         services = [{**CONFIGURATION['services'][0], 'sync_replicas': 1}]
         declared = {**CONFIGURATION, 'version': 8, 'services': services}
         bench.platform.publish('op/config', declared)
-        for name in NAMES:
-            bench.add(name).start()
-        for proxy in bench.proxies.values():
-            proxy.wait_ready()
-        soak = Soak(seed, bench)
+        bench.add_all(NAMES)
+        for starting in bench.proxies.values():
+            starting.start()
+        for started in bench.proxies.values():
+            started.wait_ready()
+        soak = Soak(seed, bench, kinds, only)
         limit = seconds + RECOVERY * CALLERS
         bench.loop.start(soak.run(seconds)).result(limit)
+        if folder is not None:
+            bench.loop.run(soak.keep(folder / f'seed-{seed}'))
         return soak
     finally:
         for proxy in bench.proxies.values():
@@ -261,26 +397,52 @@
 
 def main() -> None:
     """Run the seeds that the command line names."""
-    parser = ArgumentParser(description=__doc__)
-    parser.add_argument('--seeds', type=int, default=5)
-    parser.add_argument('--first-seed', type=int, default=1)
-    parser.add_argument('--seconds', type=float, default=15)
-    given = parser.parse_args()
+    given = _read_arguments()
+    kinds = given.kinds.split(',')
+    named = {
+        fault.__name__: fault for kind in FAULTS.values() for fault in kind
+    }
     failed = 0
     for seed in range(given.first_seed, given.first_seed + given.seeds):
-        soak = run_seed(seed, given.seconds)
+        only = named.get(given.only)
+        soak = run_seed(seed, given.seconds, kinds, given.keep, only)
         failed += bool(soak.violations)
-        print(
-            f'seed {seed}: {soak.outcomes.total()} statements '
-            f'{dict(soak.outcomes)}, faults {dict(soak.faults)}',
-        )
-        for violation in soak.violations[:10]:
-            print(f'  {violation}')
-        for line in soak.warnings:
-            print(f'  {line}')
+        _print(soak)
     print(f'{given.seeds} seeds, {failed} failed')
     leave(1 if failed else 0)
 
 
+def _read_arguments() -> Namespace:
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=5)
+    parser.add_argument('--first-seed', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=15)
+    parser.add_argument('--kinds', default=','.join(KINDS), help='of faults')
+    parser.add_argument('--only', help='the only fault, by its name')
+    parser.add_argument('--keep', type=Path, help='a folder for logs')
+    return parser.parse_args()
+
+
+def _print(soak: Soak) -> None:
+    rules = Counter(breach.rule.value for breach in soak.breaches)
+    print(
+        f'seed {soak.seed}: {soak.outcomes.total()} statements '
+        f'{dict(soak.outcomes)}, faults {dict(soak.faults)}, '
+        f'rules {dict(rules)}, '
+        f'promotions {len(soak.bench.platform.group.history.promotions)}, '
+        f'claims {soak.claims}',
+    )
+    for overlap in soak.overlaps:
+        print(f'  overlap: {overlap.describe()}')
+    printed: Counter[str] = Counter()
+    for violation in soak.violations:
+        kind = violation.partition(' ')[0]
+        printed[kind] += 1
+        if printed[kind] <= MAX_OF_KIND and printed.total() <= MAX_LINES:
+            print(f'  {violation}')
+    for line in soak.warnings:
+        print(f'  {line}', flush=True)
+
+
 if __name__ == '__main__':
     main()
--- a/tests/standins/keyvalues.py
+++ b/tests/standins/keyvalues.py
@@ -135,6 +135,13 @@
         self._apply([Delete(key) for key in sorted(ended.keys)])
         return True
 
+    def revoke_lease_of(self, key: str) -> bool:
+        """End the lease to which a key is bound, if there is one."""
+        found = [
+            lease for lease, held in self._leases.items() if key in held.keys
+        ]
+        return any(self.revoke_lease(lease) for lease in found)
+
     def expire_leases(self) -> None:
         """End all leases as if none had been renewed in time."""
         for lease in tuple(self._leases):
--- a/tests/standins/metadata_front.py
+++ b/tests/standins/metadata_front.py
@@ -1,13 +1,15 @@
 """Serve the key-value test double over the platform's HTTP protocol."""
 
-from asyncio import sleep, timeout
+from asyncio import Task, create_task, sleep, timeout
 from base64 import b64decode, b64encode
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Any
 
 from aiohttp.web import (
+    AppKey,
     Application,
+    HTTPServiceUnavailable,
     Request,
     Response,
     delete,
@@ -38,6 +40,7 @@
 from tests.standins.network import Place
 from tests.standins.platform import KeyValueStandIn
 from tests.standins.statement_group import StatementGroup
+from tests.standins.store_callers import StoreCaller
 
 # Items per page; fewer than on the platform, so that listings take several.
 PAGE_SIZE = 3
@@ -47,6 +50,9 @@
 POLL_INTERVAL = 0.05
 
 Handler = Callable[[Request], Awaitable[Response]]
+# The store and the promotion service are refused apart from each other.
+PROMOTION_PATH = '/promote'
+CALLER = AppKey('caller', StoreCaller)
 
 
 class MetadataFront:
@@ -65,10 +71,15 @@
         # While true, no call is answered.
         self.is_silent = False
         self.calls = 0
+        # Calls that are executed after their callers were refused an answer.
+        self._late: set[Task[Response]] = set()
 
-    def make_application(self) -> Application:
-        """Return an HTTP application with all routes."""
+    def make_application(
+        self, caller: StoreCaller | None = None
+    ) -> Application:
+        """Return an HTTP application with all routes, for one caller."""
         application = Application()
+        application[CALLER] = caller or StoreCaller()
         routes = (
             get('/kv-range', partial(self._serve, self._list)),
             get('/kv-watch', partial(self._serve, self._watch)),
@@ -87,7 +98,10 @@
             await self._wait_silent()
         if self.refusal is not None:
             return Response(status=self.refusal, text='no')
-        response = await self._handle(handle, request)
+        if request.path == PROMOTION_PATH:
+            response = await self._handle(handle, request)
+        else:
+            response = await self._serve_caller(handle, request)
         if self.body is not None:
             response = Response(text=self.body)
         if self.ends_connections:
@@ -95,6 +109,40 @@
         response.headers['Store-Era'] = str(self.service.store.era)
         return response
 
+    async def _serve_caller(
+        self, handle: Handler, request: Request
+    ) -> Response:
+        caller = request.app[CALLER]
+        if caller.is_silent:
+            await _wait_given_up(request)
+        if caller.is_reset and request.transport is not None:
+            request.transport.abort()
+        if caller.refusal is not None:
+            return Response(status=caller.refusal, text='no')
+        drawn = caller.random.random()
+        if drawn < caller.late_share:
+            await request.read()
+            self._start_late(handle, request, caller.late_by)
+            await _wait_given_up(request)
+        response = await self._handle(handle, request)
+        if 1 - drawn < caller.lost_share:
+            await _wait_given_up(request)
+        await sleep(caller.draw_delay())
+        return response
+
+    def _start_late(
+        self, handle: Handler, request: Request, pause: float
+    ) -> None:
+        task = create_task(self._handle_late(handle, request, pause))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    async def _handle_late(
+        self, handle: Handler, request: Request, pause: float
+    ) -> Response:
+        await sleep(pause)
+        return await self._handle(handle, request)
+
     async def _handle(self, handle: Handler, request: Request) -> Response:
         try:
             return await handle(request)
@@ -116,7 +164,10 @@
         pairs = [pair for pair in listing.pairs if pair.key > after]
         return json_response(
             {
-                'items': [_write_pair(pair) for pair in pairs[:PAGE_SIZE]],
+                'items': [
+                    _write_pair(pair, request.app[CALLER])
+                    for pair in pairs[:PAGE_SIZE]
+                ],
                 'has_more': len(pairs) > PAGE_SIZE,
                 'at_revision': listing.revision,
             },
@@ -137,7 +188,9 @@
             events = []
         return json_response(
             {
-                'events': [_write_event(event) for event in events],
+                'events': [
+                    _write_event(event, request.app[CALLER]) for event in events
+                ],
                 'at_revision': store.revision,
             },
         )
@@ -148,7 +201,8 @@
             Compare(one['key'], Revision(one['revision']))
             for one in body['expected']
         ]
-        puts = [_read_put(one) for one in body['write']]
+        caller = request.app[CALLER]
+        puts = [_read_put(one, caller) for one in body['write']]
         removed = [Delete(key) for key in body['remove']]
         changes: list[Put | Delete] = [*puts, *removed]
         result = await self.service.answer(
@@ -158,7 +212,7 @@
         )
         if result.succeeded:
             return json_response({'revision': result.revision})
-        current = [self._describe(one.key) for one in compares]
+        current = [self._describe(one.key, caller) for one in compares]
         return json_response({'items': current}, status=412)
 
     async def _grant(self, request: Request) -> Response:
@@ -189,33 +243,45 @@
         is_accepted = answer is PromotionAnswer.ACCEPTED
         return Response(status=200 if is_accepted else 409)
 
-    def _describe(self, key: str) -> dict[str, Any]:
+    def _describe(self, key: str, caller: StoreCaller) -> dict[str, Any]:
         pairs = self.service.store.list_matching(key.__eq__).pairs
-        return _write_pair(pairs[0]) if pairs else {'key': key, 'revision': 0}
+        if not pairs:
+            return {'key': key, 'revision': 0}
+        return _write_pair(pairs[0], caller)
 
 
 def _match(prefix: str) -> Callable[[str], bool]:
     return lambda key: key.startswith(prefix)
 
 
-def _read_put(row: dict[str, Any]) -> Put:
-    return Put(row['key'], b64decode(row['value']), row['lease_id'] or None)
+def _read_put(row: dict[str, Any], caller: StoreCaller) -> Put:
+    content = caller.restore(b64decode(row['value']))
+    return Put(row['key'], content, row['lease_id'] or None)
 
 
-def _write_pair(pair: KeyValue) -> dict[str, Any]:
+def _write_pair(pair: KeyValue, caller: StoreCaller) -> dict[str, Any]:
+    content = caller.translate(pair.key, pair.value)
     return {
         'key': pair.key,
-        'value': b64encode(pair.value).decode(),
+        'value': b64encode(content).decode(),
         'revision': pair.revision,
         'lease_id': 0,
     }
 
 
-def _write_event(event: WatchEvent) -> dict[str, Any]:
+def _write_event(event: WatchEvent, caller: StoreCaller) -> dict[str, Any]:
     if event.value is None:
         return {'key': event.key, 'revision': event.revision, 'deleted': True}
+    content = caller.translate(event.key, event.value)
     return {
         'key': event.key,
-        'value': b64encode(event.value).decode(),
+        'value': b64encode(content).decode(),
         'revision': event.revision,
     }
+
+
+async def _wait_given_up(request: Request) -> None:
+    """Wait until the caller has closed the connection."""
+    while request.transport is not None and not request.transport.is_closing():
+        await sleep(POLL_INTERVAL)
+    raise HTTPServiceUnavailable
