Don't take another entry of the owner's instance for proof of its end

Callers were answered by two owners: reads of a primary route ran on a log without commits acknowledged at its successor, and commits were acknowledged at the superseded primary.

A candidate waits for the end of its promise to the latest owner. It didn't if the store listed that instance with another incarnation than the group's record names: this was taken for a later process, so that the owner had to have ended. It may be an earlier one. A registration is written without a condition, and a write that got no answer may be carried out seconds later; and the view of a proxy may be late. The owner then holds by promises that nobody keeps.

The entry isn't looked at any more. The price is that others wait for the end of a promise to a process that was killed; the restarted one claims at once, as before.

--- a/src/sedgeshunt/membership/neighbours.py
+++ b/src/sedgeshunt/membership/neighbours.py
@@ -68,13 +68,6 @@
             self._listed = [entry for entry in entries if entry is not None]
         return self._listed
 
-    def find_instance(self, name: ProxyId) -> InstanceEntry | None:
-        """Return one listed instance."""
-        for entry in self.list_instances():
-            if entry.name == name:
-                return entry
-        return None
-
     def list_known(self) -> list[ProxyId]:
         """List the instances with a link, whether they answer or not."""
         return list(self._known)
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -70,10 +70,6 @@
     def list_instances(self) -> Sequence[InstanceEntry]:
         """List the instances that hold a lease, this one included."""
 
-    @abstractmethod
-    def find_instance(self, name: ProxyId) -> InstanceEntry | None:
-        """Return one listed instance."""
-
     @abstractmethod
     def is_ownership_reported(self, group: GroupId, owner: ProxyId) -> bool:
         """Return whether a peer reports that it still owns a group."""
@@ -99,7 +95,6 @@
         self.received = received
         self.releases = releases
         self.list_instances = peers.list_instances
-        self.find_instance = peers.find_instance
         self.is_ownership_reported = peers.is_ownership_reported
         self.decisions = decisions
         self.times = HoldTimes()
@@ -325,10 +320,8 @@
             return ProxyId('')
         if self._is_owner_released():
             return ProxyId('')
-        # A new incarnation of that instance proves that the owner has ended.
-        entry = self._context.find_instance(record.owner)
-        if entry is not None and entry.incarnation != record.incarnation:
-            return ProxyId('')
+        # An entry of another incarnation doesn't prove that the owner has
+        # ended: an earlier process may have written it late.
         return record.owner
 
     def _find_delay(
--- a/tests/features/ownership_evidence.feature
+++ b/tests/features/ownership_evidence.feature
@@ -67,3 +67,28 @@
     And the owner's key is deleted once the candidates are changed
     And 0.8 s go by
     Then the owner asks all recorded candidates for promises
+
+  Scenario: An earlier entry of the owner's instance is listed again
+    Guards against an earlier process that is taken for a later one.
+    Given proxies "north-1, east-1, west-1"
+    When "east-1" is killed
+    And 0.3 s go by
+    And "east-1" starts again
+    And 5 s go by
+    And the store lists the earlier process of "east-1" and goes down
+    And 3 s go by
+    And the store is cut off from "east-1"
+    And the store comes back
+    And 1 s goes by
+    Then no two proxies owned the group at once
+
+  Scenario: An earlier process of an instance registers late
+    Guards against a late registration that replaces that of a later process.
+    Given proxies "east-1"
+    When the next registration of "east-1" is carried out 0.8 s late
+    And the lease ends in the store
+    And 0.4 s go by
+    And "east-1" is killed
+    And "east-1" starts again
+    And 0.8 s go by
+    Then the store lists the later process of "east-1"
--- a/tests/features/steps/ownership_evidence_steps.py
+++ b/tests/features/steps/ownership_evidence_steps.py
@@ -1,18 +1,34 @@
 """Check that an ownership ends with what proves it."""
 
-from asyncio import create_task, sleep
+from asyncio import create_task, get_running_loop, sleep
 from functools import partial
 from typing import Any
 
 from behave import given, then, when
+from msgspec.structs import replace
 
 from sedgeshunt.decisions import DecisionKind
-from sedgeshunt.identifiers import OwnerToken, ProxyId, Seconds
+from sedgeshunt.exceptions import AnswerLost
+from sedgeshunt.identifiers import (
+    Incarnation,
+    OwnerToken,
+    ProxyId,
+    Seconds,
+)
 from sedgeshunt.ownership.group_ownership import ClaimedKey, GroupOwnership
 from sedgeshunt.ownership.promises import PromisesReceived
 from sedgeshunt.ports import Delete, Put
-from sedgeshunt.registry.entries import GroupRecord, read_entry
-from sedgeshunt.registry.keys import make_owner_key, make_record_key
+from sedgeshunt.registry.entries import (
+    GroupRecord,
+    InstanceEntry,
+    encode_entry,
+    read_entry,
+)
+from sedgeshunt.registry.keys import (
+    make_instance_key,
+    make_owner_key,
+    make_record_key,
+)
 from sedgeshunt.requests.outcome import NotRun
 from tests.features.node_bench import GROUP
 from tests.features.node_callers import open_bench
@@ -155,6 +171,41 @@
     assert recorded <= asked, (recorded, asked)
 
 
+@when('the store lists the earlier process of "{name}" and goes down')
+def list_earlier(context: Any, name: str) -> None:
+    bench = context.nodes
+    entry = replace(
+        bench.nodes[name].service.entry, incarnation=Incarnation('earlier')
+    )
+    bench.put(make_instance_key(ProxyId(name)), encode_entry(entry))
+    bench.time.act(bench.store.outage)
+
+
+@when('the next registration of "{name}" is carried out {delay:g} s late')
+def delay_registration(context: Any, name: str, delay: float) -> None:
+    bench = context.nodes
+    client = bench.nodes[name].service._store._store
+    commit = client.commit
+    key = make_instance_key(ProxyId(name))
+
+    async def commit_late(compares: Any, changes: Any) -> Any:
+        if not any(change.key == key for change in changes):
+            return await commit(compares, changes)
+        get_running_loop().call_later(
+            delay, partial(bench.store.store.commit, compares, changes)
+        )
+        raise AnswerLost(key)
+
+    client.commit = commit_late
+
+
+@then('the store lists the later process of "{name}"')
+def check_listed(context: Any, name: str) -> None:
+    document = context.nodes.read(make_instance_key(ProxyId(name)))
+    entry = read_entry(document, InstanceEntry)
+    assert entry == context.nodes.nodes[name].service.entry, entry
+
+
 @given('a store that grants leases of {ttl:g} s')
 def shorten_leases(context: Any, ttl: float) -> None:
     open_bench(context).store.store.longest_ttl = ttl
