Let a late registration not replace that of a later process

Peers and candidates are shown an earlier process of an instance, for two seconds and more, if its registration is carried out after the later process has registered: calls to its groups are refused meanwhile, as their owner isn't recognised. Registrations were written without a condition; the store may carry out a call seconds after its caller has gone.

The registration compares the revision of the instance's entry, and is repeated with the one that the store answers. After a lapse of the lease the entry is expected to be gone, so that the usual registration takes one call, as before; that of a process which restarts while its entry is listed takes two.

--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -13,9 +13,9 @@
     LeaseLapsed,
     PlatformUnavailable,
 )
-from sedgeshunt.identifiers import Boottime, Era, Seconds
+from sedgeshunt.identifiers import Boottime, Era, Revision, Seconds
 from sedgeshunt.ownership.evidence import Renewal
-from sedgeshunt.ports import Put
+from sedgeshunt.ports import Compare, Put
 from sedgeshunt.registry.current_store import CurrentStore
 from sedgeshunt.registry.entries import InstanceEntry, encode_entry
 from sedgeshunt.registry.keys import make_instance_key
@@ -49,6 +49,10 @@
 LATE_RENEWAL_TIME = Seconds(0.4)
 # An answer to a renewal is overdue after this time; it usually takes 4 ms.
 ANSWER_TIMEOUT = Seconds(0.1)
+# A registration is repeated if the store holds another entry than was known:
+# once for the entry of an earlier process, once for that of an earlier era.
+REGISTRATION_ATTEMPTS = 3
+ABSENT = Revision(0)
 # How much faster the clock of the store may run within the time of a lease.
 CLOCK_DRIFT_MARGIN = Seconds(0.05)
 
@@ -129,6 +133,8 @@
         self._duration = LONG_LEASE.duration
         self._short_until = Boottime(0)
         self._registered_at = Boottime(0)
+        # The revision of the entry of this instance, as far as known.
+        self._entry_revision = ABSENT
         self._renew_now = Event()
         # How long the latest renewal took.
         self._answer_time = Seconds(0)
@@ -357,11 +363,19 @@
 
     async def _register(self, lease: int) -> None:
         key = make_instance_key(self._entry.name)
-        await self._store.commit(
-            (),
-            (Put(key, encode_entry(self._entry), lease),),
-        )
-        self._registered_at = read_boottime()
+        change = Put(key, encode_entry(self._entry), lease)
+        for _ in range(REGISTRATION_ATTEMPTS):
+            # A registration may be carried out after its caller has gone. The
+            # condition keeps it from replacing that of a later process.
+            condition = Compare(key, self._entry_revision)
+            committed = await self._store.commit((condition,), (change,))
+            if committed.succeeded:
+                self._entry_revision = committed.revision
+                self._registered_at = read_boottime()
+                return
+            revisions = (pair.revision for pair in committed.current)
+            self._entry_revision = max(revisions, default=ABSENT)
+        raise PlatformUnavailable(f'the entry {key} keeps changing')
 
     def _abandon_lease(self) -> None:
         """Take a new lease at once, as the id may have been granted again."""
@@ -373,5 +387,7 @@
         self._decisions.record(
             Decision(DecisionKind.LEASE_LOST, reasons={'lease': str(self.id)}),
         )
+        # The entry has been deleted with the lease.
+        self._entry_revision = ABSENT
         self.id = None
         self._held_until = Boottime(0)
