Warn of a lost key only while its lease is held

It is written now only while the group is held by the lease; the claim that follows names the lost key as before.

The scenario of an outage checks that no such line is written.

--- a/src/sedgeshunt/ownership/claim_lines.py
+++ b/src/sedgeshunt/ownership/claim_lines.py
@@ -73,10 +73,13 @@
         self._record(DecisionKind.GROUP_CLAIMED_AGAIN, ownership, {'why': why})
 
     def check_key(self, ownership: GroupOwnership) -> None:
-        """Write once that the key of an ownership that is held has gone."""
+        """Write once that the key has gone while its lease is held."""
         if self._records.find_token(self._group):
             self._missing_token = None
-        elif self._missing_token != ownership.token:
+            return
+        # In an outage of the store the key ends with its lease.
+        is_leased = ownership.describe().basis is Basis.LEASE
+        if is_leased and self._missing_token != ownership.token:
             self._missing_token = ownership.token
             self._record(DecisionKind.GROUP_KEY_LOST, ownership, {})
 
--- a/tests/features/ownership_lines.feature
+++ b/tests/features/ownership_lines.feature
@@ -13,6 +13,7 @@
       | group-held    | lease    | none   |
       | group-held    | promises | lease  |
       | group-held    | lease    | promises |
+    And "east-1" wrote no warning of a lost key
     And each of them names token, claim, lease and the age of the evidence
 
   Scenario: The time of an ownership is over
--- a/tests/features/steps/ownership_lines_steps.py
+++ b/tests/features/steps/ownership_lines_steps.py
@@ -109,6 +109,12 @@
     assert line['evidence'] == Basis.LEASE.value, line
 
 
+@then('"{node}" wrote no warning of a lost key')
+def check_no_key_loss(context: Any, node: str) -> None:
+    kinds = (DecisionKind.GROUP_KEY_LOST,)
+    assert not _list_lines(context.nodes, node, kinds)
+
+
 @then('"{node}" wrote that it claimed again as its key was gone')
 def check_second_claim(context: Any, node: str) -> None:
     first = _find_line(context.nodes, node, DecisionKind.GROUP_CLAIMED)
