Show two owners after a restore that loses the first claim of a group

Cause, by reading: GroupClaim looks up the latest owner in the record of the group. Without a record is_claim_outdated is false, so neither RESTORE_WAIT nor the promises made nor a peer's report that it owns the group keep it from claiming.

--- a/tests/features/steps/store_return_steps.py
+++ b/tests/features/steps/store_return_steps.py
@@ -7,6 +7,7 @@
 
 from sedgeshunt.decisions import DecisionKind
 from tests.features.node_bench import NodeBench
+from tests.features.node_callers import open_bench
 from tests.features.return_histories import RestoreHistory
 from tests.features.steps.fleets_steps import name_proxies
 from tests.features.steps.store_changes_steps import charge_calls
@@ -14,6 +15,8 @@
 # For how long calls are counted after a restore, in seconds.
 COUNTED_TIME = 4
 LONG_TIME = 60
+# Shorter than the delay of a change on its way to the other proxies.
+CLAIM_CHECK = 0.001
 
 
 @given('the operator changes the configuration {count:d} times in {span:g} s')
@@ -29,6 +32,18 @@
     context.nodes.relist_time = seconds
 
 
+@given('proxies "{names}" whose store goes down after a claim')
+def start_before_outage(context: Any, names: str) -> None:
+    bench = open_bench(context)
+    for name in names.split(', '):
+        bench.restart(name)
+    bench.time.watch(context.callers.watch_owners())
+    while not bench.count_decisions(DecisionKind.GROUP_CLAIMED):
+        bench.wait(CLAIM_CHECK)
+    # The other proxies have not received the change yet.
+    bench.time.act(bench.store.outage)
+
+
 @when('the store is restored after {away:g} s to its state {age:g} s before')
 def restore_store(context: Any, away: float, age: float) -> None:
     bench: NodeBench = context.nodes
--- a/tests/features/store_return.feature
+++ b/tests/features/store_return.feature
@@ -173,6 +173,15 @@
     And "bar" asks for 60 operations a second at all of them for 4 s
     Then in any 5 s at most 20 a second and the burst of "bar" were allowed
 
+  Scenario: The first claim of a group is lost before the others see it
+    Guards against a claim by a proxy that promised the owner not to claim: it
+    knows no claim, so neither its promise nor the owner's report binds it.
+    Given proxies "east-1, north-1, west-1" whose store goes down after a claim
+    When the store is cut off from "east-1"
+    And the store is restored after 1.5 s to its state 0.5 s before
+    And 4 s go by
+    Then no two proxies owned the group at once
+
   Scenario: The cost of a restore grows with the proxies, not with their pairs
     Guards against listings and claims by the whole fleet at once.
     Given calls to the store after a restore with 15 and then 45 proxies
