Take a group without a record for one whose first claim may be lost

The owner holds by promises; a candidate finds no record, takes the group for one that was never owned, and looks neither at its own promises nor at the peers' reports.

A group without a record counts as claimed before the store's present era, like one with a record of an earlier era: claims wait for the end of all promises made and for three seconds after the return. In the first era nothing changes.

The scenario 'The first claim of a group is lost before the others see it' failed before and passes now; store_return, ownership_evidence and configuration (75 scenarios) pass.

--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -26,6 +26,7 @@
 from sedgeshunt.ownership.group_ownership import ClaimedKey, GroupOwnership
 from sedgeshunt.ownership.lease import InstanceLease
 from sedgeshunt.ports import (
+    FIRST_ERA,
     CommitResult,
     Compare,
     Delete,
@@ -141,7 +142,9 @@
         That is so if it was made before the latest restore of the store.
         """
         record = self.find_record(group)
-        return record is not None and record.era < self._store.era
+        # Without a record, the claim that was lost may have been the first.
+        era = FIRST_ERA if record is None else record.era
+        return era < self._store.era
 
     def measure_era_age(self) -> Seconds:
         """Return for how long the newest era of the store has been known."""
