Show two owners in virtual time when a key goes before its lease

Callers saw a commit at a superseded primary. On whole proxies: the store refuses the owner, a peer renews its lease, connections to the owner fail, and its key is deleted. Another proxy claims the group, and both still own it 6 s later. Nothing in src is changed.

--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -116,6 +116,22 @@
     Then another proxy than "east-1" owns the group
     And no two proxies owned the group at once
 
+  Scenario: The owner's key goes while its lease is renewed
+    The store refuses the owner, whose lease a peer renews; the peers don't hear
+    the owner. Then its key is deleted. Guards against a second owner that takes
+    the absence of the key for the end of the lease.
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    When the store is cut off from "east-1"
+    And connections to "east-1" fail
+    And 2 s go by
+    Then "east-1" owns the group
+    And the owner's key is in the store
+    When the owner's key is deleted
+    And 6 s go by
+    Then another proxy than "east-1" owns the group
+    And no two proxies owned the group at once
+
   Scenario: A suspended process returns no answer of a superseded primary
     The owner is suspended for five seconds while a statement runs. When the
     answer arrives, another proxy may own the group: a read is refused, the
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -20,6 +20,7 @@
     PromisesMade,
     PromisesReceived,
 )
+from sedgeshunt.ports import Delete
 from sedgeshunt.registry.keys import make_owner_key
 from sedgeshunt.requests.outcome import NotRun, Unknown
 from tests.features.node_bench import GROUP, ROUTES
@@ -209,6 +210,20 @@
     context.nodes.network.close_way(node, other)
 
 
+@when('connections to "{node}" fail')
+def refuse_connections(context: Any, node: str) -> None:
+    refused = context.nodes.nodes[node]
+    context.nodes.time.act(lambda: refused.frames.drop(refused.address))
+
+
+@when("the owner's key is deleted")
+def delete_key(context: Any) -> None:
+    change = Delete(make_owner_key(GROUP))
+    context.nodes.time.act(
+        lambda: context.nodes.store.store.commit((), (change,)),
+    )
+
+
 @when('all cuts heal')
 def heal_all(context: Any) -> None:
     context.nodes.time.act(context.nodes.network.heal)
