Prove the end of the owner's lease before a claim

Callers saw a commit acknowledged at a superseded primary. An owner holds a group by its lease; others took the absence of its key for the end of that lease. If the key was deleted while the lease was renewed, by the owner or through a peer, two proxies owned the group: in the scenario "The owner's key goes while its lease is renewed" still 6 s later.

The record of a group names the lease to which the owner key is bound (field lease, 0 in records of earlier versions: then the key must be absent for 1.05 s). Before a claim without a release or a new incarnation, a candidate asks the store to renew that lease. If it has ended, it claims at once, as before. If not, it writes the lease to sedgeshunt/endings/INSTANCE, in a transaction that requires the owner key to be absent, and revokes it. Each claim compares what is written there, and follows a lease that is listed only 1.05 s after its own first observation that it has ended: the owner counts on it for 0.95 s after the sending of its last renewal.

The note is kept per instance, not in the record of the group: an instance's keys of all groups are bound to one lease, so a candidate of another group has to see it too. It is never cleared by a claim, as the call that ends the lease may be carried out after the owner has written its key again under it. An owner writes its key again under a short lease only, since the wait is the time of a short one.

GroupRecords.claim passes the lease that it read before the call to the record and to ClaimedKey, whose shape is unchanged.

Not covered: a lease that the store ends before its time, which its documents exclude (scenario "A lease that ends before its time").

--- a/src/sedgeshunt/decisions.py
+++ b/src/sedgeshunt/decisions.py
@@ -36,6 +36,7 @@
     STORE_REGAINED = 'store-regained'
     STORE_RETURNED = 'store-returned'
     LEASE_LOST = 'lease-lost'
+    LEASE_ENDED = 'lease-ended'
     GROUP_CLAIMED = 'group-claimed'
     GROUP_CLAIMED_AGAIN = 'group-claimed-again'
     GROUP_RELEASED = 'group-released'
--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -26,6 +26,7 @@
     GroupOwnership,
 )
 from sedgeshunt.ownership.lease import InstanceLease
+from sedgeshunt.ownership.lease_ends import ENDED_LEASE_WAIT
 from sedgeshunt.ownership.promises import (
     OUTAGE_PROMISE_TIME,
     PromisesMade,
@@ -221,6 +222,10 @@
         records = self._context.records
         if records.find_token(self.group) == ownership.token:
             return
+        if not self._context.lease.is_short():
+            # Others wait for the time of a short lease only.
+            self._context.lease.shorten()
+            return
         if self._context.lease.id is None:
             return
         with suppress(PlatformUnavailable, AnswerLost, LeaseLapsed):
@@ -256,10 +261,38 @@
             return await self._claim(self._list_candidates())
         if self._owner_absent_since is None:
             self._owner_absent_since = read_boottime()
-        if not self._can_claim():
+        if not self._can_claim() or not await self._has_lease_ended():
             return None
         return await self._claim(self._list_candidates())
 
+    async def _has_lease_ended(self) -> bool:
+        """Return whether the latest owner holds the group by no lease.
+
+        End its lease if that is valid: its key was deleted before.
+        """
+        records = self._context.records
+        record = records.find_record(self.group)
+        if record is None or not self._find_possible_owner(record):
+            return True
+        if records.is_claim_outdated(self.group):
+            return True
+        if not record.lease:
+            since = self._owner_absent_since or read_boottime()
+            return read_boottime() - since > ENDED_LEASE_WAIT
+        try:
+            if await records.lease_ends.is_alive(self.group, record):
+                await self._end_lease(record)
+        except (PlatformUnavailable, AnswerLost):
+            await sleep(RANK_DELAY)
+        return records.lease_ends.is_wait_over(self.group, record)
+
+    async def _end_lease(self, record: GroupRecord) -> None:
+        if await self._context.records.lease_ends.end(self.group, record):
+            reasons = {'owner': record.owner, 'lease': str(record.lease)}
+            self._context.decisions.record(
+                Decision(DecisionKind.LEASE_ENDED, self.group, reasons=reasons),
+            )
+
     def _can_claim(self) -> bool:
         context = self._context
         record = context.records.find_record(self.group)
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -1,6 +1,6 @@
 """Read and write the owners and the records of groups in the store."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -25,6 +25,7 @@
 )
 from sedgeshunt.ownership.group_ownership import ClaimedKey, GroupOwnership
 from sedgeshunt.ownership.lease import InstanceLease
+from sedgeshunt.ownership.lease_ends import LeaseEnds
 from sedgeshunt.ports import (
     CommitResult,
     Compare,
@@ -82,6 +83,7 @@
         self._lease = lease
         # Records known before the store was restored from a snapshot.
         self._remembered: dict[GroupId, GroupRecord] = {}
+        self.lease_ends = LeaseEnds(store, view)
         # How often an owner or a record has changed.
         self.changes = 0
         # Decoded entries by key, as heartbeats and statements read them often.
@@ -186,10 +188,14 @@
         key, None if the claim failed; raise PlatformUnavailable, AnswerLost or
         LeaseLapsed.
         """
+        lease = self._lease.id
+        if lease is None:
+            raise LeaseLapsed
         seen = self._read_group(group)
         claimed = self._make_claim_record(
             seen.record or GroupRecord(group),
             candidates,
+            lease,
         )
         if is_continued:
             claimed = self._confirm_primary(claimed)
@@ -200,21 +206,27 @@
         seen: _GroupSnapshot,
         claimed: GroupRecord,
     ) -> ClaimedKey | None:
-        lease = self._lease.id
-        if lease is None:
-            raise LeaseLapsed
         # The owner key may be left by an earlier process of this instance.
         owner = encode_entry(OwnerEntry(self.owner, self.incarnation))
         record = encode_entry(claimed)
         committed = await self._store.commit(
-            seen.compares,
-            (Put(seen.owner_key, owner, lease), Put(seen.record_key, record)),
+            (*seen.compares, *self._compare_endings(seen.record)),
+            (
+                Put(seen.owner_key, owner, claimed.lease),
+                Put(seen.record_key, record),
+            ),
         )
         if not self._apply_result(committed):
             return None
         self._record_write(seen.owner_key, owner, committed.revision)
         self._record_write(seen.record_key, record, committed.revision)
-        return ClaimedKey(OwnerToken(committed.revision), lease, claimed.claims)
+        token = OwnerToken(committed.revision)
+        return ClaimedKey(token, claimed.lease, claimed.claims)
+
+    def _compare_endings(self, record: GroupRecord | None) -> Iterator[Compare]:
+        # A claim after another owner relies on how its lease has ended.
+        if record is not None and record.owner not in {'', self.owner}:
+            yield self.lease_ends.compare(record.owner)
 
     def _confirm_primary(self, claimed: GroupRecord) -> GroupRecord:
         """Mark the primary of a record as confirmed in the current era."""
@@ -227,6 +239,7 @@
         self,
         known: GroupRecord,
         candidates: Collection[ProxyId],
+        lease: int,
     ) -> GroupRecord:
         return replace(
             known,
@@ -236,6 +249,7 @@
             candidates=tuple(sorted(candidates)),
             owner=self.owner,
             incarnation=self.incarnation,
+            lease=lease,
             heir=ProxyId(''),
         )
 
--- a/src/sedgeshunt/registry/entries.py
+++ b/src/sedgeshunt/registry/entries.py
@@ -66,6 +66,12 @@
     era: Era = FIRST_ERA
 
 
+class LeaseEndings(Struct, frozen=True):
+    """Hold the leases of an instance that others ended, oldest first."""
+
+    leases: tuple[int, ...] = ()
+
+
 class GroupRecord(Struct, frozen=True):
     """Hold the state of a group that outlasts its owners."""
 
@@ -77,6 +83,9 @@
     incarnation: Incarnation = Incarnation('')
     # Number of claims so far; it identifies the period of an ownership.
     claims: int = 0
+    # The lease to which that claim bound the owner key; 0 if it was made by an
+    # earlier version.
+    lease: int = 0
     # The era of the store at the latest claim.
     era: Era = FIRST_ERA
     # The next owner of the group; others delay their claims.
--- a/src/sedgeshunt/registry/keys.py
+++ b/src/sedgeshunt/registry/keys.py
@@ -6,6 +6,7 @@
 INSTANCES_PREFIX = f'{OWN_PREFIX}instances/'
 OWNERS_PREFIX = f'{OWN_PREFIX}owners/'
 RECORDS_PREFIX = f'{OWN_PREFIX}records/'
+ENDINGS_PREFIX = f'{OWN_PREFIX}endings/'
 
 
 def make_instance_key(proxy: ProxyId) -> str:
@@ -21,3 +22,8 @@
 def make_record_key(group: GroupId) -> str:
     """Return the key of the record of a group."""
     return f'{RECORDS_PREFIX}{group}'
+
+
+def make_endings_key(proxy: ProxyId) -> str:
+    """Return the key of the leases of an instance that others ended."""
+    return f'{ENDINGS_PREFIX}{proxy}'
--- a/tests/specs/ownership_spec.py
+++ b/tests/specs/ownership_spec.py
@@ -56,7 +56,7 @@
 
 
 # What the proxies do.
-CURRENT = Design.ABSENT_KEY
+CURRENT = Design.ENDED_LEASE
 
 
 class Scope(NamedTuple):
