Check who may claim after the end of another instance's lease

Three scenarios: an owner that reaches the store writes its key again before a candidate ends its lease; a candidate of another group ends the lease that all keys of the owner are bound to; a record of an earlier version names no lease.

--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -132,6 +132,43 @@
     Then another proxy than "east-1" owns the group
     And no two proxies owned the group at once
 
+  Scenario: An owner that reaches the store writes its key again
+    Its peers don't hear it. Guards against candidates that end its lease before
+    it has seen that its key is gone.
+    Given proxies "north-1, east-1, west-1"
+    When connections to "east-1" fail
+    And 2 s go by
+    And the owner's key is deleted
+    And 2 s go by
+    Then "east-1" owns the group
+    And the owner's key is in the store
+    And no proxy's lease has lapsed
+    And no two proxies owned the group at once
+
+  Scenario: A candidate of another group ends the lease of the owner
+    All keys of an instance are bound to one lease. Guards against a claim right
+    after its end, while the owner still counts on it.
+    Given proxies "north-1, east-1, west-1"
+    When connections to "east-1" fail
+    And 2 s go by
+    And the store is cut off from "east-1"
+    And a candidate of another group ends the lease of "east-1"
+    And 3 s go by
+    Then another proxy than "east-1" owns the group
+    And no two proxies owned the group at once
+
+  Scenario: A takeover after an owner of an earlier version
+    Its record names no lease. The next owner waits for the time of a lease
+    after the key is gone, and then claims.
+    Given proxies "north-1, east-1, west-1"
+    When the record of the group names no lease
+    And 0.5 s go by
+    And "east-1" is killed
+    And 1.8 s go by
+    Then nobody owns the group
+    When 1 s goes by
+    Then another proxy than "east-1" owns the group
+
   Scenario: A suspended process returns no answer of a superseded primary
     The owner is suspended for five seconds while a statement runs. When the
     answer arrives, another proxy may own the group: a read is refused, the
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from behave import given, then, when
+from msgspec.structs import replace
 
 from sedgeshunt.clocks import read_boottime
 from sedgeshunt.decisions import DecisionKind
@@ -21,7 +22,17 @@
     PromisesReceived,
 )
 from sedgeshunt.ports import Delete
-from sedgeshunt.registry.keys import make_owner_key
+from sedgeshunt.registry.entries import (
+    GroupRecord,
+    LeaseEndings,
+    encode_entry,
+    read_entry,
+)
+from sedgeshunt.registry.keys import (
+    make_endings_key,
+    make_owner_key,
+    make_record_key,
+)
 from sedgeshunt.requests.outcome import NotRun, Unknown
 from tests.features.node_bench import GROUP, ROUTES
 from tests.features.node_callers import open_bench
@@ -224,6 +235,27 @@
     )
 
 
+@when('a candidate of another group ends the lease of "{node}"')
+def end_lease(context: Any, node: str) -> None:
+    store = context.nodes.store.store
+    lease = read_record(context).lease
+    endings = encode_entry(LeaseEndings((lease,)))
+    context.nodes.put(make_endings_key(ProxyId(node)), endings)
+    context.nodes.time.act(lambda: store.revoke_lease(lease))
+
+
+@when('the record of the group names no lease')
+def forget_lease(context: Any) -> None:
+    record = replace(read_record(context), lease=0)
+    context.nodes.put(make_record_key(GROUP), encode_entry(record))
+
+
+def read_record(context: Any) -> GroupRecord:
+    """Return the group's record in the store."""
+    document = context.nodes.read(make_record_key(GROUP))
+    return read_entry(document, GroupRecord)
+
+
 @when('all cuts heal')
 def heal_all(context: Any) -> None:
     context.nodes.time.act(context.nodes.network.heal)
