Let the stand-in platform answer and carry out orders late, wrongly or twice

The stand-in answered each promotion order at once and carried it out once, 0.3 s later. No test could show what callers see when a starved platform answers late, answers with an error status, loses its answer, or begins an order seconds after its caller gave up.

An order is now handled as its OrderHandling says: status or no answer, time until the answer, and each time until the order is begun.

--- a/src/sedgeshunt/platform/promotions.py
+++ b/src/sedgeshunt/platform/promotions.py
@@ -53,8 +53,13 @@
             return PromotionAnswer.NOT_TAKEN
         except CallFailed:
             return PromotionAnswer.UNANSWERED
-        return _ANSWERS.get(reply.status, PromotionAnswer.NOT_TAKEN)
+        return read_answer(reply.status)
 
     async def close(self) -> None:
         """Close all connections."""
         await self._client.close()
+
+
+def read_answer(status: int) -> PromotionAnswer:
+    """Return what the status of an answer says about its order."""
+    return _ANSWERS.get(status, PromotionAnswer.NOT_TAKEN)
--- a/tests/standins/statement_group.py
+++ b/tests/standins/statement_group.py
@@ -1,7 +1,8 @@
 """Emulate a group of databases that serve statement sessions."""
 
-from asyncio import Event, Semaphore, Task, create_task, sleep
-from collections.abc import Coroutine, Iterator
+from asyncio import Event, Semaphore, Task, create_task, sleep, timeout
+from collections import deque
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -28,6 +29,7 @@
     TargetLife,
     Term,
 )
+from sedgeshunt.platform.promotions import read_answer
 from tests.standins.network import Network, Place
 
 WORK = 0.01
@@ -35,6 +37,8 @@
 PROMOTION_TIME = 0.3
 SLOTS = 3
 CONNECTION_LIMIT = 22
+ACCEPTED_STATUS = 200
+NOT_RUNNING_STATUS = 409
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +110,30 @@
     zone: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class OrderHandling:
+    """Hold how the platform answers one order and when it carries it out."""
+
+    # The status of the answer, None for no answer.
+    status: int | None = ACCEPTED_STATUS
+    # How long after its arrival an order is answered.
+    answered_after: float = 0
+    # How long after its arrival an order is begun, each time that it is.
+    begun_after: tuple[float, ...] = (0,)
+
+
+PROMPT = OrderHandling()
+
+
+@dataclass(frozen=True, slots=True)
+class Promotion:
+    """Hold a promotion that has taken effect."""
+
+    at: float
+    target: TargetId
+    term: Term
+
+
 @dataclass(eq=False)
 class StatementTarget:
     """Hold one database's log and its injected faults."""
@@ -189,7 +217,11 @@
         # Number of statements refused by targets that lacked a point.
         self.refused = 0
         self.orders: list[tuple[float, PromotionOrder]] = []
+        self.promotions: list[Promotion] = []
         self.promotion_time = PROMOTION_TIME
+        # How the next orders are handled; later ones by `draw_handling`.
+        self.next_handlings: deque[OrderHandling] = deque()
+        self.draw_handling: Callable[[], OrderHandling] = lambda: PROMPT
         self.synchronous = 0
         self._tasks: set[Task[None]] = set()
 
@@ -233,13 +265,30 @@
         order: PromotionOrder,
         limit: Seconds,
     ) -> PromotionAnswer:
-        """Accept an order and promote its target some time later."""
+        """Answer an order as a proxy reads the answer."""
+        try:
+            async with timeout(limit):
+                return read_answer(await self.accept(order))
+        except TimeoutError:
+            return PromotionAnswer.UNANSWERED
+
+    async def accept(self, order: PromotionOrder) -> int:
+        """Carry an order out some time later; return the answer's status."""
         self.orders.append((read_clock(), order))
+        handling = self.draw_handling()
+        if self.next_handlings:
+            handling = self.next_handlings.popleft()
         target = self.targets[order.target]
-        if target.is_down:
-            return PromotionAnswer.TARGET_DOWN
-        self._start(self._promote(target))
-        return PromotionAnswer.ACCEPTED
+        status = handling.status
+        if target.is_down and status == ACCEPTED_STATUS:
+            status = NOT_RUNNING_STATUS
+        else:
+            for delay in handling.begun_after:
+                self._start(self._begin(target, delay))
+        await sleep(handling.answered_after)
+        while status is None:
+            await Event().wait()
+        return status
 
     def close(self) -> None:
         """Cancel running replications and promotions."""
@@ -251,6 +300,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _begin(self, target: StatementTarget, delay: float) -> None:
+        """Carry an order out unless its target is down by then."""
+        await sleep(delay)
+        if not (delay and target.is_down):
+            await self._promote(target)
+
     async def _promote(self, target: StatementTarget) -> None:
         await sleep(self.promotion_time)
         if target.role is LogRole.PRIMARY:
@@ -258,6 +313,9 @@
         newest = max(other.term for other in self.targets.values())
         target.term = Term(newest + 1)
         target.role = LogRole.PRIMARY
+        self.promotions.append(
+            Promotion(read_clock(), target.name, target.term)
+        )
         target.applied = len(target.log)
         for other in self.targets.values():
             if other is not target:
