Show what late, lost and repeated promotion orders do to callers

Callers got commits acknowledged at a superseded primary, and later answers that lack commits acknowledged at its successor. In virtual time, with whole proxies on the present code, six cases: an order answered 503 and carried out 1.5 s later; an unanswered order whose repeat is refused with 409; an order carried out twice; an owner that dies when no primary was recorded; a refused record of a new primary; a record that the store changes after its caller gave up.

A statement counts if the target that ran it was superseded at that moment.

--- /dev/null
+++ b/tests/features/promotion_orders.feature
@@ -0,0 +1,82 @@
+Feature: Promotion orders that are late, lost or given twice
+  The platform may be slow, down or cut off. A promotion order can take effect
+  seconds after its caller gave up, or although it was answered by an error.
+
+  Background:
+    Given proxies "north-1, east-1, west-1"
+    And a caller of "settle" at "west-1" writes every 20 ms
+    And a caller of "settle" at "north-1" reads all the time
+
+  Scenario: An order answered by a server error is carried out
+    Guards against writes at the old primary while such an order is under way.
+    Given the next order is answered 503 and begun after 1.5 s
+    And all orders are answered 503 and not carried out
+    When the primary freezes
+    And an order has been sent
+    And "db-east" resumes
+    And 6 s go by
+    Then a promotion in term 2 took effect
+    And nothing was acknowledged at a superseded primary
+    And every acknowledged write is on the primary
+
+  Scenario: A target that is down for the second order returns before the first
+    Guards against forgetting an unanswered order when a repeat is refused.
+    Given the next order is not answered and begun after 5 s
+    When the primary freezes
+    And an order has been sent
+    And the target of the order crashes
+    And 1 s go by
+    And "db-east" resumes
+    And 3 s go by
+    And the target of the order restarts
+    And 8 s go by
+    Then nothing was acknowledged at a superseded primary
+    And every acknowledged write is on the primary
+
+  Scenario: An order is carried out again after its target was replaced
+    Guards against serving a superseded primary until it learns of it.
+    Given the next order is begun at once and again after 6 s
+    When the primary freezes
+    And 2 s go by
+    And "db-east" resumes
+    And the new primary crashes
+    And 2 s go by
+    And the crashed primary restarts
+    And 6 s go by
+    Then a promotion in term 4 took effect
+    And nothing was acknowledged at a primary superseded for more than 0.15 s
+
+  Scenario: The next owner finds an order but no recorded primary
+    Guards against dropping a promotion under way as the primary wasn't recorded.
+    Given the record of the primary is lost
+    And the next order is not answered and begun after 2.5 s
+    When the primary freezes
+    And an order has been sent
+    And the proxy that ordered is killed
+    And "db-east" resumes
+    And 6 s go by
+    Then a promotion in term 2 took effect
+    And nothing was acknowledged at a superseded primary
+    And every acknowledged write is on the primary
+
+  Scenario: The store refuses the record of a new primary
+    Guards against a primary that is served but never recorded.
+    When the primary freezes
+    And an order has been sent
+    And the store refuses the next 1 changes
+    And 3 s go by
+    Then "db-east" does not lead
+    And the primary is recorded
+
+  Scenario: The store clears an intent after its order was given again
+    Guards against a late change of the record that drops a promotion under way.
+    Given the next order is answered 429 and not carried out
+    And the next order is not answered and begun after 3 s
+    When the primary freezes
+    And an order has been sent
+    And the store takes 1.2 s for each call for 0.05 s
+    And "db-east" resumes
+    And 6 s go by
+    Then a promotion in term 2 took effect
+    And nothing was acknowledged at a superseded primary
+    And every acknowledged write is on the primary
