Count only a rejection as an order that is not carried out

Callers: 31 writes and 191 reads were acknowledged at the old primary, up to 4.2 s after a promotion whose order the platform had answered with 503.

Cause: any status but 200 and 409 cleared the intent, and the old primary was served again while the order was under way. The protocol says that additional calls receive 429 and what 409 indicates; nothing says that a server error means that nothing was done.

Now 4xx, without 408, is a rejection; any other status counts as unanswered, as does no answer. The intent stays and the order is repeated. The scenario is green; a table checks the meanings.

--- a/src/sedgeshunt/groups/orders.py
+++ b/src/sedgeshunt/groups/orders.py
@@ -22,7 +22,8 @@
     TARGET_DOWN = 'target-down'
     # Rejected or not sent; the order has no effect.
     NOT_TAKEN = 'not-taken'
-    # Sent without an answer; the order may still take effect.
+    # Sent without an answer that says what was done; the order may still take
+    # effect, even seconds later.
     UNANSWERED = 'unanswered'
 
 
--- a/src/sedgeshunt/platform/promotions.py
+++ b/src/sedgeshunt/platform/promotions.py
@@ -17,6 +17,11 @@
     200: PromotionAnswer.ACCEPTED,
     409: PromotionAnswer.TARGET_DOWN,
 }
+# These statuses say that a call was rejected. Others, such as those of a server
+# error or a gateway, may come from a platform that still carries it out.
+_REJECTIONS = range(400, 500)
+# The request or its answer was late; the platform may have received it.
+_REQUEST_TIMEOUT = 408
 
 
 class PlatformPromotions(PromotionService):
@@ -24,8 +29,8 @@
 
     def __init__(self, address: Address) -> None:
         """Open a new connection for each order."""
-        # Data delayed by a partition is lost with its connection, so that no
-        # order arrives after its sender's timeout.
+        # A new connection fails at once if the platform is down; data sent on
+        # one that has broken unnoticed would be lost.
         self._client = JsonClient([address])
 
     def move(self, address: Address) -> None:
@@ -62,4 +67,9 @@
 
 def read_answer(status: int) -> PromotionAnswer:
     """Return what the status of an answer says about its order."""
-    return _ANSWERS.get(status, PromotionAnswer.NOT_TAKEN)
+    known = _ANSWERS.get(status)
+    if known is not None:
+        return known
+    if status in _REJECTIONS and status != _REQUEST_TIMEOUT:
+        return PromotionAnswer.NOT_TAKEN
+    return PromotionAnswer.UNANSWERED
--- a/tests/features/promotion_orders.feature
+++ b/tests/features/promotion_orders.feature
@@ -80,3 +80,19 @@
     Then a promotion in term 2 took effect
     And nothing was acknowledged at a superseded primary
     And every acknowledged write is on the primary
+
+  Scenario: Only a rejection says that an order won't be carried out
+    Guards against taking a failed or unusual answer for a rejected order.
+    Then the statuses of answers to orders mean
+      | status | meaning     |
+      | 200    | accepted    |
+      | 202    | unanswered  |
+      | 302    | unanswered  |
+      | 403    | not-taken   |
+      | 408    | unanswered  |
+      | 409    | target-down |
+      | 429    | not-taken   |
+      | 500    | unanswered  |
+      | 502    | unanswered  |
+      | 503    | unanswered  |
+      | 504    | unanswered  |
--- a/tests/features/steps/promotion_orders_steps.py
+++ b/tests/features/steps/promotion_orders_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from msgspec.structs import replace
 
+from sedgeshunt.platform.promotions import read_answer
 from sedgeshunt.registry.entries import (
     GroupRecord,
     encode_entry,
@@ -115,6 +116,13 @@
     assert (leader.target, leader.term) == (primary.name, primary.term), leader
 
 
+@then('the statuses of answers to orders mean')
+def check_meanings(context: Any) -> None:
+    for row in context.table:
+        answer = read_answer(int(row['status']))
+        assert answer.value == row['meaning'], (row, answer)
+
+
 @then('a promotion in term {term:d} took effect')
 def check_promoted(context: Any, term: int) -> None:
     promotions = context.nodes.group.promotions
