Keep the intent of an order that may still take effect

Callers: 31 writes and 304 reads were acknowledged at the old primary, up to 6.7 s after a promotion. Its order had got no answer, its repeat 409, as the target was down for a moment; the intent was cleared, the old primary promoted again, and the first order carried out.

Cause: the answer to an order, or a primary in a newer term, was taken for the outcome of all orders sent before.

An order now counts as pending for 2.5 s after it was accepted and for 6 s after it got no answer, or after its intent was found in the store. Until then the intent stays, whatever a repeat says. Orders are repeated every 0.3 s instead of twelve times a second.

Choice: 6 s is the price of a target that is lost for good after an unanswered order. A shorter wait saves as many seconds, and what is carried out after it can only be noticed. The other way, giving up after the first refusal, lost acknowledged writes.

--- /dev/null
+++ b/src/sedgeshunt/execution/pending_orders.py
@@ -0,0 +1,86 @@
+"""Track promotion orders that may still take effect."""
+
+from sedgeshunt.clocks import read_clock
+from sedgeshunt.groups.orders import PromotionAnswer
+from sedgeshunt.identifiers import GroupId, Monotonic, Seconds, TargetId
+
+# A promotion takes effect in 0.3 s, or 1 s on large installations; the rest is
+# a safety margin.
+EFFECT_TIMEOUT = Seconds(2.5)
+# A platform that is short of processor time carries an order out seconds after
+# its caller gave up, and the effect follows. The protocol has no bound for it:
+# an effect after this time can't be prevented without fences. Until then a
+# group whose order was not answered has no primary if the target is down.
+LATE_ORDER_TIMEOUT = Seconds(6)
+# The platform accepts few orders per second from all proxies together.
+REPEAT_PAUSE = Seconds(0.3)
+# An order that failed for this long is not repeated while the earlier primary
+# is still in order and can be used once no order may take effect any more.
+REPEAT_TIMEOUT = Seconds(2)
+
+
+class PendingOrder:
+    """Hold when the orders for one target may take effect."""
+
+    def __init__(self, target: TargetId, latest: Monotonic) -> None:
+        """Expect an earlier order to take effect until `latest`."""
+        self.target = target
+        self._since = read_clock()
+        self._latest_effect = latest
+        self._repeat_at = self._since
+
+    def may_take_effect(self) -> bool:
+        """Return whether an order may still take effect."""
+        return read_clock() < self._latest_effect
+
+    def is_repeat_due(self) -> bool:
+        """Return whether the order should be sent again."""
+        return read_clock() >= self._repeat_at
+
+    def has_failed_long(self) -> bool:
+        """Return whether repeating it has not helped for long."""
+        return read_clock() - self._since > REPEAT_TIMEOUT
+
+    def note_answer(self, answer: PromotionAnswer) -> None:
+        """Record the outcome of an order."""
+        now = read_clock()
+        self._repeat_at = Monotonic(now + REPEAT_PAUSE)
+        span = _EFFECT_SPANS.get(answer)
+        if span is not None:
+            self._latest_effect = Monotonic(
+                max(self._latest_effect, now + span)
+            )
+
+
+class PendingOrders:
+    """Hold the pending order of each group, as far as this proxy knows."""
+
+    def __init__(self) -> None:
+        """Start without orders."""
+        self._orders: dict[GroupId, PendingOrder] = {}
+
+    def begin(self, group: GroupId, target: TargetId) -> PendingOrder:
+        """Return a pending order that has not been sent yet."""
+        order = PendingOrder(target, Monotonic(0))
+        self._orders[group] = order
+        return order
+
+    def resume(self, group: GroupId, target: TargetId) -> PendingOrder:
+        """Return a pending order, possibly sent by an earlier owner."""
+        order = self._orders.get(group)
+        if order is None or order.target != target:
+            # Nothing is known about the time at which it was sent.
+            latest = Monotonic(read_clock() + LATE_ORDER_TIMEOUT)
+            order = PendingOrder(target, latest)
+            self._orders[group] = order
+        return order
+
+    def forget(self, group: GroupId) -> None:
+        """Drop a group's order, as it has taken effect or cannot any more."""
+        self._orders.pop(group, None)
+
+
+_EFFECT_SPANS = {
+    PromotionAnswer.ACCEPTED: EFFECT_TIMEOUT,
+    PromotionAnswer.UNANSWERED: LATE_ORDER_TIMEOUT,
+}
--- a/src/sedgeshunt/execution/primary_manager.py
+++ b/src/sedgeshunt/execution/primary_manager.py
@@ -52,6 +52,9 @@
 HANDOVER_TIMEOUT = Seconds(0.5)
 # Longest wait of a planned replacement for a moment without transactions.
 IDLE_TIMEOUT = Seconds(2)
+# Pause before the next planned replacement after one whose order the platform
+# neither accepted nor rejected: the group has no primary for seconds each time.
+UNSETTLED_PAUSE = Seconds(20)
 
 
 class PrimaryManager:
@@ -77,6 +80,8 @@
         # Log end up to which the previous primary acknowledged writes.
         self._acknowledged: Point | None = None
         self._term = Term(0)
+        # When a primary that is leaving may be replaced.
+        self._planned_from = Monotonic(0)
         # Set once this instance stops: the deadline for open transactions.
         self._handover_deadline: Monotonic | None = None
         self._handover_requested_at = Boottime(0)
@@ -183,7 +188,8 @@
         members: GroupMembers,
         executor: TargetExecutor,
     ) -> None:
-        if is_replacement_due(members, executor.target.name):
+        is_due = is_replacement_due(members, executor.target.name)
+        if is_due and read_clock() >= self._planned_from:
             await self._replace_planned(members, executor)
         elif await self._is_suspect(executor):
             await self._probe(members, executor)
@@ -302,6 +308,8 @@
         if statuses and self._parts.records.reaches_store():
             await self._suspend(executor)
             await self._promote(members, statuses, executor.tip)
+            if not self._finder.is_settled():
+                self._planned_from = Monotonic(read_clock() + UNSETTLED_PAUSE)
         else:
             await self._yield_to_next_owner()
 
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -13,6 +13,12 @@
     TargetSessionConnector,
 )
 from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.execution.pending_orders import (
+    EFFECT_TIMEOUT,
+    REPEAT_PAUSE,
+    PendingOrder,
+    PendingOrders,
+)
 from sedgeshunt.execution.statuses import read_status
 from sedgeshunt.groups.orders import (
     PromotionAnswer,
@@ -33,13 +39,9 @@
     KnownTarget,
     list_places,
 )
-from sedgeshunt.registry.entries import ReplacementIntent
 
 # An order is answered within some milliseconds unless the platform is slow.
 ORDER_TIMEOUT = Seconds(0.5)
-# A promotion takes effect in 0.3 s, or 1 s on large installations; the rest is
-# a safety margin.
-EFFECT_TIMEOUT = Seconds(2.5)
 POLL_INTERVAL = Seconds(0.03)
 # A replica receives acknowledged writes within some milliseconds while the
 # primary still sends. Writes it lacks after this time are lost.
@@ -68,6 +70,7 @@
         self._promotions = promotions
         self._records = records
         self._decisions = decisions
+        self._orders = PendingOrders()
 
     async def promote(
         self,
@@ -111,21 +114,38 @@
         intent = self._records.find_intent(ownership.group)
         if intent is None:
             return False
-        if self._is_obsolete(ownership, intent, statuses):
-            await self._records.clear_intent(ownership)
+        order = self._orders.resume(ownership.group, intent.target)
+        if self._is_settled(ownership, order, statuses):
+            await self._settle(ownership)
             return False
-        answer = await self._order(ownership, intent.target)
-        if answer is PromotionAnswer.TARGET_DOWN:
-            # The target may have been primary before it went down, unrecorded
-            # as the store was unreachable. The primary before it cannot be
-            # trusted any more.
-            await self._records.record_uncertain_primary(
-                ownership, intent.target
-            )
-        else:
-            await sleep(POLL_INTERVAL)
+        is_hopeless = self._is_hopeless(ownership, order, statuses)
+        if order.is_repeat_due() and not is_hopeless:
+            await self._repeat(ownership, order)
+        await sleep(POLL_INTERVAL)
         return True
 
+    async def _repeat(
+        self,
+        ownership: GroupOwnership,
+        order: PendingOrder,
+    ) -> None:
+        answer = await self._order(ownership, order)
+        # A later order may be refused as the target is down, and the target be
+        # back before an earlier order is carried out.
+        if answer is PromotionAnswer.TARGET_DOWN:
+            if not order.may_take_effect():
+                # The target may have been primary before it went down,
+                # unrecorded as the store was unreachable. The primary before
+                # it cannot be trusted any more.
+                self._orders.forget(ownership.group)
+                await self._records.record_uncertain_primary(
+                    ownership, order.target
+                )
+
+    async def _settle(self, ownership: GroupOwnership) -> None:
+        self._orders.forget(ownership.group)
+        await self._records.clear_intent(ownership)
+
     def _choose(
         self,
         ownership: GroupOwnership,
@@ -146,22 +166,30 @@
                 return None
         return Successor(known, status)
 
-    def _is_obsolete(
+    def _is_settled(
         self,
         ownership: GroupOwnership,
-        intent: ReplacementIntent,
+        order: PendingOrder,
         statuses: Mapping[TargetId, LogStatus],
     ) -> bool:
-        """Return whether an intent's order has taken effect or is outdated."""
-        recorded = self._records.find_term(ownership.group)
-        leading = {
-            target: status.term
-            for target, status in statuses.items()
-            if status.role is LogRole.PRIMARY
-        }
+        """Return whether an order has taken effect or cannot any more."""
+        if order.target in _list_leading(statuses):
+            return True
+        if order.may_take_effect():
+            return False
+        return self._is_hopeless(ownership, order, statuses)
+
+    def _is_hopeless(
+        self,
+        ownership: GroupOwnership,
+        order: PendingOrder,
+        statuses: Mapping[TargetId, LogStatus],
+    ) -> bool:
+        """Return whether an order should not be repeated any more."""
         # A store restored from a backup may hold an intent cleared since.
-        has_newer = max(leading.values(), default=recorded) > recorded
-        return intent.target in leading or has_newer
+        recorded = self._records.find_term(ownership.group)
+        newest = max(_list_leading(statuses).values(), default=recorded)
+        return newest > recorded or _can_return(order, statuses)
 
     def _count_unreachable(
         self,
@@ -201,12 +229,24 @@
         ownership: GroupOwnership,
         known: KnownTarget,
     ) -> Successor | None:
-        target = known.target.name
-        answer = await self._order(ownership, target)
+        order = self._orders.begin(ownership.group, known.target.name)
+        answer = await self._order(ownership, order)
         if answer in _INEFFECTIVE_ANSWERS:
-            await self._records.clear_intent(ownership)
+            await self._settle(ownership)
             return None
-        give_up = read_clock() + EFFECT_TIMEOUT
+        # An order without an answer is repeated soon.
+        is_accepted = answer is PromotionAnswer.ACCEPTED
+        return await self._wait_effect(
+            ownership, known, EFFECT_TIMEOUT if is_accepted else REPEAT_PAUSE
+        )
+
+    async def _wait_effect(
+        self,
+        ownership: GroupOwnership,
+        known: KnownTarget,
+        limit: Seconds,
+    ) -> Successor | None:
+        give_up = read_clock() + limit
         while read_clock() < give_up and ownership.is_held():
             await sleep(POLL_INTERVAL)
             status = await read_status(self._connector, known)
@@ -214,16 +254,17 @@
                 self._record_decision(
                     DecisionKind.PRIMARY_REPLACED,
                     ownership,
-                    target,
+                    known.target.name,
                     term=status.term,
                 )
+                self._orders.forget(ownership.group)
                 return Successor(known, status)
         return None
 
     async def _order(
         self,
         ownership: GroupOwnership,
-        target: TargetId,
+        order: PendingOrder,
     ) -> PromotionAnswer:
         # The order must not arrive after this ownership has ended, when
         # another owner may already be serving a primary.
@@ -231,14 +272,18 @@
             return PromotionAnswer.NOT_TAKEN
         answer = await self._promotions.order(
             PromotionOrder(
-                ownership.group, target, ownership.owner, ownership.token
+                ownership.group,
+                order.target,
+                ownership.owner,
+                ownership.token,
             ),
             ORDER_TIMEOUT,
         )
+        order.note_answer(answer)
         self._record_decision(
             DecisionKind.PROMOTION_ORDERED,
             ownership,
-            target,
+            order.target,
             answer=answer.value,
         )
         return answer
@@ -262,6 +307,29 @@
     return any(known.target.name not in statuses for known in members.targets)
 
 
+def _list_leading(
+    statuses: Mapping[TargetId, LogStatus],
+) -> dict[TargetId, Term]:
+    """Return the terms of the targets that report to be primary."""
+    return {
+        target: status.term
+        for target, status in statuses.items()
+        if status.role is LogRole.PRIMARY
+    }
+
+
+def _can_return(
+    order: PendingOrder,
+    statuses: Mapping[TargetId, LogStatus],
+) -> bool:
+    """Return whether the earlier primary can be used instead of an order's."""
+    # A target that has led keeps the term of its log as a replica.
+    target = statuses.get(order.target)
+    if target is None or not order.has_failed_long():
+        return False
+    return any(term >= target.term for term in _list_leading(statuses).values())
+
+
 _INEFFECTIVE_ANSWERS = frozenset(
     (PromotionAnswer.TARGET_DOWN, PromotionAnswer.NOT_TAKEN),
 )
--- a/tests/features/promotion_orders.feature
+++ b/tests/features/promotion_orders.feature
@@ -81,6 +81,17 @@
     And nothing was acknowledged at a superseded primary
     And every acknowledged write is on the primary
 
+  Scenario: The platform fails to carry out any order
+    Guards against a group without a primary as long as the platform fails.
+    Given all orders are answered 503 and not carried out
+    When the primary freezes
+    And an order has been sent
+    And "db-east" resumes
+    And 12 s go by
+    Then "db-east" leads
+    And no write was done for 6 to 9 s at most
+    And nothing was acknowledged at a superseded primary
+
   Scenario: Only a rejection says that an order won't be carried out
     Guards against taking a failed or unusual answer for a rejected order.
     Then the statuses of answers to orders mean
