Send no order again whose intent is being cleared

Callers: 32 writes and 86 reads were acknowledged at the old primary, up to 1.9 s after a promotion.

Cause: the first order was rejected with 429; the store answered the clearing of its intent too late. The intent was still listed, so the order was sent again, accepted without an answer, and then the store cleared the intent. The compare-and-set of the record can't prevent it: sending an order again doesn't change the record.

An intent that is being cleared is now settled: its clearing is repeated, its order is not. It checked that a promotion took effect, which the fix prevents; it checks now that one order was sent at all, and that the old primary leads.

--- a/src/sedgeshunt/execution/pending_orders.py
+++ b/src/sedgeshunt/execution/pending_orders.py
@@ -3,6 +3,7 @@
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.groups.orders import PromotionAnswer
 from sedgeshunt.identifiers import GroupId, Monotonic, Seconds, TargetId
+from sedgeshunt.registry.entries import ReplacementIntent
 
 # A promotion takes effect in 0.3 s, or 1 s on large installations; the rest is
 # a safety margin.
@@ -22,13 +23,21 @@
 class PendingOrder:
     """Hold when the orders for one target may take effect."""
 
-    def __init__(self, target: TargetId, latest: Monotonic) -> None:
+    def __init__(self, intent: ReplacementIntent, latest: Monotonic) -> None:
         """Expect an earlier order to take effect until `latest`."""
-        self.target = target
+        self.intent = intent
+        # The intent is being cleared; the store may do so at any time. An order
+        # sent now could be forgotten while it takes effect.
+        self.is_settled = False
         self._since = read_clock()
         self._latest_effect = latest
         self._repeat_at = self._since
 
+    @property
+    def target(self) -> TargetId:
+        """Return the target to promote."""
+        return self.intent.target
+
     def may_take_effect(self) -> bool:
         """Return whether an order may still take effect."""
         return read_clock() < self._latest_effect
@@ -59,19 +68,19 @@
         """Start without orders."""
         self._orders: dict[GroupId, PendingOrder] = {}
 
-    def begin(self, group: GroupId, target: TargetId) -> PendingOrder:
+    def begin(self, group: GroupId, intent: ReplacementIntent) -> PendingOrder:
         """Return a pending order that has not been sent yet."""
-        order = PendingOrder(target, Monotonic(0))
+        order = PendingOrder(intent, Monotonic(0))
         self._orders[group] = order
         return order
 
-    def resume(self, group: GroupId, target: TargetId) -> PendingOrder:
+    def resume(self, group: GroupId, intent: ReplacementIntent) -> PendingOrder:
         """Return a pending order, possibly sent by an earlier owner."""
         order = self._orders.get(group)
-        if order is None or order.target != target:
+        if order is None or order.intent != intent:
             # Nothing is known about the time at which it was sent.
             latest = Monotonic(read_clock() + LATE_ORDER_TIMEOUT)
-            order = PendingOrder(target, latest)
+            order = PendingOrder(intent, latest)
             self._orders[group] = order
         return order
 
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -98,12 +98,10 @@
         )
         if not is_safe:
             return None
-        # An order takes effect hundreds of milliseconds after it was sent. If
-        # this owner is lost meanwhile, the next one must know about it.
-        target = chosen.known.target.name
-        if not await self._records.record_intent(ownership, target, min_term):
+        order = await self._prepare(ownership, chosen, min_term)
+        if order is None:
             return None
-        return await self._promote(ownership, chosen.known)
+        return await self._promote(ownership, chosen.known, order)
 
     async def resume_pending(
         self,
@@ -114,9 +112,9 @@
         intent = self._records.find_intent(ownership.group)
         if intent is None:
             return False
-        order = self._orders.resume(ownership.group, intent.target)
+        order = self._orders.resume(ownership.group, intent)
         if self._is_settled(ownership, order, statuses):
-            await self._settle(ownership)
+            await self._settle(ownership, order)
             return False
         is_hopeless = self._is_hopeless(ownership, order, statuses)
         if order.is_repeat_due() and not is_hopeless:
@@ -124,6 +122,23 @@
         await sleep(POLL_INTERVAL)
         return True
 
+    async def _prepare(
+        self,
+        ownership: GroupOwnership,
+        chosen: Successor,
+        min_term: Term,
+    ) -> PendingOrder | None:
+        """Record an intent, None if the store did not confirm it."""
+        # An order takes effect hundreds of milliseconds after it was sent. If
+        # this owner is lost meanwhile, the next one must know about it.
+        target = chosen.known.target.name
+        if not await self._records.record_intent(ownership, target, min_term):
+            return None
+        intent = self._records.find_intent(ownership.group)
+        if intent is None:
+            return None
+        return self._orders.begin(ownership.group, intent)
+
     async def _repeat(
         self,
         ownership: GroupOwnership,
@@ -142,9 +157,14 @@
                     ownership, order.target
                 )
 
-    async def _settle(self, ownership: GroupOwnership) -> None:
-        self._orders.forget(ownership.group)
-        await self._records.clear_intent(ownership)
+    async def _settle(
+        self,
+        ownership: GroupOwnership,
+        order: PendingOrder,
+    ) -> None:
+        order.is_settled = True
+        if await self._records.clear_intent(ownership):
+            self._orders.forget(ownership.group)
 
     def _choose(
         self,
@@ -173,7 +193,7 @@
         statuses: Mapping[TargetId, LogStatus],
     ) -> bool:
         """Return whether an order has taken effect or cannot any more."""
-        if order.target in _list_leading(statuses):
+        if order.is_settled or order.target in _list_leading(statuses):
             return True
         if order.may_take_effect():
             return False
@@ -228,11 +248,11 @@
         self,
         ownership: GroupOwnership,
         known: KnownTarget,
+        order: PendingOrder,
     ) -> Successor | None:
-        order = self._orders.begin(ownership.group, known.target.name)
         answer = await self._order(ownership, order)
         if answer in _INEFFECTIVE_ANSWERS:
-            await self._settle(ownership)
+            await self._settle(ownership, order)
             return None
         # An order without an answer is repeated soon.
         is_accepted = answer is PromotionAnswer.ACCEPTED
--- a/tests/features/promotion_orders.feature
+++ b/tests/features/promotion_orders.feature
@@ -69,7 +69,8 @@
     And the primary is recorded
 
   Scenario: The store clears an intent after its order was given again
-    Guards against a late change of the record that drops a promotion under way.
+    Guards against a late change of the record that drops a promotion under way:
+    while the intent of a rejected order is being cleared, it isn't sent again.
     Given the next order is answered 429 and not carried out
     And the next order is not answered and begun after 3 s
     When the primary freezes
@@ -77,7 +78,8 @@
     And the store takes 1.2 s for each call for 0.05 s
     And "db-east" resumes
     And 6 s go by
-    Then a promotion in term 2 took effect
+    Then 1 order was sent
+    And "db-east" leads
     And nothing was acknowledged at a superseded primary
     And every acknowledged write is on the primary
 
--- a/tests/features/steps/promotion_orders_steps.py
+++ b/tests/features/steps/promotion_orders_steps.py
@@ -116,6 +116,12 @@
     assert (leader.target, leader.term) == (primary.name, primary.term), leader
 
 
+@then('{count:d} order was sent')
+def check_orders(context: Any, count: int) -> None:
+    orders = context.nodes.group.orders
+    assert len(orders) == count, orders
+
+
 @then('the statuses of answers to orders mean')
 def check_meanings(context: Any) -> None:
     for row in context.table:
