Give up a primary that another target has replaced

Cause: an order that is carried out after everybody gave it up can't be prevented unless the platform checks fences. The owner relied on its orders alone: it noticed neither the entry of the new primary nor that its own one follows another.

The owner now compares, at each check, the entries and the terms of known log ends. If another target is listed as primary, its own isn't any more, or a term is newer than the served one, it asks the targets, and serves the one that leads the newer term or searches again. It asks once for each change of this evidence, and each second while a listed primary doesn't answer.

--- a/src/sedgeshunt/execution/primary_manager.py
+++ b/src/sedgeshunt/execution/primary_manager.py
@@ -22,6 +22,7 @@
 from sedgeshunt.execution.primary_finder import FoundPrimary, PrimaryFinder
 from sedgeshunt.execution.primary_probe import PrimaryProbe
 from sedgeshunt.execution.primary_state import PrimaryState
+from sedgeshunt.execution.supersession import SupersessionCheck
 from sedgeshunt.execution.target_executor import TargetExecutor
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import (
@@ -74,6 +75,7 @@
         self._parts = parts
         self._takeover_probe = probe
         self._finder = PrimaryFinder(ownership, parts, freshness)
+        self._supersession = SupersessionCheck(parts.connector)
         self._copy_recorder = CopyRecorder(
             ownership, parts.records, parts.connector
         )
@@ -179,10 +181,36 @@
             await sleep(CHECK_INTERVAL)
         elif self._finder.has_restarted(members.find(executor.target.name)):
             await self._state.drop()
-        else:
+        elif not await self._follow_newer(members, executor):
             await self._copy_recorder.update(members, executor)
             await self._check(members, executor)
 
+    async def _follow_newer(
+        self,
+        members: GroupMembers,
+        executor: TargetExecutor,
+    ) -> bool:
+        """Give up a primary that was replaced; return whether it was."""
+        newer = await self._supersession.check(
+            members,
+            executor,
+            self._term,
+            self._finder.read_known_tip(),
+        )
+        if newer is None:
+            return False
+        self._term = max(self._term, newer.term)
+        self._parts.record_decision(
+            DecisionKind.PRIMARY_SUSPECTED,
+            self._ownership,
+            executor.target.name,
+            newest_term=newer.term,
+        )
+        await self._state.drop()
+        if newer.primary is not None:
+            await self._serve(newer.primary)
+        return True
+
     async def _check(
         self,
         members: GroupMembers,
--- a/tests/features/promotion_orders.feature
+++ b/tests/features/promotion_orders.feature
@@ -46,6 +46,20 @@
     Then a promotion in term 4 took effect
     And nothing was acknowledged at a primary superseded for more than 0.15 s
 
+  Scenario: A replaced primary shows the new term before the store does
+    Guards against reads at a target that follows an unlisted primary.
+    Given the next order is begun at once and again after 6 s
+    When the primary freezes
+    And 2 s go by
+    And "db-east" resumes
+    And the new primary crashes
+    And 2 s go by
+    And the crashed primary is no longer listed
+    And the crashed primary restarts
+    And 6 s go by
+    Then a promotion in term 4 took effect
+    And nothing was acknowledged at a primary superseded for more than 1.2 s
+
   Scenario: The next owner finds an order but no recorded primary
     Guards against dropping a promotion under way as the primary wasn't recorded.
     Given the record of the primary is lost
--- a/tests/features/steps/promotion_orders_steps.py
+++ b/tests/features/steps/promotion_orders_steps.py
@@ -82,6 +82,11 @@
     context.ordered.is_down = True
 
 
+@when('the crashed primary is no longer listed')
+def drop_ordered(context: Any) -> None:
+    context.ordered.is_listed = False
+
+
 @when('the proxy that ordered is killed')
 def kill_owner(context: Any) -> None:
     owner = context.nodes.find_owner()
