Record a served primary again if the store refused its record

Callers: none in the run itself; the next owner starts from the record. With no or an old primary there it may accept a superseded one.

Cause: the result of record_primary was ignored. A change at the same time, of the candidates or the copies, or one refused answer left the former primary and an open intent in the record for the rest of the ownership.

The record is now compared at each check of the primary and written again in the background, every 0.5 s at most, while that primary is served. A record of a newer term is not overwritten. The scenario is green; its primary was not recorded 3 s after the refusal before.

The scenario of an owner without a recorded primary now removes it after the order, as it would be recorded again before. So changed, it still fails on the code before these fixes (178 statements, 32 of them writes).

--- a/src/sedgeshunt/execution/primary_manager.py
+++ b/src/sedgeshunt/execution/primary_manager.py
@@ -21,6 +21,7 @@
 from sedgeshunt.execution.primary_context import PrimaryContext
 from sedgeshunt.execution.primary_finder import FoundPrimary, PrimaryFinder
 from sedgeshunt.execution.primary_probe import PrimaryProbe
+from sedgeshunt.execution.primary_recorder import PrimaryRecorder
 from sedgeshunt.execution.primary_state import PrimaryState
 from sedgeshunt.execution.supersession import SupersessionCheck
 from sedgeshunt.execution.target_executor import TargetExecutor
@@ -76,6 +77,7 @@
         self._takeover_probe = probe
         self._finder = PrimaryFinder(ownership, parts, freshness)
         self._supersession = SupersessionCheck(parts.connector)
+        self._recorder = PrimaryRecorder(ownership, parts.records, state)
         self._copy_recorder = CopyRecorder(
             ownership, parts.records, parts.connector
         )
@@ -106,6 +108,7 @@
                 else:
                     await self._watch(executor)
         finally:
+            self._recorder.close()
             await self._state.drop()
 
     async def _find(self) -> None:
@@ -167,12 +170,7 @@
             term=leader.status.term,
             end=leader.status.received.position,
         )
-        await self._parts.records.record_primary(
-            self._ownership,
-            known.target.name,
-            leader.status.term,
-            known.life,
-        )
+        await self._recorder.record(leader)
 
     async def _watch(self, executor: TargetExecutor) -> None:
         """Check the primary once and act on the result."""
@@ -182,6 +180,7 @@
         elif self._finder.has_restarted(members.find(executor.target.name)):
             await self._state.drop()
         elif not await self._follow_newer(members, executor):
+            self._recorder.check()
             await self._copy_recorder.update(members, executor)
             await self._check(members, executor)
 
