Record the newest known term with a promotion

Callers: a group whose order was lost had no primary for 6 s and more, as the next owner didn't repeat the order.

Cause: a primary in a newer term than the recorded one ends a promotion under way. Without a recorded primary that term was 0, so any primary did, also the one to be replaced.

The intent now holds the newest term that its owner knew, by the record, its own service and the targets' answers; a later term than that ends it.

--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -39,6 +39,7 @@
     KnownTarget,
     list_places,
 )
+from sedgeshunt.registry.entries import ReplacementIntent
 
 # An order is answered within some milliseconds unless the platform is slow.
 ORDER_TIMEOUT = Seconds(0.5)
@@ -98,7 +99,7 @@
         )
         if not is_safe:
             return None
-        order = await self._prepare(ownership, chosen, min_term)
+        order = await self._prepare(ownership, chosen, statuses, min_term)
         if order is None:
             return None
         return await self._promote(ownership, chosen.known, order)
@@ -126,16 +127,17 @@
         self,
         ownership: GroupOwnership,
         chosen: Successor,
+        statuses: Mapping[TargetId, LogStatus],
         min_term: Term,
     ) -> PendingOrder | None:
         """Record an intent, None if the store did not confirm it."""
         # An order takes effect hundreds of milliseconds after it was sent. If
         # this owner is lost meanwhile, the next one must know about it.
-        target = chosen.known.target.name
-        if not await self._records.record_intent(ownership, target, min_term):
-            return None
-        intent = self._records.find_intent(ownership.group)
-        if intent is None:
+        terms = (status.term for status in statuses.values())
+        intent = ReplacementIntent(
+            chosen.known.target.name, ownership.token, max(min_term, *terms)
+        )
+        if not await self._records.record_intent(ownership, intent, min_term):
             return None
         return self._orders.begin(ownership.group, intent)
 
@@ -208,8 +210,9 @@
         """Return whether an order should not be repeated any more."""
         # A store restored from a backup may hold an intent cleared since.
         recorded = self._records.find_term(ownership.group)
-        newest = max(_list_leading(statuses).values(), default=recorded)
-        return newest > recorded or _can_return(order, statuses)
+        known = max(recorded, order.intent.term)
+        newest = max(_list_leading(statuses).values(), default=known)
+        return newest > known or _can_return(order, statuses)
 
     def _count_unreachable(
         self,
--- a/src/sedgeshunt/ownership/records.py
+++ b/src/sedgeshunt/ownership/records.py
@@ -241,14 +241,13 @@
     async def record_intent(
         self,
         ownership: GroupOwnership,
-        target: TargetId,
+        intent: ReplacementIntent,
         served: Term,
     ) -> bool:
         """Record a promotion before it is ordered.
 
         `served` is the newest term that this owner has served.
         """
-        intent = ReplacementIntent(target, ownership.token)
         record = self.find_record(ownership.group)
         leader = None if record is None else record.leader
         # The store may have missed a change of the primary: the next owner must
--- a/src/sedgeshunt/registry/entries.py
+++ b/src/sedgeshunt/registry/entries.py
@@ -53,6 +53,8 @@
 
     target: TargetId
     token: OwnerToken
+    # The newest term that its owner knew; the target leads a later one.
+    term: Term = Term(0)
 
 
 class PrimaryNote(Struct, frozen=True):
--- a/tests/features/promotion_orders.feature
+++ b/tests/features/promotion_orders.feature
@@ -73,6 +73,18 @@
     And nothing was acknowledged at a superseded primary
     And every acknowledged write is on the primary
 
+  Scenario: The next owner repeats an order that was lost
+    Guards against waiting for an order, as no primary was recorded before it.
+    Given the next order is not answered and not carried out
+    When the primary freezes
+    And an order has been sent
+    And the record of the primary is lost
+    And the proxy that ordered is killed
+    And "db-east" resumes
+    And 6 s go by
+    Then a promotion in term 2 took effect
+    And no write was done for 1 to 4 s at most
+
   Scenario: The store refuses the record of a new primary
     Guards against a primary that is served but never recorded.
     When the primary freezes
--- a/tests/features/steps/promotion_orders_steps.py
+++ b/tests/features/steps/promotion_orders_steps.py
@@ -29,6 +29,11 @@
     _handle_next(context, OrderHandling(status, begun_after=()))
 
 
+@given('the next order is not answered and not carried out')
+def lose_order(context: Any) -> None:
+    _handle_next(context, OrderHandling(None, begun_after=()))
+
+
 @given('the next order is not answered and begun after {seconds:g} s')
 def lose_answer(context: Any, seconds: float) -> None:
     _handle_next(context, OrderHandling(None, begun_after=(seconds,)))
