Query the targets of late orders while another primary is served

An order without an answer was repeated, its target promoted, lost and replaced; then the first order was carried out while the owner was cut off from the store, so that no entry told it.

An owner now remembers for 6 s for which targets an order of its own got no answer, and queries those that it doesn't serve at each check, in the background. A next owner doesn't know these orders and still relies on entries and terms.

--- a/src/sedgeshunt/execution/pending_orders.py
+++ b/src/sedgeshunt/execution/pending_orders.py
@@ -67,6 +67,9 @@
     def __init__(self) -> None:
         """Start without orders."""
         self._orders: dict[GroupId, PendingOrder] = {}
+        # Until when each target may be promoted by an order without an answer,
+        # also if a later order has already promoted it.
+        self._unanswered: dict[GroupId, dict[TargetId, Monotonic]] = {}
 
     def begin(self, group: GroupId, intent: ReplacementIntent) -> PendingOrder:
         """Return a pending order that has not been sent yet."""
@@ -84,6 +87,30 @@
             self._orders[group] = order
         return order
 
+    def note_answer(
+        self,
+        group: GroupId,
+        order: PendingOrder,
+        answer: PromotionAnswer,
+    ) -> None:
+        """Record the outcome of an order."""
+        order.note_answer(answer)
+        if answer is PromotionAnswer.UNANSWERED:
+            latest = Monotonic(read_clock() + LATE_ORDER_TIMEOUT)
+            self._unanswered.setdefault(group, {})[order.target] = latest
+
+    def list_late(self, group: GroupId) -> frozenset[TargetId]:
+        """Return the targets that late orders of this proxy may promote."""
+        now = read_clock()
+        late = {
+            target: latest
+            for target, latest in self._unanswered.pop(group, {}).items()
+            if now < latest
+        }
+        if late:
+            self._unanswered[group] = late
+        return frozenset(late)
+
     def forget(self, group: GroupId) -> None:
         """Drop a group's order, as it has taken effect or cannot any more."""
         self._orders.pop(group, None)
--- a/src/sedgeshunt/execution/primary_manager.py
+++ b/src/sedgeshunt/execution/primary_manager.py
@@ -108,8 +108,12 @@
                 else:
                     await self._watch(executor)
         finally:
-            self._recorder.close()
-            await self._state.drop()
+            await self._close()
+
+    async def _close(self) -> None:
+        self._recorder.close()
+        self._supersession.close()
+        await self._state.drop()
 
     async def _find(self) -> None:
         """Serve the primary that the targets report, or promote one."""
@@ -190,7 +194,10 @@
         executor: TargetExecutor,
     ) -> bool:
         """Give up a primary that was replaced; return whether it was."""
-        newer = await self._supersession.check(
+        late = self._parts.replacement.list_late_targets(self._ownership.group)
+        newer = self._supersession.check_late(
+            members, late - {executor.target.name}, self._term
+        ) or await self._supersession.check(
             members,
             executor,
             self._term,
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -31,7 +31,7 @@
     covers,
     is_safe_choice,
 )
-from sedgeshunt.identifiers import Seconds, TargetId, Term
+from sedgeshunt.identifiers import GroupId, Seconds, TargetId, Term
 from sedgeshunt.ownership.group_ownership import GroupOwnership
 from sedgeshunt.ownership.records import GroupRecords
 from sedgeshunt.registry.directory import (
@@ -123,6 +123,10 @@
         await sleep(POLL_INTERVAL)
         return True
 
+    def list_late_targets(self, group: GroupId) -> frozenset[TargetId]:
+        """Return the targets that late orders of this proxy may promote."""
+        return self._orders.list_late(group)
+
     async def _prepare(
         self,
         ownership: GroupOwnership,
@@ -302,7 +306,7 @@
             ),
             ORDER_TIMEOUT,
         )
-        order.note_answer(answer)
+        self._orders.note_answer(ownership.group, order, answer)
         self._record_decision(
             DecisionKind.PROMOTION_ORDERED,
             ownership,
--- a/src/sedgeshunt/execution/supersession.py
+++ b/src/sedgeshunt/execution/supersession.py
@@ -1,5 +1,7 @@
 """Notice that another target has replaced a group's primary."""
 
+from asyncio import Task, create_task
+
 from msgspec import Struct
 
 from sedgeshunt.clocks import read_clock
@@ -38,6 +40,8 @@
     def __init__(self, connector: TargetSessionConnector) -> None:
         """Start without evidence."""
         self._connector = connector
+        # A query of targets that late orders may promote.
+        self._query: Task[dict[TargetId, LogStatus]] | None = None
         self._seen: _Evidence | None = None
         self._retry_at: Monotonic | None = None
 
@@ -74,6 +78,36 @@
             return None
         return Supersession(max(term, served.term), None)
 
+    def check_late(
+        self,
+        members: GroupMembers,
+        late: frozenset[TargetId],
+        term: Term,
+    ) -> Supersession | None:
+        """Return the target of a late order that has replaced the primary.
+
+        The targets are queried in the background, once for each call at most.
+        The store may be unreachable, so that their entries don't change.
+        """
+        statuses: dict[TargetId, LogStatus] = {}
+        if self._query is not None:
+            if not self._query.done():
+                return None
+            statuses = self._query.result()
+            self._query = None
+        asked = [
+            known for known in members.targets if known.target.name in late
+        ]
+        if asked:
+            self._query = create_task(read_statuses(self._connector, asked))
+        newer = _find_newer(members, statuses, term)
+        return None if newer is None else Supersession(term, newer)
+
+    def close(self) -> None:
+        """Stop querying targets."""
+        if self._query is not None:
+            self._query.cancel()
+
     def _is_due(self, evidence: '_Evidence', term: Term) -> bool:
         is_new = evidence != self._seen
         self._seen = evidence
--- a/tests/features/promotion_orders.feature
+++ b/tests/features/promotion_orders.feature
@@ -46,6 +46,22 @@
     Then a promotion in term 4 took effect
     And nothing was acknowledged at a primary superseded for more than 0.15 s
 
+  Scenario: An order is carried out late while the owner is cut off
+    Guards against relying on entries, which don't arrive from the store then.
+    Given the next order is not answered and begun after 5 s
+    When the primary freezes
+    And 1 s go by
+    And "db-east" resumes
+    And 2.2 s go by
+    And the new primary crashes
+    And 1 s go by
+    And the crashed primary restarts
+    And 1 s go by
+    And the store is cut off from "east-1"
+    And 4 s go by
+    Then a promotion in term 4 took effect
+    And nothing was acknowledged at a primary superseded for more than 0.2 s
+
   Scenario: A replaced primary shows the new term before the store does
     Guards against reads at a target that follows an unlisted primary.
     Given the next order is begun at once and again after 6 s
--- a/tests/features/steps/promotion_orders_steps.py
+++ b/tests/features/steps/promotion_orders_steps.py
@@ -110,6 +110,15 @@
     context.nodes.store.recover()
 
 
+@when('the record has no intent any more')
+def wait_cleared(context: Any) -> None:
+    bench = context.nodes
+    key = make_record_key(GROUP)
+    bench.time.wait_until(
+        lambda: read_entry(bench.read(key), GroupRecord).intent is None,
+    )
+
+
 @when('the record of the primary is lost')
 def forget_primary(context: Any) -> None:
     key = make_record_key(GROUP)
