Record a promotion's target in the change that ends its intent

Cause: an owner that saw a resumed promotion in effect cleared the intent and recorded the new primary in a second change. It died in between. The next owner found the old primary recorded and no intent, and served it; the new one was not listed. Two more causes kept the scenario red: the old primary, chosen as it had the longest log, passed for promoted by its old term, and the stand-in platform left any target that reports to be primary as it is; now it does so only for the one of the newest term.

One change now records the target with its term and ends the intent. A target counts as promoted by a term that isn't older than what was known before the order.

--- a/src/sedgeshunt/execution/pending_orders.py
+++ b/src/sedgeshunt/execution/pending_orders.py
@@ -1,6 +1,7 @@
 """Track promotion orders that may still take effect."""
 
 from sedgeshunt.clocks import read_clock
+from sedgeshunt.connections.target_session import LogRole, LogStatus
 from sedgeshunt.groups.orders import PromotionAnswer
 from sedgeshunt.identifiers import GroupId, Monotonic, Seconds, TargetId
 from sedgeshunt.registry.entries import ReplacementIntent
@@ -42,6 +43,16 @@
         """Return whether an order may still take effect."""
         return read_clock() < self._latest_effect
 
+    def is_effect(self, status: LogStatus) -> bool:
+        """Return whether the target's status shows the promotion.
+
+        A superseded primary reports its old term for a while. An order for the
+        present primary changes nothing, so its term is accepted in the end.
+        """
+        if status.role is not LogRole.PRIMARY:
+            return False
+        return status.term >= self.intent.term or not self.may_take_effect()
+
     def is_repeat_due(self) -> bool:
         """Return whether the order should be sent again."""
         return read_clock() >= self._repeat_at
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -31,7 +31,7 @@
     covers,
     is_safe_choice,
 )
-from sedgeshunt.identifiers import GroupId, Seconds, TargetId, Term
+from sedgeshunt.identifiers import GroupId, Seconds, TargetId, TargetLife, Term
 from sedgeshunt.ownership.group_ownership import GroupOwnership
 from sedgeshunt.ownership.records import GroupRecords
 from sedgeshunt.registry.directory import (
@@ -115,7 +115,7 @@
             return False
         order = self._orders.resume(ownership.group, intent)
         if self._is_settled(ownership, order, statuses):
-            await self._settle(ownership, order)
+            await self._settle(ownership, order, statuses)
             return False
         is_hopeless = self._is_hopeless(ownership, order, statuses)
         if order.is_repeat_due() and not is_hopeless:
@@ -167,9 +167,20 @@
         self,
         ownership: GroupOwnership,
         order: PendingOrder,
+        statuses: Mapping[TargetId, LogStatus],
     ) -> None:
+        """Record the end of an order, and its target if that leads."""
         order.is_settled = True
-        if await self._records.clear_intent(ownership):
+        term = _list_leading(statuses).get(order.target, Term(0))
+        if term > self._records.find_term(ownership.group):
+            # At once, as the next owner would accept the recorded primary if
+            # it found no intent.
+            is_recorded = await self._records.record_primary(
+                ownership, order.target, term, TargetLife(0)
+            )
+        else:
+            is_recorded = await self._records.clear_intent(ownership)
+        if is_recorded:
             self._orders.forget(ownership.group)
 
     def _choose(
@@ -199,7 +210,8 @@
         statuses: Mapping[TargetId, LogStatus],
     ) -> bool:
         """Return whether an order has taken effect or cannot any more."""
-        if order.is_settled or order.target in _list_leading(statuses):
+        target = statuses.get(order.target)
+        if order.is_settled or (target and order.is_effect(target)):
             return True
         if order.may_take_effect():
             return False
@@ -259,25 +271,28 @@
     ) -> Successor | None:
         answer = await self._order(ownership, order)
         if answer in _INEFFECTIVE_ANSWERS:
-            await self._settle(ownership, order)
+            await self._settle(ownership, order, {})
             return None
         # An order without an answer is repeated soon.
         is_accepted = answer is PromotionAnswer.ACCEPTED
-        return await self._wait_effect(
-            ownership, known, EFFECT_TIMEOUT if is_accepted else REPEAT_PAUSE
-        )
+        limit = EFFECT_TIMEOUT if is_accepted else REPEAT_PAUSE
+        return await self._wait_effect(ownership, known, order, limit)
 
     async def _wait_effect(
         self,
         ownership: GroupOwnership,
         known: KnownTarget,
+        order: PendingOrder,
         limit: Seconds,
     ) -> Successor | None:
         give_up = read_clock() + limit
-        while read_clock() < give_up and ownership.is_held():
+        is_over = False
+        while not is_over and ownership.is_held():
             await sleep(POLL_INTERVAL)
+            # The last status is read after the end.
+            is_over = read_clock() > give_up
             status = await read_status(self._connector, known)
-            if status is not None and status.role is LogRole.PRIMARY:
+            if status is not None and order.is_effect(status):
                 self._record_decision(
                     DecisionKind.PRIMARY_REPLACED,
                     ownership,
--- a/tests/features/promotion_orders.feature
+++ b/tests/features/promotion_orders.feature
@@ -101,6 +101,20 @@
     Then a promotion in term 2 took effect
     And no write was done for 1 to 4 s at most
 
+  Scenario: The owner is lost as it learns of a promotion
+    Guards against a record that has neither the intent nor the new primary.
+    Given the next order is not answered and not carried out
+    When the primary freezes
+    And an order has been sent
+    And "db-east" is cut off from "db-west"
+    And "db-east" resumes
+    And the record has no intent any more
+    And the proxy that ordered is killed
+    And "db-west" is no longer listed
+    And 4 s go by
+    Then a promotion in term 2 took effect
+    And nothing was acknowledged at a superseded primary
+
   Scenario: The store refuses the record of a new primary
     Guards against a primary that is served but never recorded.
     When the primary freezes
@@ -136,6 +150,20 @@
     And no write was done for 6 to 9 s at most
     And nothing was acknowledged at a superseded primary
 
+  Scenario: The present primary is promoted
+    Guards against waiting for a new term that the platform doesn't begin.
+    Given the next order is not answered and not carried out
+    When the primary freezes
+    And an order has been sent
+    And the target of the order crashes
+    And 1 s go by
+    And "db-east" resumes
+    And 8 s go by
+    And the target of the order restarts
+    And 8 s go by
+    Then "db-east" leads
+    And no write was done for 8 to 13 s at most
+
   Scenario: Only a rejection says that an order won't be carried out
     Guards against taking a failed or unusual answer for a rejected order.
     Then the statuses of answers to orders mean
--- a/tests/standins/statement_group.py
+++ b/tests/standins/statement_group.py
@@ -308,7 +308,7 @@
 
     async def _promote(self, target: StatementTarget) -> None:
         await sleep(self.promotion_time)
-        if target.role is LogRole.PRIMARY:
+        if target is self.find_primary():
             return
         newest = max(other.term for other in self.targets.values())
         target.term = Term(newest + 1)
