--- a/src/sedgeshunt/execution/primary_manager.py
+++ b/src/sedgeshunt/execution/primary_manager.py
@@ -23,7 +23,9 @@
 from sedgeshunt.execution.primary_finder import FoundPrimary, PrimaryFinder
 from sedgeshunt.execution.primary_lines import check_send
 from sedgeshunt.execution.primary_probe import PrimaryProbe
+from sedgeshunt.execution.primary_recorder import PrimaryRecorder
 from sedgeshunt.execution.primary_state import PrimaryState
+from sedgeshunt.execution.supersession import SupersessionCheck
 from sedgeshunt.execution.target_executor import TargetExecutor
 from sedgeshunt.groups.points import Point
 from sedgeshunt.identifiers import (
@@ -54,6 +56,9 @@
 HANDOVER_TIMEOUT = Seconds(0.5)
 # Longest wait of a planned replacement for a moment without transactions.
 IDLE_TIMEOUT = Seconds(2)
+# Pause before the next planned replacement after one whose order the platform
+# neither accepted nor rejected: the group has no primary for seconds each time.
+UNSETTLED_PAUSE = Seconds(20)
 
 
 class PrimaryManager:
@@ -73,12 +78,18 @@
         self._parts = parts
         self._takeover_probe = probe
         self._finder = PrimaryFinder(ownership, parts, freshness)
+        self._supersession = SupersessionCheck(parts.connector)
+        self._recorder = PrimaryRecorder(
+            ownership, parts.records, state, parts.replacement.lines
+        )
         self._copy_recorder = CopyRecorder(
             ownership, parts.records, parts.connector
         )
         # Log end up to which the previous primary acknowledged writes.
         self._acknowledged: Point | None = None
         self._term = Term(0)
+        # When a primary that is leaving may be replaced.
+        self._planned_from = Monotonic(0)
         # Set once this instance stops: the deadline for open transactions.
         self._handover_deadline: Monotonic | None = None
         self._handover_requested_at = Boottime(0)
@@ -101,7 +112,12 @@
                 else:
                     await self._watch(executor)
         finally:
-            await self._state.drop()
+            await self._close()
+
+    async def _close(self) -> None:
+        self._recorder.close()
+        self._supersession.close()
+        await self._state.drop()
 
     async def _find(self) -> None:
         """Serve the primary that the targets report, or promote one."""
@@ -168,20 +184,7 @@
             term=leader.status.term,
             end=leader.status.received.position,
         )
-        intent = self._parts.records.find_intent(self._ownership.group)
-        is_stored = await self._parts.records.record_primary(
-            self._ownership,
-            known.target.name,
-            leader.status.term,
-            known.life,
-        )
-        if intent is not None:
-            self._parts.replacement.lines.record_cleared(
-                self._ownership,
-                intent.target,
-                f'{known.target.name} is served',
-                is_stored=is_stored,
-            )
+        await self._recorder.record(leader)
 
     async def _watch(self, executor: TargetExecutor) -> None:
         """Check the primary once and act on the result."""
@@ -190,16 +193,47 @@
             await sleep(CHECK_INTERVAL)
         elif self._finder.has_restarted(members.find(executor.target.name)):
             await self._state.drop()
-        else:
+        elif not await self._follow_newer(members, executor):
+            self._recorder.check()
             await self._copy_recorder.update(members, executor)
             await self._check(members, executor)
 
+    async def _follow_newer(
+        self,
+        members: GroupMembers,
+        executor: TargetExecutor,
+    ) -> bool:
+        """Give up a primary that was replaced; return whether it was."""
+        late = self._parts.replacement.list_late_targets(self._ownership.group)
+        newer = self._supersession.check_late(
+            members, late - {executor.target.name}, self._term
+        ) or await self._supersession.check(
+            members,
+            executor,
+            self._term,
+            self._finder.read_known_tip(),
+        )
+        if newer is None:
+            return False
+        self._term = max(self._term, newer.term)
+        self._parts.record_decision(
+            DecisionKind.PRIMARY_SUSPECTED,
+            self._ownership,
+            executor.target.name,
+            newest_term=newer.term,
+        )
+        await self._state.drop()
+        if newer.primary is not None:
+            await self._serve(newer.primary)
+        return True
+
     async def _check(
         self,
         members: GroupMembers,
         executor: TargetExecutor,
     ) -> None:
-        if is_replacement_due(members, executor.target.name):
+        is_due = is_replacement_due(members, executor.target.name)
+        if is_due and read_clock() >= self._planned_from:
             await self._replace_planned(members, executor)
         elif await self._is_suspect(executor):
             await self._probe(members, executor)
@@ -318,6 +352,8 @@
         if statuses and self._parts.records.reaches_store():
             await self._suspend(executor)
             await self._promote(members, statuses, executor.tip)
+            if not self._finder.is_settled():
+                self._planned_from = Monotonic(read_clock() + UNSETTLED_PAUSE)
         else:
             await self._yield_to_next_owner()
 
--- a/src/sedgeshunt/execution/replacement.py
+++ b/src/sedgeshunt/execution/replacement.py
@@ -14,6 +14,12 @@
 )
 from sedgeshunt.decisions import DecisionLog
 from sedgeshunt.execution.order_lines import OrderLines, find_end
+from sedgeshunt.execution.pending_orders import (
+    EFFECT_TIMEOUT,
+    REPEAT_PAUSE,
+    PendingOrder,
+    PendingOrders,
+)
 from sedgeshunt.execution.statuses import read_status
 from sedgeshunt.groups.orders import (
     PromotionAnswer,
@@ -26,7 +32,7 @@
     covers,
     is_safe_choice,
 )
-from sedgeshunt.identifiers import Seconds, TargetId, Term
+from sedgeshunt.identifiers import GroupId, Seconds, TargetId, TargetLife, Term
 from sedgeshunt.ownership.group_ownership import GroupOwnership
 from sedgeshunt.ownership.records import GroupRecords
 from sedgeshunt.registry.directory import (
@@ -38,9 +44,6 @@
 
 # An order is answered within some milliseconds unless the platform is slow.
 ORDER_TIMEOUT = Seconds(0.5)
-# A promotion takes effect in 0.3 s, or 1 s on large installations; the rest is
-# a safety margin.
-EFFECT_TIMEOUT = Seconds(2.5)
 POLL_INTERVAL = Seconds(0.03)
 # A replica receives acknowledged writes within some milliseconds while the
 # primary still sends. Writes it lacks after this time are lost.
@@ -69,6 +72,7 @@
         self._promotions = promotions
         self._records = records
         self.lines = OrderLines(decisions)
+        self._orders = PendingOrders()
 
     async def promote(
         self,
@@ -96,18 +100,10 @@
         )
         if not is_safe:
             return None
-        # An order takes effect hundreds of milliseconds after it was sent. If
-        # this owner is lost meanwhile, the next one must know about it.
-        target = chosen.known.target.name
-        is_stored = await self._records.record_intent(
-            ownership, target, min_term
-        )
-        self.lines.record_intent(
-            ownership, target, min_term, is_stored=is_stored
-        )
-        if not is_stored:
+        order = await self._prepare(ownership, chosen, statuses, min_term)
+        if order is None:
             return None
-        return await self._promote(ownership, chosen.known)
+        return await self._promote(ownership, chosen.known, order)
 
     async def resume_pending(
         self,
@@ -119,24 +115,89 @@
         if intent is None:
             return False
         self.lines.record_found(ownership, intent)
-        if self._is_obsolete(ownership, intent, statuses):
+        order = self._orders.resume(ownership.group, intent)
+        if self._is_settled(ownership, order, statuses):
             why = find_end(intent, statuses)
-            await self._clear_intent(ownership, intent.target, why)
+            await self._settle(ownership, order, statuses, why)
             return False
-        answer = await self._order(ownership, intent.target)
+        is_hopeless = self._is_hopeless(ownership, order, statuses)
+        if order.is_repeat_due() and not is_hopeless:
+            await self._repeat(ownership, order)
+        await sleep(POLL_INTERVAL)
+        return True
+
+    def list_late_targets(self, group: GroupId) -> frozenset[TargetId]:
+        """Return the targets that late orders of this proxy may promote."""
+        return self._orders.list_late(group)
+
+    async def _prepare(
+        self,
+        ownership: GroupOwnership,
+        chosen: Successor,
+        statuses: Mapping[TargetId, LogStatus],
+        min_term: Term,
+    ) -> PendingOrder | None:
+        """Record an intent, None if the store did not confirm it."""
+        # An order takes effect hundreds of milliseconds after it was sent. If
+        # this owner is lost meanwhile, the next one must know about it.
+        terms = (status.term for status in statuses.values())
+        intent = ReplacementIntent(
+            chosen.known.target.name, ownership.token, max(min_term, *terms)
+        )
+        is_stored = await self._records.record_intent(
+            ownership, intent, min_term
+        )
+        self.lines.record_intent(
+            ownership, intent.target, min_term, is_stored=is_stored
+        )
+        if not is_stored:
+            return None
+        return self._orders.begin(ownership.group, intent)
+
+    async def _repeat(
+        self,
+        ownership: GroupOwnership,
+        order: PendingOrder,
+    ) -> None:
+        answer = await self._order(ownership, order)
+        # A later order may be refused as the target is down, and the target be
+        # back before an earlier order is carried out.
         if answer is PromotionAnswer.TARGET_DOWN:
-            # The target may have been primary before it went down, unrecorded
-            # as the store was unreachable. The primary before it cannot be
-            # trusted any more.
-            is_stored = await self._records.record_uncertain_primary(
-                ownership, intent.target
-            )
-            self.lines.record_cleared(
-                ownership, intent.target, answer.value, is_stored=is_stored
+            if not order.may_take_effect():
+                # The target may have been primary before it went down,
+                # unrecorded as the store was unreachable. The primary before
+                # it cannot be trusted any more.
+                self._orders.forget(ownership.group)
+                is_stored = await self._records.record_uncertain_primary(
+                    ownership, order.target
+                )
+                self.lines.record_cleared(
+                    ownership, order.target, answer.value, is_stored=is_stored
+                )
+
+    async def _settle(
+        self,
+        ownership: GroupOwnership,
+        order: PendingOrder,
+        statuses: Mapping[TargetId, LogStatus],
+        why: str,
+    ) -> None:
+        """Record the end of an order, and its target if that leads."""
+        order.is_settled = True
+        term = _list_leading(statuses).get(order.target, Term(0))
+        if term > self._records.find_term(ownership.group):
+            # At once, as the next owner would accept the recorded primary if
+            # it found no intent.
+            is_recorded = await self._records.record_primary(
+                ownership, order.target, term, TargetLife(0)
             )
         else:
-            await sleep(POLL_INTERVAL)
-        return True
+            is_recorded = await self._records.clear_intent(ownership)
+        self.lines.record_cleared(
+            ownership, order.target, why, is_stored=is_recorded
+        )
+        if is_recorded:
+            self._orders.forget(ownership.group)
 
     def _choose(
         self,
@@ -158,22 +219,32 @@
                 return None
         return Successor(known, status)
 
-    def _is_obsolete(
+    def _is_settled(
         self,
         ownership: GroupOwnership,
-        intent: ReplacementIntent,
+        order: PendingOrder,
         statuses: Mapping[TargetId, LogStatus],
     ) -> bool:
-        """Return whether an intent's order has taken effect or is outdated."""
-        recorded = self._records.find_term(ownership.group)
-        leading = {
-            target: status.term
-            for target, status in statuses.items()
-            if status.role is LogRole.PRIMARY
-        }
+        """Return whether an order has taken effect or cannot any more."""
+        target = statuses.get(order.target)
+        if order.is_settled or (target and order.is_effect(target)):
+            return True
+        if order.may_take_effect():
+            return False
+        return self._is_hopeless(ownership, order, statuses)
+
+    def _is_hopeless(
+        self,
+        ownership: GroupOwnership,
+        order: PendingOrder,
+        statuses: Mapping[TargetId, LogStatus],
+    ) -> bool:
+        """Return whether an order should not be repeated any more."""
         # A store restored from a backup may hold an intent cleared since.
-        has_newer = max(leading.values(), default=recorded) > recorded
-        return intent.target in leading or has_newer
+        recorded = self._records.find_term(ownership.group)
+        known = max(recorded, order.intent.term)
+        newest = max(_list_leading(statuses).values(), default=known)
+        return newest > known or _can_return(order, statuses)
 
     def _count_unreachable(
         self,
@@ -212,50 +283,63 @@
         self,
         ownership: GroupOwnership,
         known: KnownTarget,
+        order: PendingOrder,
     ) -> Successor | None:
-        target = known.target.name
-        answer = await self._order(ownership, target)
+        answer = await self._order(ownership, order)
         if answer in _INEFFECTIVE_ANSWERS:
-            await self._clear_intent(ownership, target, answer.value)
+            await self._settle(ownership, order, {}, answer.value)
             return None
-        give_up = read_clock() + EFFECT_TIMEOUT
-        while read_clock() < give_up and ownership.is_held():
+        # An order without an answer is repeated soon.
+        is_accepted = answer is PromotionAnswer.ACCEPTED
+        limit = EFFECT_TIMEOUT if is_accepted else REPEAT_PAUSE
+        return await self._wait_effect(ownership, known, order, limit)
+
+    async def _wait_effect(
+        self,
+        ownership: GroupOwnership,
+        known: KnownTarget,
+        order: PendingOrder,
+        limit: Seconds,
+    ) -> Successor | None:
+        give_up = read_clock() + limit
+        is_over = False
+        while not is_over and ownership.is_held():
             await sleep(POLL_INTERVAL)
+            # The last status is read after the end.
+            is_over = read_clock() > give_up
             status = await read_status(self._connector, known)
-            if status is not None and status.role is LogRole.PRIMARY:
-                self.lines.record_effect(ownership, target, status.term)
+            if status is not None and order.is_effect(status):
+                self.lines.record_effect(
+                    ownership, known.target.name, status.term
+                )
+                self._orders.forget(ownership.group)
                 return Successor(known, status)
-        self.lines.record_no_effect(ownership, target)
+        self.lines.record_no_effect(ownership, known.target.name)
         return None
 
-    async def _clear_intent(
-        self,
-        ownership: GroupOwnership,
-        target: TargetId,
-        why: str,
-    ) -> None:
-        is_stored = await self._records.clear_intent(ownership)
-        self.lines.record_cleared(ownership, target, why, is_stored=is_stored)
-
     async def _order(
         self,
         ownership: GroupOwnership,
-        target: TargetId,
+        order: PendingOrder,
     ) -> PromotionAnswer:
         # The order must not arrive after this ownership has ended, when
         # another owner may already be serving a primary.
         if not ownership.is_held_for(ORDER_TIMEOUT):
-            self.lines.record_withheld(ownership, target)
+            self.lines.record_withheld(ownership, order.target)
             return PromotionAnswer.NOT_TAKEN
         sent_at = read_boottime()
         answer = await self._promotions.order(
             PromotionOrder(
-                ownership.group, target, ownership.owner, ownership.token
+                ownership.group,
+                order.target,
+                ownership.owner,
+                ownership.token,
             ),
             ORDER_TIMEOUT,
         )
+        self._orders.note_answer(ownership.group, order, answer)
         reply = self._promotions.describe_reply(ownership.group)
-        self.lines.record_order(ownership, target, answer, sent_at, reply)
+        self.lines.record_order(ownership, order.target, answer, sent_at, reply)
         return answer
 
 
@@ -266,6 +350,29 @@
     return any(known.target.name not in statuses for known in members.targets)
 
 
+def _list_leading(
+    statuses: Mapping[TargetId, LogStatus],
+) -> dict[TargetId, Term]:
+    """Return the terms of the targets that report to be primary."""
+    return {
+        target: status.term
+        for target, status in statuses.items()
+        if status.role is LogRole.PRIMARY
+    }
+
+
+def _can_return(
+    order: PendingOrder,
+    statuses: Mapping[TargetId, LogStatus],
+) -> bool:
+    """Return whether the earlier primary can be used instead of an order's."""
+    # A target that has led keeps the term of its log as a replica.
+    target = statuses.get(order.target)
+    if target is None or not order.has_failed_long():
+        return False
+    return any(term >= target.term for term in _list_leading(statuses).values())
+
+
 _INEFFECTIVE_ANSWERS = frozenset(
     (PromotionAnswer.TARGET_DOWN, PromotionAnswer.NOT_TAKEN),
 )
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -29,6 +29,7 @@
     list_violations,
     read_lines,
 )
+from tests.order_faults import ORDER_FAULTS
 from tests.process_faults import PROCESS_FAULTS
 from tests.soak_judge import Asked, Breach, Judge, Rule
 from tests.soak_scene import NAMES, Fault, Scene
@@ -62,6 +63,7 @@
     'store': STORE_FAULTS,
     'keys': KEY_FAULTS,
     'starving': STARVING_FAULTS,
+    'orders': ORDER_FAULTS,
     'combined': COMBINED_FAULTS,
     'combined-keys': COMBINED_KEY_FAULTS,
 }
