Take a refused write for a sign that the primary was replaced

Cause: a primary that follows another one refuses writes, without a failed connection, and reads go on. Nothing made the owner ask for its status.

A refusal of that kind is now evidence, as entries and terms are: the targets are asked at the next check. A primary may refuse a write in a read-only transaction the same way; that costs one query of the targets per check, not measured under load. In virtual time reads there end within 1.2 s of the promotion: the old primary continues for a second by the protocol.

--- a/src/sedgeshunt/execution/supersession.py
+++ b/src/sedgeshunt/execution/supersession.py
@@ -66,7 +66,9 @@
                 if known.is_primary
             ),
             _find_newest_term(term, executor.tip, known_tip),
+            executor.has_refused_write,
         )
+        executor.has_refused_write = False
         if not self._is_due(evidence, term):
             return None
         statuses = await self._ask(members, evidence)
@@ -109,9 +111,12 @@
             self._query.cancel()
 
     def _is_due(self, evidence: '_Evidence', term: Term) -> bool:
-        is_new = evidence != self._seen
+        is_new = evidence != self._seen or evidence.has_refused_write
         self._seen = evidence
-        is_usual = evidence.primaries == {evidence.served}
+        is_usual = (
+            evidence.primaries == {evidence.served}
+            and not evidence.has_refused_write
+        )
         if is_usual and evidence.newest == term:
             return False
         is_retry = self._retry_at is not None and read_clock() > self._retry_at
@@ -138,6 +143,9 @@
     # The targets that report to be primary in their entries.
     primaries: frozenset[TargetId]
     newest: Term
+    # The served target has refused a write since the last check. A primary does
+    # so for a write in a read-only transaction.
+    has_refused_write: bool
 
 
 def _find_newest_term(term: Term, *points: Point | None) -> Term:
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -118,6 +118,8 @@
         # A new connection reported a log end before `shown`: the target has
         # restarted without its log.
         self.has_lost_log = False
+        # It has refused a statement as a replica does.
+        self.has_refused_write = False
         # Sessions whose current request can be retried elsewhere.
         self._retryable_sessions: set[PooledSession] = set()
 
@@ -529,6 +531,9 @@
         self.answered_at = read_clock()
         self.waiting_since = None
         self.failures = 0
+        refusal = reply.refusal
+        if refusal is not None and refusal.kind is RefusalKind.READ_ONLY:
+            self.has_refused_write = True
         if reply.point is None:
             return
         self.shown = _find_later(self.shown, reply.point)
--- a/tests/features/promotion_orders.feature
+++ b/tests/features/promotion_orders.feature
@@ -76,6 +76,20 @@
     Then a promotion in term 4 took effect
     And nothing was acknowledged at a primary superseded for more than 1.2 s
 
+  Scenario: A replaced primary refuses a write before the store shows it
+    Guards against reads at a replica while the owner is cut off from the store.
+    Given the next order is begun at once and again after 6 s
+    When the primary freezes
+    And 2 s go by
+    And "db-east" resumes
+    And the new primary crashes
+    And 2 s go by
+    And the crashed primary restarts
+    And the store is cut off from "east-1"
+    And 6 s go by
+    Then a promotion in term 4 took effect
+    And nothing was acknowledged at a primary superseded for more than 1.2 s
+
   Scenario: The next owner finds an order but no recorded primary
     Guards against dropping a promotion under way as the primary wasn't recorded.
     Given the next order is not answered and begun after 2.5 s
