Bound the lines about links to peers

(The links were rebuilt by their own proxies: they are listed at the port of a relay and say another one in their heartbeats, which count while the store is away.)

Of peer-lost, peer-regained and peer-refused at most 5 each are written in 10 s for one peer; the next one says how many were left out.

--- a/src/sedgeshunt/membership/heartbeats.py
+++ b/src/sedgeshunt/membership/heartbeats.py
@@ -5,7 +5,7 @@
 
 from sedgeshunt.clocks import read_boottime
 from sedgeshunt.customers.part_assignment import HeldParts
-from sedgeshunt.decisions import Decision, DecisionKind, DecisionLog
+from sedgeshunt.decisions import DecisionKind, DecisionLog
 from sedgeshunt.execution.group_table import GroupTable
 from sedgeshunt.forwarding.link import LinkEvents
 from sedgeshunt.forwarding.messages import Heartbeat, HeartbeatReply, OwnedGroup
@@ -20,6 +20,7 @@
 )
 from sedgeshunt.membership.heartbeat_intervals import HeartbeatIntervals
 from sedgeshunt.membership.neighbours import Neighbours
+from sedgeshunt.membership.peer_lines import PeerLines
 from sedgeshunt.membership.quota_links import PeerQuotaLinks
 from sedgeshunt.membership.topology import Topology
 from sedgeshunt.membership.zone_feed import ZoneFeed
@@ -70,7 +71,7 @@
         self._records = records
         self._topology = topology
         self._releases = releases
-        self._decisions = decisions
+        self._lines = PeerLines(decisions)
         self._relay_sources: list[dict[GroupId, OwnedGroup]] = []
         self._relayed: tuple[OwnedGroup, ...] = ()
 
@@ -171,10 +172,7 @@
 
     def note_refused(self, peer: ProxyId, reason: str) -> None:
         """Record that a peer could not be connected."""
-        reasons = {'peer': peer, 'why': reason}
-        self._decisions.record(
-            Decision(DecisionKind.PEER_REFUSED, reasons=reasons)
-        )
+        self._lines.record(DecisionKind.PEER_REFUSED, peer, {'why': reason})
 
     def note_reachability(
         self,
@@ -187,9 +185,7 @@
         kind = (
             DecisionKind.PEER_REGAINED if is_reached else DecisionKind.PEER_LOST
         )
-        self._decisions.record(
-            Decision(kind, reasons={'peer': peer, **reasons})
-        )
+        self._lines.record(kind, peer, reasons)
         self.owners_changed.notify()
         self._groups.wake()
 
--- a/tests/features/ownership_lines.feature
+++ b/tests/features/ownership_lines.feature
@@ -112,6 +112,11 @@
     And 2 s go by
     Then "north-1" wrote once that "east-1" refused a connection
 
+  Scenario: A link breaks as soon as it is open
+    Guards against a flood of lines that hides the rest of the log.
+    When a peer is lost 100 times within 5 s
+    Then 5 lines say so, and the first after 10 s counts 95 others
+
   Scenario: The timers of a process are late
     Guards against a starved process whose late answers look like lost links.
     When the timers of a process are late by 0.4 s, 5 times within 2.5 s
--- a/tests/features/steps/ownership_lines_steps.py
+++ b/tests/features/steps/ownership_lines_steps.py
@@ -13,9 +13,11 @@
     Boottime,
     Monotonic,
     OwnerToken,
+    ProxyId,
     Seconds,
 )
 from sedgeshunt.lateness import LatenessLines
+from sedgeshunt.membership.peer_lines import PeerLines
 from sedgeshunt.ownership.evidence import Basis, HoldEvidence
 from sedgeshunt.ownership.hold_lines import HoldLines, HoldTimes
 from sedgeshunt.ports import Delete
@@ -38,6 +40,8 @@
 )
 FIELDS = ('token', 'claim', 'lease', 'age_ms', 'left_ms', 'renewed_by')
 CLOCK = 'sedgeshunt.ownership.hold_lines.read_boottime'
+PEER_CLOCK = 'sedgeshunt.membership.peer_lines.read_clock'
+LOSS_INTERVAL = 0.05
 LATENESS_CLOCK = 'sedgeshunt.lateness.read_clock'
 LATENESS = Seconds(0.45)
 # The second is left out, and so is the last.
@@ -250,6 +254,25 @@
     assert lines[0]['why'], lines
 
 
+@when('a peer is lost {count:d} times within 5 s')
+def lose_peer_often(context: Any, count: int) -> None:
+    context.decisions = MemoryDecisionLog()
+    context.lines = PeerLines(context.decisions)
+    for place in range(count):
+        _lose_peer(context.lines, FIRST_CHANGE + place * LOSS_INTERVAL)
+
+
+@then(
+    '{count:d} lines say so, and the first after 10 s counts {others:d} others'
+)
+def check_losses(context: Any, count: int, others: int) -> None:
+    lines = context.decisions.list_decisions(DecisionKind.PEER_LOST)
+    assert len(lines) == count, lines
+    _lose_peer(context.lines, FIRST_CHANGE + AFTER_WINDOW)
+    lines = context.decisions.list_decisions(DecisionKind.PEER_LOST)
+    assert lines[-1].reasons['dropped'] == str(others), lines[-1]
+
+
 @when('the timers of a process are late by 0.4 s, 5 times within 2.5 s')
 def delay_timers(context: Any) -> None:
     context.decisions = MemoryDecisionLog()
@@ -273,6 +296,11 @@
     assert lines[-1].reasons['others'] == str(count), lines
 
 
+def _lose_peer(lines: PeerLines, moment: float) -> None:
+    with patch(PEER_CLOCK, return_value=Monotonic(moment)):
+        lines.record(DecisionKind.PEER_LOST, ProxyId('east-1'), {})
+
+
 def _list_peer_lines(
     context: Any, node: str, peer: str, kind: DecisionKind
 ) -> list[Mapping[str, str]]:
