Show a second owner that an old view lets in

Two proxies owned the group for 3.66 s, as logged.

Cause: GroupClaim takes a difference between the incarnation of the owner's entry in its view and the one in the record for a proof that the owner has ended. The entry may be the older of the two: the candidate had been cut off from the store while the owner was started again, and the answer to a claim that fails brings the newest record into the view, but no entry. The owner's report and the candidate's own promise, 3.9 s left, weren't asked then.

Evidence: the scenario fails in 4 of 4 runs, in virtual time.

--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -240,6 +240,34 @@
     Then another proxy than "east-1" owns the group
     And no two proxies owned the group at once
 
+  Scenario: An old view is no proof that the owner has ended
+    A candidate that the store refused for a while knows the previous process of
+    the owner only. After an outage its first claim fails, and the answer names
+    the owner's present process. Guards against a second owner: the candidate
+    took the entry of the earlier process for a later one, and neither its own
+    promise nor the owner's report kept it from claiming.
+    Given proxies "north-1, east-1, west-1, west-2"
+    When "east-1" is killed
+    And "north-1" is killed and starts again
+    And "west-1" is killed and starts again
+    And "west-2" is killed and starts again
+    And 2 s go by
+    And the store is cut off from "north-1"
+    And 0.3 s go by
+    And "west-1" is killed and starts again
+    And 0.6 s go by
+    And "west-2" is killed and starts again
+    And 7 s go by
+    Then "west-1" owns the group
+    When the store goes down
+    And all cuts heal
+    And the store is cut off from "west-1"
+    And the store is cut off from "west-2"
+    And 2.5 s go by
+    And the store comes back
+    And 2 s go by
+    Then no two proxies owned the group at once
+
   Scenario: Promises extend only an ownership that is still valid
     After the lease and all promises have expired, another proxy may have owned
     the group. New promises must not restore the ownership.
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -93,6 +93,12 @@
     context.nodes.restart(node)
 
 
+@when('"{node}" is killed and starts again')
+def replace_process(context: Any, node: str) -> None:
+    kill_node(context, node)
+    restart_node(context, node)
+
+
 @when('"{node}" hands over')
 def hand_over(context: Any, node: str) -> None:
     context.nodes.run(
