Let the stand-in platform answer orders with the statuses that are set

The front of the processes answered each order with 200 or 409, so that no run on processes could show an order that is answered by another status, late or not at all.

--- a/tests/standins/metadata_front.py
+++ b/tests/standins/metadata_front.py
@@ -4,6 +4,7 @@
 from base64 import b64decode, b64encode
 from collections.abc import Awaitable, Callable
 from functools import partial
+from http import HTTPStatus
 from typing import Any
 
 from aiohttp.web import (
@@ -19,7 +20,7 @@
 )
 
 from sedgeshunt.exceptions import AnswerLost, PlatformUnavailable
-from sedgeshunt.groups.orders import PromotionAnswer, PromotionOrder
+from sedgeshunt.groups.orders import PromotionOrder
 from sedgeshunt.identifiers import (
     GroupId,
     OwnerToken,
@@ -239,9 +240,12 @@
             ProxyId(request.headers['X-Lease-Holder']),
             OwnerToken(int(request.headers['X-Fencing-Token'])),
         )
-        answer = await self.group.order(order, ORDER_TIMEOUT)
-        is_accepted = answer is PromotionAnswer.ACCEPTED
-        return Response(status=200 if is_accepted else 409)
+        try:
+            async with timeout(ORDER_TIMEOUT):
+                status = await self.group.accept(order)
+        except TimeoutError:
+            status = HTTPStatus.GATEWAY_TIMEOUT
+        return Response(status=status)
 
     def _describe(self, key: str, caller: StoreCaller) -> dict[str, Any]:
         pairs = self.service.store.list_matching(key.__eq__).pairs
