Don't take a lease of a later era for that of the key

After the store came back as it was before, it grants lease ids again. An owner whose new lease has the id of the one before goes on holding its group by it, though its key was lost: seen in the process soak by its lines, without a second owner.

An ownership asks for the expiry of a lease of the era in which its key was written.

--- a/src/sedgeshunt/ownership/group_ownership.py
+++ b/src/sedgeshunt/ownership/group_ownership.py
@@ -10,6 +10,7 @@
     GroupId,
     OwnerToken,
     ProxyId,
+    Revision,
     Seconds,
 )
 from sedgeshunt.ownership.evidence import (
@@ -19,6 +20,7 @@
 )
 from sedgeshunt.ownership.lease import InstanceLease
 from sedgeshunt.ownership.promises import PromisesReceived
+from sedgeshunt.revisions import read_era
 
 # How long promises alone may extend an ownership after its lease has expired.
 # Longer than usual outages of the store; an instance that is no candidate
@@ -63,6 +65,7 @@
         self.next_owner: ProxyId | None = None
         self._lease = lease
         self._lease_id = key.lease
+        self._era = read_era(Revision(key.token))
         self._promises = promises
         self._on_handover = on_handover
         # Instances that may claim, by the record in the store and by pending
@@ -124,11 +127,12 @@
         self.token = key.token
         self.claim = key.claim
         self._lease_id = key.lease
+        self._era = read_era(Revision(key.token))
 
     def _find_basis(self, now: Boottime, end: Boottime) -> Basis:
         if self.is_over or now >= end:
             return Basis.NONE
-        lease_end = self._lease.find_expiry(self._lease_id)
+        lease_end = self._lease.find_expiry(self._lease_id, self._era)
         return Basis.LEASE if now < lease_end else Basis.PROMISES
 
     def _note_basis(self, now: Boottime, end: Boottime) -> None:
@@ -142,7 +146,7 @@
     def _find_end(self, now: Boottime) -> Boottime:
         """Return until when the ownership is valid."""
         # Asked each time, as the lease may end before its expiry.
-        lease_end = self._lease.find_expiry(self._lease_id)
+        lease_end = self._lease.find_expiry(self._lease_id, self._era)
         if lease_end > self._lease_end:
             self._renewal = self._lease.renewal
         self._lease_end = Boottime(max(self._lease_end, lease_end))
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -15,7 +15,7 @@
 )
 from sedgeshunt.identifiers import Boottime, Era, Revision, Seconds
 from sedgeshunt.ownership.evidence import Renewal
-from sedgeshunt.ports import Compare, Put
+from sedgeshunt.ports import FIRST_ERA, Compare, Put
 from sedgeshunt.registry.current_store import CurrentStore
 from sedgeshunt.registry.entries import InstanceEntry, encode_entry
 from sedgeshunt.registry.keys import make_instance_key
@@ -118,6 +118,8 @@
     ) -> None:
         """Hold no lease before run()."""
         self.id: int | None = None
+        # The era of the store in which the lease was granted.
+        self._era = FIRST_ERA
         self._entry = entry
         self._store = store
         self._decisions = decisions
@@ -221,9 +223,13 @@
         if is_unclear or self._needs_short_lease() != self.is_short():
             self._renew_now.set()
 
-    def find_expiry(self, lease: int) -> Boottime:
-        """Return until when `lease` is valid at least; 0 if it has ended."""
-        return self._held_until if lease == self.id else Boottime(0)
+    def find_expiry(self, lease: int, era: Era) -> Boottime:
+        """Return until when a lease is valid at least; 0 if it has ended.
+
+        A store that was restored in `era` may have granted its id again.
+        """
+        is_held = lease == self.id and era == self._era
+        return self._held_until if is_held else Boottime(0)
 
     def is_held(self) -> bool:
         """Return whether the lease is valid at this moment."""
@@ -291,8 +297,10 @@
     async def _take_lease(self, timing: LeaseTiming) -> None:
         """Register under a new lease; the previous one expires by itself."""
         granted = await self._store.grant_lease(timing.duration)
+        era = self._store.era
         await self._register(granted.id)
         self.id = granted.id
+        self._era = era
         self._timing = timing
         self._duration = min(timing.duration, granted.ttl)
         # The validity of the previous lease doesn't apply to this one.
--- a/tests/features/ownership_evidence.feature
+++ b/tests/features/ownership_evidence.feature
@@ -43,6 +43,14 @@
     And 0.6 s go by
     Then the ownership is not valid
 
+  Scenario: A restored store grants the id of the lease again
+    Guards against an ownership held by a lease that its key is not bound to.
+    Given an ownership that a lease proves
+    When the store comes back as it was before the lease
+    And 1 s goes by
+    Then the proxy holds a lease of the same id
+    And the ownership is not valid
+
   Scenario: A stopping proxy releases its lease
     Guards against an ownership that goes on after its own lease was revoked.
     Given an ownership that a lease proves
--- a/tests/features/steps/ownership_evidence_steps.py
+++ b/tests/features/steps/ownership_evidence_steps.py
@@ -118,6 +118,21 @@
     )
 
 
+@when('the store comes back as it was before the lease')
+def restore_before_lease(context: Any) -> None:
+    bench = context.nodes
+    context.lease_id = bench.nodes[NAME].service.find_lease().id
+    # The first lease of a process is a long one.
+    bench.return_store(away=0.5, age=bench.time.read_now() - 0.6)
+
+
+@then('the proxy holds a lease of the same id')
+def check_same_id(context: Any) -> None:
+    lease = context.nodes.nodes[NAME].service.find_lease()
+    assert lease.is_held()
+    assert lease.id == context.lease_id, lease.id
+
+
 @when('the proxy releases its lease')
 def release_lease(context: Any) -> None:
     context.nodes.run(context.nodes.nodes[NAME].service.leave())
