Have the soak answer a claim after its lease was replaced

Nobody had shown two owners without a key that the platform takes away.

The new fault refuses renewals for about a second, as reads beyond the limit that all proxies share, and holds the answer to a claim until its lease has ended and the proxy has another. The proxy then owns the group by a lease that its key was never bound to; the key is gone, and it never writes it again, as the late answer puts the key back into its view. Scripted faults are not among those that are drawn.

--- a/tests/features/process_soak.feature
+++ b/tests/features/process_soak.feature
@@ -13,6 +13,13 @@
   Scenario: An owner whose key is deleted does not go on beside the next owner
     Guards against an owner that holds by its lease after its key has gone: the
     next owner promotes another target, and both acknowledge.
-    When the processes run for 6 s and an owner is displaced, with seed 1
+    When the processes run with seed 1 until an owner is displaced
+    Then callers were served, and faults happened to them
+    And no promise was broken
+
+  Scenario: A claim that is answered under another lease makes no owner
+    Guards against an owner by a lease that its key is not bound to: the key has
+    ended with the former lease, and the next owner finds none.
+    When the processes run with seed 1 until a claim outlives its lease
     Then callers were served, and faults happened to them
     And no promise was broken
--- a/tests/features/steps/process_soak_steps.py
+++ b/tests/features/steps/process_soak_steps.py
@@ -4,10 +4,11 @@
 
 from behave import then, when
 
-from tests.combined_faults import displace_owner
+from tests.combined_faults import displace_owner, outlive_claim
 from tests.process_soak import run_seed
 
 MOST_SHOWN = 20
+MOST_SECONDS = 60
 
 
 @when('the processes run for {seconds:d} s under the faults of seed {seed:d}')
@@ -15,12 +16,14 @@
     context.soak = run_seed(seed, seconds)
 
 
-@when(
-    'the processes run for {seconds:d} s and an owner is displaced, with seed '
-    '{seed:d}',
-)
-def displace(context: Any, seconds: int, seed: int) -> None:
-    context.soak = run_seed(seed, seconds, only=displace_owner)
+@when('the processes run with seed {seed:d} until an owner is displaced')
+def displace(context: Any, seed: int) -> None:
+    context.soak = run_seed(seed, MOST_SECONDS, only=displace_owner)
+
+
+@when('the processes run with seed {seed:d} until a claim outlives its lease')
+def outlive(context: Any, seed: int) -> None:
+    context.soak = run_seed(seed, MOST_SECONDS, only=outlive_claim)
 
 
 @then('callers were served, and faults happened to them')
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -1,15 +1,16 @@
 """Run proxies as processes under random faults and check what callers see."""
 
 from argparse import ArgumentParser, Namespace
-from asyncio import gather, sleep, wait_for
+from asyncio import create_task, gather, sleep, wait_for
 from collections import Counter
 from collections.abc import Awaitable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from itertools import count
+from math import inf
 from pathlib import Path
 from random import Random
-from signal import SIGCONT
+from signal import SIGCONT, SIGTERM, default_int_handler, signal
 from sys import exit as leave
 from time import time
 
@@ -18,6 +19,7 @@
     COMBINED_FAULTS,
     COMBINED_KEY_FAULTS,
     STARVING_FAULTS,
+    WHOLE_FAULTS,
 )
 from tests.features.linked_bench import LinkedBench
 from tests.features.platform_bench import CONFIGURATION
@@ -64,6 +66,7 @@
     'starving': STARVING_FAULTS,
     'combined': COMBINED_FAULTS,
     'combined-keys': COMBINED_KEY_FAULTS,
+    'whole': WHOLE_FAULTS,
 }
 # The platform doesn't take keys before their leases end.
 KINDS = ('processes', 'links', 'store', 'starving', 'combined')
@@ -124,11 +127,13 @@
         """Let callers and faults go on for some time, then check."""
         self.until = read_clock() + seconds
         notes = [Notes(f'item{number}') for number in range(CALLERS)]
+        following = create_task(self.scene.follow_owner())
         await gather(
             *self._list_series(),
             *(self._call(one) for one in notes),
         )
         await self._check_recovery(notes)
+        following.cancel()
         self._check_runs()
         self._judge()
         if self.violations:
@@ -140,7 +145,7 @@
 
     def _list_series(self) -> list[Awaitable[None]]:
         if self.only is not None:
-            return [self._break(self.only)]
+            return [self._break_once(self.only)]
         return [self._break_things() for _ in range(SERIES)]
 
     async def _break_things(self) -> None:
@@ -149,6 +154,12 @@
             kind = self.random.choice(self.kinds)
             await self._break(self.random.choice(FAULTS[kind]))
 
+    async def _break_once(self, fault: Fault) -> None:
+        # Callers go on until the fault is over.
+        self.until = inf
+        await self._break(fault)
+        self.until = read_clock()
+
     async def _break(self, fault: Fault) -> None:
         self.faults[fault.__name__] += 1
         self.scene.note(f'{fault.__name__} begins')
@@ -281,14 +292,18 @@
         }
         self.claims = sum(log.count('"group-claimed"') for log in logs.values())
         self.overlaps = list_overlaps(histories, time())
-        self.violations += [
-            f'{breach.rule.value}: {breach.text}'
-            for breach in self.breaches
-            if breach.rule is not Rule.STALE_RUN
-        ]
-        self.violations += [
-            f'OWNERS: {overlap.describe()}'
-            for overlap in list_violations(self.overlaps)
+        # These explain others, so they come first.
+        self.violations = [
+            *(
+                f'OWNERS: {overlap.describe()}'
+                for overlap in list_violations(self.overlaps)
+            ),
+            *(
+                f'{breach.rule.value}: {breach.text}'
+                for breach in self.breaches
+                if breach.rule is not Rule.STALE_RUN
+            ),
+            *self.violations,
         ]
 
     async def keep(self, folder: Path) -> None:
@@ -397,6 +412,8 @@
 
 def main() -> None:
     """Run the seeds that the command line names."""
+    # A soak that is ended ends its processes, too.
+    signal(SIGTERM, default_int_handler)
     given = _read_arguments()
     kinds = given.kinds.split(',')
     named = {
--- a/tests/soak_scene.py
+++ b/tests/soak_scene.py
@@ -16,6 +16,7 @@
 from tests.standins.store_callers import StoreCaller
 
 NAMES = ('east-1', 'north-1', 'west-1')
+POLL_INTERVAL = 0.01
 
 
 @dataclass
@@ -47,6 +48,22 @@
         pairs = store.list_matching(make_owner_key(GROUP).__eq__).pairs
         return str(loads(pairs[0].value)['owner']) if pairs else ''
 
+    def read_revision(self, key: str) -> int:
+        """Return the revision of a key in the store, 0 if it is absent."""
+        store = self.bench.platform.front.service.store
+        pairs = store.list_matching(key.__eq__).pairs
+        return pairs[0].revision if pairs else 0
+
+    async def follow_owner(self) -> None:
+        """Note each change of the owner's key, until cancelled."""
+        known = ''
+        while True:
+            owner = self.find_owner()
+            if owner != known:
+                self.note(f'the key is of {owner or "nobody"}')
+                known = owner
+            await sleep(POLL_INTERVAL)
+
     def draw_name(self, owner_share: float) -> str:
         """Return the owner's name with a probability, else any name."""
         drawn = self.random.random()
--- a/tests/standins/metadata_front.py
+++ b/tests/standins/metadata_front.py
@@ -2,7 +2,7 @@
 
 from asyncio import Task, create_task, sleep, timeout
 from base64 import b64decode, b64encode
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 from typing import Any
 
@@ -10,6 +10,7 @@
     AppKey,
     Application,
     HTTPServiceUnavailable,
+    HTTPTooManyRequests,
     Request,
     Response,
     delete,
@@ -36,6 +37,7 @@
     WatchCompacted,
     WatchEvent,
 )
+from sedgeshunt.registry.keys import OWNERS_PREFIX
 from tests.standins.keyvalues import LeaseNotFound
 from tests.standins.network import Place
 from tests.standins.platform import KeyValueStandIn
@@ -48,10 +50,12 @@
 ORDER_TIMEOUT = Seconds(1)
 MILLISECONDS = 1000
 POLL_INTERVAL = 0.05
+SHORT_INTERVAL = 0.005
 
 Handler = Callable[[Request], Awaitable[Response]]
 # The store and the promotion service are refused apart from each other.
 PROMOTION_PATH = '/promote'
+WATCH_PATH = '/kv-watch'
 CALLER = AppKey('caller', StoreCaller)
 
 
@@ -82,12 +86,12 @@
         application[CALLER] = caller or StoreCaller()
         routes = (
             get('/kv-range', partial(self._serve, self._list)),
-            get('/kv-watch', partial(self._serve, self._watch)),
+            get(WATCH_PATH, partial(self._serve, self._watch)),
             post('/kv-txn', partial(self._serve, self._commit)),
             post('/kv-lease', partial(self._serve, self._grant)),
             post('/kv-keep/{lease}', partial(self._serve, self._keep)),
             delete('/kv-lease-end/{lease}', partial(self._serve, self._end)),
-            post('/promote', partial(self._serve, self._promote)),
+            post(PROMOTION_PATH, partial(self._serve, self._promote)),
         )
         application.add_routes(routes)
         return application
@@ -125,6 +129,9 @@
             self._start_late(handle, request, caller.late_by)
             await _wait_given_up(request)
         response = await self._handle(handle, request)
+        # A watch that waits is cut when the store begins to refuse its caller.
+        if request.path == WATCH_PATH and caller.is_refused:
+            raise HTTPServiceUnavailable
         if 1 - drawn < caller.lost_share:
             await _wait_given_up(request)
         await sleep(caller.draw_delay())
@@ -210,6 +217,8 @@
             'commit',
             lambda: self.service.store.commit(compares, changes),
         )
+        while caller.holds_claims and _is_claim(puts):
+            await sleep(SHORT_INTERVAL)
         if result.succeeded:
             return json_response({'revision': result.revision})
         current = [self._describe(one.key, caller) for one in compares]
@@ -222,6 +231,8 @@
         return json_response({'lease_id': lease, 'ttl_ms': body['ttl_ms']})
 
     async def _keep(self, request: Request) -> Response:
+        if request.app[CALLER].refuses_renewals:
+            raise HTTPTooManyRequests
         kept = self.service.store.keep_lease(int(request.match_info['lease']))
         return Response(status=200 if kept else 404)
 
@@ -259,6 +270,10 @@
     return Put(row['key'], content, row['lease_id'] or None)
 
 
+def _is_claim(puts: Iterable[Put]) -> bool:
+    return any(put.key.startswith(OWNERS_PREFIX) for put in puts)
+
+
 def _write_pair(pair: KeyValue, caller: StoreCaller) -> dict[str, Any]:
     content = caller.translate(pair.key, pair.value)
     return {
--- a/tests/standins/store_callers.py
+++ b/tests/standins/store_callers.py
@@ -27,6 +27,10 @@
     is_silent: bool = False
     # Share of the calls that are executed at once and answered late.
     slow_share: float = 0
+    # While true, claims of groups are executed and not answered yet.
+    holds_claims: bool = False
+    # While true, renewals of leases are refused, as reads beyond the limit.
+    refuses_renewals: bool = False
     # Share of the calls that are executed and never answered.
     lost_share: float = 0
     # Share of the calls that are executed `late_by` later, never answered.
@@ -36,12 +40,19 @@
     # Ports at which this proxy reaches others, by the ports that they name.
     ports: Mapping[int, int] = field(default_factory=dict)
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether no call of this proxy is answered."""
+        return self.refusal is not None or self.is_reset or self.is_silent
+
     def heal(self) -> None:
         """End all faults."""
         self.refusal = None
         self.is_reset = False
         self.is_silent = False
         self.slow_share = 0
+        self.holds_claims = False
+        self.refuses_renewals = False
         self.lost_share = 0
         self.late_share = 0
 
