Make no promise to a peer that reports to own a group owned here

An owner makes no promise to a peer while that reports to own the same group. It is a bound for causes that are not known; the causes that are have fixes of their own.

The scenario 'A peer reports to own a group that is owned here' failed before and passes now.

--- a/src/sedgeshunt/membership/heartbeats.py
+++ b/src/sedgeshunt/membership/heartbeats.py
@@ -192,7 +192,7 @@
     def _promise(self, peer: ProxyId, *, is_answering: bool) -> Seconds:
         # A silent peer may be lost, and each promise to it delays the
         # takeover by the next owner.
-        if not is_answering:
+        if not is_answering or self._owns_reported_group(peer):
             return Seconds(0)
         # Without the store or while stopping, this instance can't claim a
         # group anyway, so the longer promise for outages is safe to make.
@@ -200,6 +200,16 @@
         span = PROMISE_TIME if may_claim else OUTAGE_PROMISE_TIME
         return self._made.make(peer, span)
 
+    def _owns_reported_group(self, peer: ProxyId) -> bool:
+        """Return whether a peer reports to own a group that is owned here."""
+        link = self._neighbours.find_link(peer)
+        reported = () if link is None else link.owned
+        accesses = map(self._groups.get, reported)
+        owners = [access.owner for access in accesses if access is not None]
+        return any(
+            owner is not None and owner.ownership.is_held() for owner in owners
+        )
+
     def _note_sender(self, entry: InstanceEntry) -> None:
         # During a store outage, a starting instance knows only the peers that
         # connect to it, and gets the configuration from them.
--- a/tests/features/ownership_evidence.feature
+++ b/tests/features/ownership_evidence.feature
@@ -76,6 +76,13 @@
     And 0.8 s go by
     Then the owner asks all recorded candidates for promises
 
+  Scenario: A peer reports to own a group that is owned here
+    Guards against promises that extend the ownership of a superseded owner.
+    Given proxies "north-1, east-1, west-1"
+    Then "east-1" promises "north-1" not to claim
+    When "north-1" reports to "east-1" that it owns the group
+    Then "east-1" promises "north-1" nothing
+
   Scenario: An earlier entry of the owner's instance is listed again
     Guards against an earlier process that is taken for a later one.
     Given proxies "north-1, east-1, west-1"
--- a/tests/features/steps/ownership_evidence_steps.py
+++ b/tests/features/steps/ownership_evidence_steps.py
@@ -7,8 +7,10 @@
 from behave import given, then, when
 from msgspec.structs import replace
 
+from sedgeshunt.clocks import read_boottime
 from sedgeshunt.decisions import DecisionKind
 from sedgeshunt.exceptions import AnswerLost
+from sedgeshunt.forwarding.messages import OwnedGroup
 from sedgeshunt.identifiers import (
     Incarnation,
     OwnerToken,
@@ -196,6 +198,22 @@
     bench.time.act(bench.store.outage)
 
 
+@when('"{peer}" reports to "{name}" that it owns the group')
+def report_ownership(context: Any, peer: str, name: str) -> None:
+    link = _find_link(context, name, peer)
+    link.owned = {GROUP: OwnedGroup(GROUP, OwnerToken(1), None)}
+
+
+@then('"{name}" promises "{peer}" not to claim')
+def check_promise(context: Any, name: str, peer: str) -> None:
+    assert _promise_to(context, name, peer) > 0
+
+
+@then('"{name}" promises "{peer}" nothing')
+def check_no_promise(context: Any, name: str, peer: str) -> None:
+    assert _promise_to(context, name, peer) == 0
+
+
 @when('the next registration of "{name}" is carried out {delay:g} s late')
 def delay_registration(context: Any, name: str, delay: float) -> None:
     bench = context.nodes
@@ -283,6 +301,19 @@
     assert 'WRITE waiting 1' not in runs, runs
 
 
+def _find_link(context: Any, name: str, peer: str) -> Any:
+    neighbours = context.nodes.nodes[name].service._neighbours
+    return neighbours.find_link(ProxyId(peer))
+
+
+def _promise_to(context: Any, name: str, peer: str) -> float:
+    heartbeats = context.nodes.nodes[name].service._heartbeats
+    beat = heartbeats.make_heartbeat(
+        ProxyId(peer), read_boottime(), is_answering=True
+    )
+    return float(beat.promised)
+
+
 def _read_record(context: Any) -> GroupRecord:
     document = context.nodes.read(make_record_key(GROUP))
     return read_entry(document, GroupRecord)
