Look at the group again after the end of a lease was checked

The claim compares what the view holds at that moment, so the store accepted it.

The check of the lease brought a wait between the decision to claim and the claim. The owner key, the record and the decision are looked at again after it.

The scenario 'Another proxy claims while the end of a lease is checked' failed before (three claims, two of them by 'owner gone') and passes now; ownership and ownership_evidence pass.

--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -15,6 +15,7 @@
 from sedgeshunt.identifiers import (
     Boottime,
     GroupId,
+    OwnerToken,
     ProxyId,
     Seconds,
     ZoneId,
@@ -269,10 +270,24 @@
             return await self._claim(self._list_candidates())
         if self._owner_absent_since is None:
             self._owner_absent_since = read_boottime()
-        if not self._can_claim() or not await self._has_lease_ended():
+        if not await self._may_follow_owner():
             return None
         return await self._claim(self._list_candidates())
 
+    async def _may_follow_owner(self) -> bool:
+        """Return whether the latest owner has ended and nobody followed it."""
+        if not self._can_claim():
+            return False
+        before = self._read_state()
+        if not await self._has_lease_ended():
+            return False
+        # Another proxy may have claimed the group meanwhile.
+        return self._read_state() == before and self._can_claim()
+
+    def _read_state(self) -> tuple[OwnerToken, GroupRecord | None]:
+        records = self._context.records
+        return records.find_token(self.group), records.find_record(self.group)
+
     async def _has_lease_ended(self) -> bool:
         """Return whether the latest owner holds the group by no lease.
 
--- a/tests/features/ownership_evidence.feature
+++ b/tests/features/ownership_evidence.feature
@@ -76,6 +76,16 @@
     And 0.8 s go by
     Then the owner asks all recorded candidates for promises
 
+  Scenario: Another proxy claims while the end of a lease is checked
+    Guards against a claim over the key of an owner that was seen meanwhile.
+    Given proxies "north-1, east-1, west-1"
+    When 5 s go by
+    And the first check of an ended lease is answered 0.6 s late
+    And "east-1" is killed
+    And 4 s go by
+    Then no two proxies owned the group at once
+    And the group was claimed once after "east-1"
+
   Scenario: A peer reports to own a group that is owned here
     Guards against promises that extend the ownership of a superseded owner.
     Given proxies "north-1, east-1, west-1"
--- a/tests/features/steps/ownership_evidence_steps.py
+++ b/tests/features/steps/ownership_evidence_steps.py
@@ -198,6 +198,32 @@
     bench.time.act(bench.store.outage)
 
 
+@when('the first check of an ended lease is answered {delay:g} s late')
+def delay_check(context: Any, delay: float) -> None:
+    checked: list[str] = []
+    for node in context.nodes.nodes.values():
+        client = node.service._store._store
+        client.keep_lease = partial(
+            _keep_late, client.keep_lease, delay, checked, node.name
+        )
+
+
+async def _keep_late(
+    keep: Any, delay: float, checked: list[str], name: str, lease: int
+) -> Any:
+    is_kept = await keep(lease)
+    if not is_kept and not checked:
+        checked.append(name)
+        await sleep(delay)
+    return is_kept
+
+
+@then('the group was claimed once after "{name}"')
+def check_one_claim(context: Any, name: str) -> None:
+    claims = context.nodes.list_decisions(DecisionKind.GROUP_CLAIMED)
+    assert len(claims) == 2, claims
+
+
 @when('"{peer}" reports to "{name}" that it owns the group')
 def report_ownership(context: Any, peer: str, name: str) -> None:
     link = _find_link(context, name, peer)
