--- a/tests/combined_faults.py
+++ b/tests/combined_faults.py
@@ -83,6 +83,7 @@
     """
     await _wait_owner(scene)
     await sleep(1)
+    await _wait_owner(scene)
     owner = scene.find_owner()
     take_key(scene)
     await _isolate(scene, owner)
@@ -96,6 +97,7 @@
     for _ in range(ATTEMPTS):
         await _wait_owner(scene)
         await sleep(STARTUP_PROMISE)
+        await _wait_owner(scene)
         first = scene.find_owner()
         proxy = scene.reserve_named(first)
         if proxy is None:
