Look at the ownership again before a group is claimed again

The lock brought a wait between the check and the claim.

Both are made inside the lock now. A registration that meets a restore of the store is given up, as its lease is of the era before.

--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -240,6 +240,8 @@
         why = self._lines.find_key_state(ownership)
         with suppress(PlatformUnavailable, AnswerLost, LeaseLapsed):
             async with self._writing_candidates:
+                if not self._is_still_owner(ownership):
+                    return
                 key = await records.claim(
                     self.group,
                     ownership.candidates,
--- a/src/sedgeshunt/ownership/lease.py
+++ b/src/sedgeshunt/ownership/lease.py
@@ -289,7 +289,7 @@
         elif self._is_registration_missing():
             # The answer to the registration was lost, or it was committed late
             # under a lease that has expired since.
-            await self._register(self.id)
+            await self._register(self.id, self._era)
         self._record_renewal(sent_at)
         self._renewed_at = read_boottime()
         self._answer_time = Seconds(self._renewed_at - sent_at)
@@ -298,7 +298,7 @@
         """Register under a new lease; the previous one expires by itself."""
         granted = await self._store.grant_lease(timing.duration)
         era = self._store.era
-        await self._register(granted.id)
+        await self._register(granted.id, era)
         self.id = granted.id
         self._era = era
         self._timing = timing
@@ -369,10 +369,12 @@
             self.renewal = Renewal(sent_at, is_relayed)
         self._held_until = Boottime(max(self._held_until, end))
 
-    async def _register(self, lease: int) -> None:
+    async def _register(self, lease: int, era: Era) -> None:
         key = make_instance_key(self._entry.name)
         change = Put(key, encode_entry(self._entry), lease)
         for _ in range(REGISTRATION_ATTEMPTS):
+            if era != self._store.era:
+                raise LeaseLapsed
             # A registration may be carried out after its caller has gone. The
             # condition keeps it from replacing that of a later process.
             condition = Compare(key, self._entry_revision)
--- a/tests/features/ownership_evidence.feature
+++ b/tests/features/ownership_evidence.feature
@@ -86,6 +86,17 @@
     Then no two proxies owned the group at once
     And the group was claimed once after "east-1"
 
+  Scenario: The ownership ends while a repeated claim waits
+    Guards against a claim by an owner whose ownership is over.
+    Given proxies "east-1"
+    When the candidates are being written
+    And the owner's key is deleted
+    And 0.3 s go by
+    And the ownership ends
+    And the candidates have been written
+    And 0.5 s go by
+    Then the record counts 2 claims
+
   Scenario: A peer reports to own a group that is owned here
     Guards against promises that extend the ownership of a superseded owner.
     Given proxies "north-1, east-1, west-1"
--- a/tests/features/steps/ownership_evidence_steps.py
+++ b/tests/features/steps/ownership_evidence_steps.py
@@ -224,6 +224,24 @@
     assert len(claims) == 2, claims
 
 
+@when('the candidates are being written')
+def lock_candidates(context: Any) -> None:
+    access = context.nodes.nodes[NAME].service.find_access(GROUP)
+    context.writing = access.claim._writing_candidates
+    context.nodes.run(context.writing.acquire())
+
+
+@when('the candidates have been written')
+def unlock_candidates(context: Any) -> None:
+    context.nodes.time.act(context.writing.release)
+
+
+@then('the record counts {count:d} claims')
+def check_claim_count(context: Any, count: int) -> None:
+    record = _read_record(context)
+    assert record.claims == count, record
+
+
 @when('"{peer}" reports to "{name}" that it owns the group')
 def report_ownership(context: Any, peer: str, name: str) -> None:
     link = _find_link(context, name, peer)
