Shorten the names that an error quotes

Callers saw: START, EXECUTE or DEALLOC with a name of nearly 1 MiB was answered by one line that quotes the name and is longer than a message may be. A caller that keeps to the limit can't read it, nor what stands behind it.

Cause: the reason of a refusal was sent as it is, whatever it quotes.

Evidence: "A long name in a refusal doesn't make the answer too long" failed for all three before this change; the line exceeded 64 KiB.

Change: reasons are sent on one line and shortened to 400 characters. The code before them, which says whether a statement has run, stays whole.

--- a/src/sedgeshunt/platform/conversation.py
+++ b/src/sedgeshunt/platform/conversation.py
@@ -29,6 +29,7 @@
     MessageTooLong,
     make_lines,
     read_line,
+    shorten_reason,
     split_line,
 )
 from sedgeshunt.platform.refusals import name_refusal
@@ -237,7 +238,7 @@
         """Send a final error and close once the caller has read it."""
         # Closing with unread bytes would reset the connection, and the caller
         # could lose the error.
-        await self._send([('ERROR', code, reason)])
+        await self._send([_make_error(code, reason)])
         with suppress(TimeoutError):
             async with timeout(LAST_READ_LIMIT):
                 self._writer.write_eof()
@@ -253,7 +254,7 @@
         try:
             statement = parse_statement(self.statement, text)
         except MessageMalformed as malformed:
-            messages = [('ERROR', 'MALFORMED', str(malformed))]
+            messages = [_make_error('MALFORMED', str(malformed))]
         else:
             messages = _encode_outcome(await self._run(session, statement))
         messages.append(('READY', _PHASES[session.phase], NO_POINT))
@@ -316,5 +317,8 @@
         answer = outcome.ok_value
         rows = [('ROW', str(row[0])) for row in answer.rows]
         return [*rows, ('COMPLETE', answer.signature or NO_SIGNATURE)]
-    code, reason = name_refusal(outcome.err_value)
-    return [('ERROR', code, reason)]
+    return [_make_error(*name_refusal(outcome.err_value))]
+
+
+def _make_error(code: str, reason: str) -> tuple[str, ...]:
+    return ('ERROR', code, shorten_reason(reason))
--- a/src/sedgeshunt/platform/lines.py
+++ b/src/sedgeshunt/platform/lines.py
@@ -18,6 +18,8 @@
 # Any number of so many digits fits into 64 bits.
 MAX_DIGITS = 18
 MAX_QUOTED = 40
+# Longest free text in an error. Names in it may be as long as a message.
+MAX_REASON = 400
 
 
 class MessageTooLong(SedgeshuntError):
@@ -83,3 +85,8 @@
 def make_lines(messages: Sequence[Sequence[str]]) -> bytes:
     """Encode several messages as consecutive lines."""
     return b''.join(make_line(*message) for message in messages)
+
+
+def shorten_reason(reason: str) -> str:
+    """Return the reason of an error so that it fits into a message."""
+    return ' '.join(reason[:MAX_REASON].splitlines())
