Refuse a message that could not be read as it was built

Callers saw: a statement that grew beyond 1 MiB on its way (EXECUTE with the name that it has at the target, or a read behind a position) was sent all the same. Its target closed the connection, and the caller was told UNKNOWN for a write that could not have run. A customer with a blank in its name could not be served: the words behind it shift the fields of START.

Cause: make_line joined whatever it got. A line end in a field ends the message, and what follows is another one; a blank in a field shifts the next ones; and no length was checked. Callers' texts hold no line end since, but texts come from peers and from the store as well.

"Messages are read as they were built" draws messages and segments.

Change: make_line builds only what read_line and split_line give back. What can't be sent to a target is refused as malformed before a byte is sent, and the connection stays in use; an answer that can't be sent to a caller becomes UNKNOWN, as its statement may have run. The stand-in of the targets reads messages up to 1 MiB, as its limit of 64 KiB was none of the protocol.

--- a/src/sedgeshunt/connections/target_session.py
+++ b/src/sedgeshunt/connections/target_session.py
@@ -118,7 +118,8 @@
     """Run statements on one connection, for one caller at a time.
 
     Each method may raise TargetGone (nothing was sent) or TargetLost (the
-    request was sent, but no complete answer arrived).
+    request was sent, but no complete answer arrived). Those that send the words
+    of callers may raise StatementUnsendable (nothing was sent).
     """
 
     point: Point | None
--- a/src/sedgeshunt/exceptions.py
+++ b/src/sedgeshunt/exceptions.py
@@ -140,6 +140,19 @@
         )
 
 
+class StatementUnsendable(SedgeshuntError):
+    """Signal that a statement has no form that its target could read."""
+
+    def __init__(self, reason: str) -> None:
+        """Store the reason."""
+        super().__init__(reason)
+        self.reason = reason
+
+    def format_message(self) -> str:
+        """Return the reason and the remedy."""
+        return f'{self.reason}; nothing was sent, change the statement'
+
+
 class TargetRejected(SedgeshuntError):
     """Carry a target's own refusal; the statement left nothing behind."""
 
--- a/src/sedgeshunt/execution/target_executor.py
+++ b/src/sedgeshunt/execution/target_executor.py
@@ -22,7 +22,7 @@
     TargetSession,
     TargetSessionConnector,
 )
-from sedgeshunt.exceptions import TargetGone, TargetLost
+from sedgeshunt.exceptions import StatementUnsendable, TargetGone, TargetLost
 from sedgeshunt.execution.call_admission import CallAdmission
 from sedgeshunt.execution.preparing import needs_preparing, prepare
 from sedgeshunt.execution.transactions import (
@@ -47,6 +47,7 @@
 from sedgeshunt.statements.waits import WaitCause, measure_wait
 
 LOST_RETRY = Seconds(0.1)
+MALFORMED = RefusalKind.MALFORMED.value
 # A slot is passed to the next statement once it has waited longer than both
 # the minimum and this multiple of the mean latency: no statement is expected
 # to take more than eight times the mean.
@@ -422,7 +423,8 @@
         A failed request that is retryable counts as not run.
         """
         session.is_pending = True
-        if self.waiting_since is None:
+        waiting_since = self.waiting_since
+        if waiting_since is None:
             self.waiting_since = read_clock()
         if is_retryable:
             self._retryable_sessions.add(session)
@@ -430,11 +432,16 @@
             async with timeout_at(deadline):
                 with measure_wait(WaitCause.TARGET):
                     reply = await send()
-        except TargetGone as gone:
-            return self._fail(Cause.CONNECTION_LOST, gone, is_retryable=True)
+        except StatementUnsendable as unsendable:
+            session.is_pending = False
+            self.waiting_since = waiting_since
+            return Err(Rejected(0, MALFORMED, str(unsendable)))
         except TargetLost as lost:
+            is_unsent = isinstance(lost, TargetGone)
             return self._fail(
-                Cause.CONNECTION_LOST, lost, is_retryable=is_retryable
+                Cause.CONNECTION_LOST,
+                lost,
+                is_retryable=is_unsent or is_retryable,
             )
         except TimeoutError as late:
             return self._fail(Cause.DEADLINE, late, is_retryable=is_retryable)
--- a/src/sedgeshunt/platform/conversation.py
+++ b/src/sedgeshunt/platform/conversation.py
@@ -25,6 +25,7 @@
     TrafficClass,
 )
 from sedgeshunt.platform.lines import (
+    MessageInvalid,
     MessageMalformed,
     MessageTooLong,
     make_lines,
@@ -32,7 +33,7 @@
     shorten_reason,
     split_line,
 )
-from sedgeshunt.platform.refusals import name_refusal
+from sedgeshunt.platform.refusals import UNKNOWN_CODE, name_refusal
 from sedgeshunt.platform.statements import parse_statement
 from sedgeshunt.requests.outcome import Answer, Refusal, Rejected
 from sedgeshunt.statements.session import StatementSession
@@ -53,6 +54,8 @@
     SessionPhase.FAILED: 'E',
 }
 
+_READY = ('READY', 'I', NO_POINT)
+
 OpenSession = Callable[
     [TrafficClass, KeyDigest],
     Awaitable[Result[StatementSession, Rejected]],
@@ -177,7 +180,7 @@
             return None
         session = opened.ok_value
         self._session = session
-        await self._send([('READY', 'I', NO_POINT)])
+        await self._send(make_lines([_READY]))
         return session
 
     async def _receive_query(self) -> str | None:
@@ -219,7 +222,7 @@
         # sent a statement meanwhile takes the error as its answer, which ends
         # with READY.
         close_request = ('ERROR', code, reason)
-        await self._send([close_request])
+        await self._send(make_lines([close_request]))
         if self._session is not None:
             await self._session.close()
         closing = timeout_at(self._deadline or read_clock() + CLOSE_LIMIT)
@@ -227,7 +230,7 @@
         try:
             async with closing:
                 while _read_query(await read_line(self._reader)) is not None:
-                    await self._send([('READY', 'I', NO_POINT), close_request])
+                    await self._send(make_lines([_READY, close_request]))
         except TimeoutError:
             if not closing.expired():
                 raise
@@ -238,7 +241,7 @@
         """Send a final error and close once the caller has read it."""
         # Closing with unread bytes would reset the connection, and the caller
         # could lose the error.
-        await self._send([_make_error(code, reason)])
+        await self._send(make_lines([_make_error(code, reason)]))
         with suppress(TimeoutError):
             async with timeout(LAST_READ_LIMIT):
                 self._writer.write_eof()
@@ -256,9 +259,9 @@
         except MessageMalformed as malformed:
             messages = [_make_error('MALFORMED', str(malformed))]
         else:
-            messages = _encode_outcome(await self._run(session, statement))
-        messages.append(('READY', _PHASES[session.phase], NO_POINT))
-        await self._send(messages)
+            messages = _list_messages(await self._run(session, statement))
+        ready = ('READY', _PHASES[session.phase], NO_POINT)
+        await self._send(_encode_answer(messages, ready))
         self.statement = None
 
     async def _run(
@@ -280,10 +283,10 @@
         self._is_aborting = True
         return Err(session.abandon(statement))
 
-    async def _send(self, messages: Messages) -> None:
+    async def _send(self, encoded: bytes) -> None:
         if self._writer.is_closing():
             raise ConnectionResetError
-        self._writer.write(make_lines(messages))
+        self._writer.write(encoded)
         await self._writer.drain()
 
 
@@ -312,7 +315,7 @@
         bounded.reschedule(deadline)
 
 
-def _encode_outcome(outcome: Result[Answer, Refusal]) -> Messages:
+def _list_messages(outcome: Result[Answer, Refusal]) -> Messages:
     if isinstance(outcome, Ok):
         answer = outcome.ok_value
         rows = [('ROW', str(row[0])) for row in answer.rows]
@@ -320,5 +323,13 @@
     return [_make_error(*name_refusal(outcome.err_value))]
 
 
+def _encode_answer(messages: Messages, ready: tuple[str, ...]) -> bytes:
+    try:
+        return make_lines([*messages, ready])
+    except MessageInvalid as failure:
+        # The statement may have run, although its answer can't be passed on.
+        return make_lines([_make_error(UNKNOWN_CODE, str(failure)), ready])
+
+
 def _make_error(code: str, reason: str) -> tuple[str, ...]:
     return ('ERROR', code, shorten_reason(reason))
--- a/src/sedgeshunt/platform/lines.py
+++ b/src/sedgeshunt/platform/lines.py
@@ -22,7 +22,11 @@
 MAX_REASON = 400
 
 
-class MessageTooLong(SedgeshuntError):
+class MessageInvalid(SedgeshuntError):
+    """Signal that a message can be neither sent nor read."""
+
+
+class MessageTooLong(MessageInvalid):
     """Signal that a line exceeds the maximum message size."""
 
     def format_message(self) -> str:
@@ -33,7 +37,7 @@
         )
 
 
-class MessageMalformed(SedgeshuntError):
+class MessageMalformed(MessageInvalid):
     """Signal that a line is not a valid message."""
 
     def __init__(self, reason: str) -> None:
@@ -78,15 +82,34 @@
 
 
 def make_line(*parts: str) -> bytes:
-    """Encode a word and its fields as one line."""
-    return FIELD_SEPARATOR.join(parts).encode() + LINE_END
+    """Encode a word and its fields as one line; the last may contain spaces.
+
+    Raise MessageTooLong or MessageMalformed unless read_line() and split_line()
+    return the same parts.
+    """
+    if any(FIELD_SEPARATOR in part for part in parts[:-1]):
+        raise MessageMalformed('a field before the last one contains a space')
+    line = _encode(FIELD_SEPARATOR.join(parts))
+    if len(line) > READER_LIMIT:
+        raise MessageTooLong
+    return line + LINE_END
 
 
 def make_lines(messages: Sequence[Sequence[str]]) -> bytes:
-    """Encode several messages as consecutive lines."""
+    """Encode several messages as consecutive lines; raise as make_line()."""
     return b''.join(make_line(*message) for message in messages)
 
 
 def shorten_reason(reason: str) -> str:
     """Return the reason of an error so that it fits into a message."""
     return ' '.join(reason[:MAX_REASON].splitlines())
+
+
+def _encode(text: str) -> bytes:
+    try:
+        line = text.encode()
+    except UnicodeEncodeError as failure:
+        raise MessageMalformed('a field is no UTF-8 text') from failure
+    if LINE_END in line:
+        raise MessageMalformed('a field contains a line end')
+    return line
--- a/src/sedgeshunt/platform/targets.py
+++ b/src/sedgeshunt/platform/targets.py
@@ -17,6 +17,7 @@
 )
 from sedgeshunt.customers.directory import ANONYMOUS
 from sedgeshunt.exceptions import (
+    StatementUnsendable,
     TargetBusy,
     TargetGone,
     TargetLost,
@@ -28,13 +29,14 @@
     GroupId,
     Seconds,
     StatementId,
+    TargetId,
     Term,
 )
 from sedgeshunt.platform.lines import (
     FIELD_SEPARATOR,
     READER_LIMIT,
+    MessageInvalid,
     MessageMalformed,
-    MessageTooLong,
     make_line,
     parse_number,
     read_line,
@@ -121,9 +123,7 @@
     async def start(self, group: GroupId, customer: CustomerId) -> None:
         """Send the group, customer and target; raise as connect() does."""
         target = self._target.name
-        self._writer.write(
-            make_line('START', group, customer or DEFAULT_CUSTOMER, target)
-        )
+        self._writer.write(_make_start(group, customer, target))
         try:
             reply = await self._read_reply()
         except TargetLost as lost:
@@ -144,7 +144,7 @@
         if self._writer.is_closing() or self._reader.at_eof():
             raise TargetGone(self._target.name, 'closed while idle')
         self._writer.write(
-            make_line('QUERY', statement, add_point_condition(after, text)),
+            _make_query(statement, add_point_condition(after, text)),
         )
         reply = await self._read_reply()
         if not reply.has_result:
@@ -241,7 +241,7 @@
     async def _read_line(self) -> str:
         try:
             line = await read_line(self._reader)
-        except (OSError, MessageTooLong, MessageMalformed) as failure:
+        except (OSError, MessageInvalid) as failure:
             raise self._abort(str(failure)) from failure
         if line is None:
             raise self._abort('closed the connection')
@@ -296,6 +296,24 @@
         return session
 
 
+def _make_start(
+    group: GroupId,
+    customer: CustomerId,
+    target: TargetId,
+) -> bytes:
+    try:
+        return make_line('START', group, customer or DEFAULT_CUSTOMER, target)
+    except MessageInvalid as failure:
+        raise TargetUnreachable(target, str(failure)) from failure
+
+
+def _make_query(statement: StatementId, text: str) -> bytes:
+    try:
+        return make_line('QUERY', statement, text)
+    except MessageInvalid as failure:
+        raise StatementUnsendable(str(failure)) from failure
+
+
 def _parse_refusal(rest: str) -> TargetRefusal:
     code, reason = split_line(rest, 1)
     kind = _REFUSALS.get(code, RefusalKind.MALFORMED)
--- a/tests/features/messages.feature
+++ b/tests/features/messages.feature
@@ -1,6 +1,63 @@
 Feature: Messages of the statement protocol
   What one party sends never becomes a message of another kind, number or sender.
 
+  Scenario: Messages are read as they were built
+    Guards against a text that is taken for another message, as a line feed was.
+    Then messages with drawn fields are read as they were built, or refused
+
+  Scenario Outline: A message that could not be read as it was built is refused
+    Guards against a field that ends its message, or splits it in another way.
+    When a message is built of <fields>
+    Then it is refused
+
+    Examples:
+      | fields                                 |
+      | "QUERY", "q1", "READ a\r\nCLOSE"       |
+      | "QUERY", "q 1", "READ a"               |
+      | "QUERY", "q1\r\nQUERY q2 WRITE a", "b" |
+      | "START", "a b", "tester", "db-1"       |
+      | "ROW", "\ud800"                        |
+
+  Scenario Outline: A message of any size is read whole or refused
+    Guards against a message that is sent although no reader accepts its size.
+    When a message exceeds the limit by <bytes> bytes
+    Then it is <outcome>
+
+    Examples:
+      | bytes | outcome    |
+      | -1    | read whole |
+      | 0     | read whole |
+      | 1     | refused    |
+
+  Scenario Outline: A statement that can't be sent is refused without a run
+    Guards against a statement that arrives as several messages at its target.
+    Given a target
+    When it is sent the statement <id> with the text <text>
+    Then it can't be sent
+    And the target received no statement
+    When it is sent the statement "q2" with the text "READ two"
+    Then the target received "QUERY q2 READ two"
+
+    Examples:
+      | id     | text                                 |
+      | "q1"   | "WRITE a b\r\nQUERY q9 WRITE a c"    |
+      | "q 1"  | "WRITE a b"                          |
+
+  Scenario: A connection is not opened with a name of several words
+    Guards against a name that is taken for the fields behind it.
+    Given a target
+    When it is connected for the customer "acme target-9"
+    Then the target can't be reached
+    And the target received no message
+
+  Scenario: A statement that is too long for its target is refused, not sent
+    Guards against a message that grows beyond the limit on its way, so that its
+    target closes the connection and nobody knows whether it ran.
+    Given processes "east-1"
+    When a caller at "east-1" executes a prepared write with the longest message
+    Then the answer is "ERROR MALFORMED" and the targets ran nothing
+    And the same session writes "turn 8"
+
   Scenario Outline: A long name in a refusal doesn't make the answer too long
     Guards against an error that quotes the caller and exceeds a message's limit.
     Given processes "east-1"
--- a/tests/features/steps/messages_steps.py
+++ b/tests/features/steps/messages_steps.py
@@ -1,10 +1,298 @@
 """Check the encoding and decoding of the statement protocol's messages."""
 
+from ast import literal_eval
+from asyncio import (
+    IncompleteReadError,
+    Server,
+    StreamReader,
+    StreamWriter,
+    create_task,
+    sleep,
+    start_server,
+)
+from contextlib import suppress
+from itertools import pairwise
 from typing import Any
 
-from behave import then, when
+from behave import given, then, when
+from hypothesis import given as draw
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from sedgeshunt.configuration.objects import Target
+from sedgeshunt.connections.target_session import TargetSession
+from sedgeshunt.customers.directory import ANONYMOUS
+from sedgeshunt.exceptions import (
+    SedgeshuntError,
+    StatementUnsendable,
+    TargetUnreachable,
+)
+from sedgeshunt.identifiers import (
+    CustomerId,
+    GroupId,
+    Seconds,
+    StatementId,
+    TargetId,
+    ZoneId,
+)
+from sedgeshunt.platform.lines import (
+    READER_LIMIT,
+    make_line,
+    read_line,
+    split_line,
+)
+from sedgeshunt.platform.targets import WireTargetConnector
+from tests.features.driver_bench import LoopThread
+from tests.standins.statement_front import HOST
 
 LINE_END = b'\r\n'
+GROUP = GroupId('songbook')
+TARGET = TargetId('db-1')
+CONNECT_LIMIT = Seconds(2)
+SIGNATURE = 'signed'
+_WORDS = st.sampled_from(('QUERY', 'ROW', 'START', 'ERROR', 'COMPLETE'))
+# What ends lines or fields in this or another protocol, and protocol words.
+_PIECES = st.sampled_from(
+    (' ', '\r', '\n', '\r\n', '\x00', '\x85', '\u2028', '\ud800', 'é', 'a')
+    + ('QUERY q9 WRITE a b', 'READY I -', 'COMPLETE -'),
+)
+_FIELDS = st.lists(_PIECES, max_size=5).map(''.join)
+_MESSAGES = st.lists(
+    st.tuples(_WORDS, st.lists(_FIELDS, min_size=1, max_size=3)),
+    min_size=1,
+    max_size=4,
+)
+
+
+class ScriptedTarget:
+    """Answer statements with set lines and keep what it received."""
+
+    def __init__(self) -> None:
+        """Answer each statement with success."""
+        self.received: list[str] = []
+        # Lines to answer instead, by the text of the statement.
+        self.answers: dict[str, bytes] = {}
+        self.writer: StreamWriter
+        self._server: Server
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await start_server(self._serve, HOST, 0)
+
+    def describe(self) -> Target:
+        """Return the target as the store's entry declares it."""
+        port = self._server.sockets[0].getsockname()[1]
+        return Target(TARGET, GROUP, HOST, port, ZoneId('east'), {})
+
+    async def close(self) -> None:
+        """Stop listening and close the last connection."""
+        self._server.close()
+        if hasattr(self, 'writer'):
+            self.writer.close()
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.writer = writer
+        with suppress(IncompleteReadError, OSError):
+            while True:
+                line = await reader.readuntil(LINE_END)
+                self._answer(line.removesuffix(LINE_END).decode())
+
+    def _answer(self, text: str) -> None:
+        self.received.append(text)
+        if text.startswith('START'):
+            self.writer.write(b'READY I -\r\n')
+            return
+        asked = text.split(' ', 2)[2]
+        done = f'COMPLETE {SIGNATURE}\r\nREADY I -\r\n'.encode()
+        self.writer.write(self.answers.get(asked, done))
+
+
+@then('messages with drawn fields are read as they were built, or refused')
+def check_messages(context: Any) -> None:
+    loop = LoopThread()
+    context.add_cleanup(loop.close)
+
+    @settings(max_examples=400, deadline=None, database=None)
+    @draw(_MESSAGES, st.lists(st.integers(0, 200), max_size=6))
+    def check(messages: list[tuple[str, list[str]]], cuts: list[int]) -> None:
+        encoded = {}
+        for number, (word, fields) in enumerate(messages):
+            try:
+                encoded[number] = make_line(word, *fields)
+            except SedgeshuntError:
+                assert not _is_sendable(fields), fields
+        sent = b''.join(encoded.values())
+        lines = loop.run(_read_segments(sent, cuts, len(encoded)))
+        for number, line in zip(encoded, lines, strict=True):
+            word, fields = messages[number]
+            assert split_line(line, len(fields)) == [word, *fields]
+
+    check()
+
+
+@when('a message is built of {fields}')
+def build_message(context: Any, fields: str) -> None:
+    context.fields = literal_eval(f'({fields},)')
+
+
+@when('a message exceeds the limit by {excess:d} bytes')
+def build_long_message(context: Any, excess: int) -> None:
+    word = 'ROW'
+    size = READER_LIMIT + excess - len(f'{word} ')
+    context.fields = (word, 'x' * size)
+
+
+@then('it is refused')
+def check_refused(context: Any) -> None:
+    try:
+        line = make_line(*context.fields)
+    except SedgeshuntError:
+        return
+    raise AssertionError(line[:100])
+
+
+@then('it is read whole')
+def check_whole(context: Any) -> None:
+    loop = LoopThread()
+    context.add_cleanup(loop.close)
+    sent = make_line(*context.fields)
+    lines = loop.run(_read_segments(sent + sent, [len(sent) - 1], 2))
+    line = ' '.join(context.fields)
+    assert lines == [line, line]
+
+
+@given('a target')
+def serve_target(context: Any) -> None:
+    context.loop = LoopThread()
+    context.add_cleanup(context.loop.close)
+    context.target = ScriptedTarget()
+    context.loop.run(context.target.start())
+    context.add_cleanup(lambda: context.loop.run(context.target.close()))
+
+
+@when('it is sent the statement {name} with the text {text}')
+def send_statement(context: Any, name: str, text: str) -> None:
+    session = _open_session(context)
+    statement = StatementId(literal_eval(name))
+    context.error = None
+    try:
+        context.reply = context.loop.run(
+            session.run(statement, literal_eval(text)),
+        )
+    except SedgeshuntError as failure:
+        context.error = failure
+
+
+@when('it is connected for the customer "{customer}"')
+def connect_customer(context: Any, customer: str) -> None:
+    context.error = None
+    try:
+        context.loop.run(_connect(context, CustomerId(customer)))
+    except TargetUnreachable as failure:
+        context.error = failure
+
+
+@then("the target can't be reached")
+def check_unreachable(context: Any) -> None:
+    assert context.error is not None
+
+
+@then("it can't be sent")
+def check_unsendable(context: Any) -> None:
+    assert isinstance(context.error, StatementUnsendable), context.error
+
+
+@then('the target received no message')
+def check_no_message(context: Any) -> None:
+    assert not context.target.received, context.target.received
+
+
+@then('the target received no statement')
+def check_no_statement(context: Any) -> None:
+    assert len(context.target.received) == 1, context.target.received
+
+
+@then('the target received "{line}"')
+def check_received(context: Any, line: str) -> None:
+    assert context.target.received[-1] == line, context.target.received
+
+
+def _open_session(context: Any) -> TargetSession:
+    if not hasattr(context, 'session'):
+        context.session = context.loop.run(_connect(context, ANONYMOUS))
+        context.add_cleanup(lambda: context.loop.run(context.session.close()))
+    session: TargetSession = context.session
+    return session
+
+
+async def _connect(context: Any, customer: CustomerId) -> TargetSession:
+    return await WireTargetConnector().connect(
+        context.target.describe(), GROUP, CONNECT_LIMIT, customer
+    )
+
+
+def _is_sendable(fields: list[str]) -> bool:
+    *words, text = fields
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return (
+        not any(
+            '\r\n' in field or ' ' in field or '\ud800' in field
+            for field in words
+        )
+        and '\r\n' not in text
+    )
+
+
+async def _read_segments(
+    sent: bytes,
+    cuts: list[int],
+    count: int,
+) -> list[str]:
+    """Return the messages that are read while segments of `sent` arrive."""
+    reader = StreamReader(limit=READER_LIMIT)
+    reading = create_task(_read_messages(reader, count))
+    places = sorted({0, len(sent), *(cut for cut in cuts if cut < len(sent))})
+    for begin, end in pairwise(places):
+        reader.feed_data(sent[begin:end])
+        await sleep(0)
+    reader.feed_eof()
+    return await reading
+
+
+async def _read_messages(reader: StreamReader, count: int) -> list[str]:
+    lines = [await read_line(reader) for _ in range(count)]
+    assert await read_line(reader) is None
+    return [line for line in lines if line is not None]
+
+
+@when(
+    'a caller at "{proxy}" executes a prepared write with the longest message'
+)
+def execute_long(context: Any, proxy: str) -> None:
+    caller = context.platform.call(proxy)
+    context.caller = caller
+    assert caller.connect('kigali')[-1].startswith('READY')
+    assert caller.ask('PREPARE s WRITE q')[0].startswith('COMPLETE')
+    start = 'QUERY q2 EXECUTE s turn '
+    note = 'x' * (READER_LIMIT - len(start))
+    caller.send(f'{start}{note}\r\n'.encode())
+    context.lines = caller.read()
+
+
+@then('the answer is "{code}" and the targets ran nothing')
+def check_nothing_run(context: Any, code: str) -> None:
+    assert context.lines[0].startswith(code), context.lines
+    runs = context.platform.platform.group.runs
+    assert not runs, [run.statement for run in runs]
+
+
+@then('the same session writes "{text}"')
+def write_on(context: Any, text: str) -> None:
+    lines = context.caller.ask(f'WRITE {text}')
+    assert lines[0].startswith('COMPLETE'), lines
 
 
 @when('a caller at "{proxy}" sends {message} with a name of {size:d} bytes')
--- a/tests/standins/statement_front.py
+++ b/tests/standins/statement_front.py
@@ -29,6 +29,7 @@
 
 HOST = '127.0.0.1'
 LINE_END = b'\r\n'
+MAX_LINE = 1024 * 1024
 PROXIES = Place('proxies', 'east')
 _PHASES = {
     SessionPhase.IDLE: 'I',
@@ -59,7 +60,9 @@
     async def start(self) -> None:
         """Listen on a free port for each database."""
         for target in self.group.targets.values():
-            server = await start_server(partial(self._serve, target), HOST, 0)
+            server = await start_server(
+                partial(self._serve, target), HOST, 0, limit=MAX_LINE
+            )
             target.port = server.sockets[0].getsockname()[1]
             self._servers.append(server)
 
