Read the answer to a refused statement to its end

Callers saw: after a target had refused a statement with TOOMANY or MISROUTED, the next statement on that connection was answered with what was left of that answer. It was taken for lost, so that a write that had run was told UNKNOWN.

Cause: these codes ended the reading of any answer, as they end that of START, after which the target closes. An answer to QUERY ends with READY in every case.

Evidence: "A refused statement leaves nothing of its answer unread" failed for both codes (the second answer was TargetLost), and "A refusal holds although the connection breaks before READY" as well: BUSY was turned into an unknown outcome although the target had stated that there was no run.

Change: an ERROR ends the answer to START, whatever its code; the answer to QUERY ends with READY. If the connection breaks between the two, the refusal holds and the connection isn't used again.

--- a/src/sedgeshunt/platform/targets.py
+++ b/src/sedgeshunt/platform/targets.py
@@ -75,7 +75,9 @@
 class _ReplyBuilder:
     """Collect the messages of one reply."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, ends_with_error: bool) -> None:
+        # A refused START is not followed by READY, a refused QUERY is.
+        self._ends_with_error = ends_with_error
         self.is_complete = False
         self.has_result = False
         self.rows: list[str] = []
@@ -94,7 +96,7 @@
         elif word == 'ERROR':
             self.refusal = _parse_refusal(rest)
             self.has_result = True
-            self.is_complete = self.refusal.kind in _CLOSING_REFUSALS
+            self.is_complete = self._ends_with_error
         elif word == 'READY':
             phase, point_text = split_line(rest, 1)
             self.phase = _PHASES.get(phase, SessionPhase.FAILED)
@@ -104,6 +106,10 @@
             return False
         return True
 
+    def cut(self) -> None:
+        """Keep the refusal of a reply that broke off behind it."""
+        self.phase = SessionPhase.FAILED
+
 
 class WireTargetSession(TargetSession):
     """Run statements over the line protocol on one connection."""
@@ -125,7 +131,7 @@
         target = self._target.name
         self._writer.write(_make_start(group, customer, target))
         try:
-            reply = await self._read_reply()
+            reply = await self._read_reply(ends_with_error=True)
         except TargetLost as lost:
             raise TargetUnreachable(target, lost.reason) from lost
         if reply.refusal is None:
@@ -217,10 +223,20 @@
         except MessageMalformed as failure:
             raise self._abort(str(failure)) from failure
 
-    async def _read_reply(self) -> TargetReply:
-        builder = _ReplyBuilder()
+    async def _read_reply(
+        self,
+        *,
+        ends_with_error: bool = False,
+    ) -> TargetReply:
+        builder = _ReplyBuilder(ends_with_error=ends_with_error)
         while not builder.is_complete:
-            line = await self._read_line()
+            try:
+                line = await self._read_line()
+            except TargetLost:
+                if builder.refusal is None:
+                    raise
+                builder.cut()
+                break
             word, _, rest = line.partition(FIELD_SEPARATOR)
             try:
                 is_known = builder.add_message(word, rest)
@@ -252,10 +268,6 @@
         return TargetLost(self._target.name, reason)
 
 
-# After these refusals of a START, the target closes the connection.
-_CLOSING_REFUSALS = frozenset((RefusalKind.WRONG_TARGET, RefusalKind.TOO_MANY))
-
-
 class WireTargetConnector(TargetSessionConnector):
     """Open sessions with databases over the line protocol."""
 
--- a/tests/features/messages.feature
+++ b/tests/features/messages.feature
@@ -69,3 +69,25 @@
       | START name     |
       | QUERY q1 EXECUTE name a |
       | QUERY q1 DEALLOC name   |
+
+  Scenario Outline: A refused statement leaves nothing of its answer unread
+    Guards against the rest of one answer that is taken for the next answer.
+    Given a target
+    And it answers "READ one" with "ERROR <code> no" and "READY I 1.1"
+    When it is asked "READ one" and "READ two"
+    Then the answers are "<kind>" and a success
+
+    Examples:
+      | code      | kind         |
+      | TOOMANY   | too-many     |
+      | MISROUTED | wrong-target |
+      | BUSY      | busy         |
+      | FAILED    | failed       |
+
+  Scenario: A refusal holds although the connection breaks before READY
+    Guards against an answer of unknown outcome for a statement that was refused.
+    Given a target
+    And it answers "READ one" with "ERROR BUSY no"
+    And it closes the connection after its answer to "READ one"
+    When it is asked "READ one" and "READ two"
+    Then the answers are "busy" and "TargetGone"
--- a/tests/features/steps/messages_steps.py
+++ b/tests/features/steps/messages_steps.py
@@ -72,6 +72,8 @@
         self.received: list[str] = []
         # Lines to answer instead, by the text of the statement.
         self.answers: dict[str, bytes] = {}
+        # The statement after whose answer it closes the connection.
+        self.last = ''
         self.writer: StreamWriter
         self._server: Server
 
@@ -105,6 +107,8 @@
         asked = text.split(' ', 2)[2]
         done = f'COMPLETE {SIGNATURE}\r\nREADY I -\r\n'.encode()
         self.writer.write(self.answers.get(asked, done))
+        if asked == self.last:
+            self.writer.close()
 
 
 @then('messages with drawn fields are read as they were built, or refused')
@@ -197,6 +201,33 @@
     assert context.error is not None
 
 
+@given('it answers "{text}" with {lines}')
+def set_answer(context: Any, text: str, lines: str) -> None:
+    messages = [line.strip('"') for line in lines.split(' and ')]
+    encoded = b''.join(line.encode() + LINE_END for line in messages)
+    context.target.answers[text] = encoded
+
+
+@given('it closes the connection after its answer to "{text}"')
+def set_last(context: Any, text: str) -> None:
+    context.target.last = text
+
+
+@then('the answers are "{first}" and "{second}"')
+def check_both(context: Any, first: str, second: str) -> None:
+    assert context.outcomes == [first, second], context.outcomes
+
+
+@when('it is asked "{first}" and "{second}"')
+def ask_two(context: Any, first: str, second: str) -> None:
+    context.outcomes = [_ask(context, text) for text in (first, second)]
+
+
+@then('the answers are "{first}" and a success')
+def check_outcomes(context: Any, first: str) -> None:
+    assert context.outcomes == [first, SIGNATURE], context.outcomes
+
+
 @then("it can't be sent")
 def check_unsendable(context: Any) -> None:
     assert isinstance(context.error, StatementUnsendable), context.error
@@ -217,6 +248,20 @@
     assert context.target.received[-1] == line, context.target.received
 
 
+def _ask(context: Any, text: str) -> str:
+    """Return the signature, the kind of a refusal or the error's name."""
+    session = _open_session(context)
+    try:
+        reply = context.loop.run(session.run(StatementId('q1'), text))
+    except SedgeshuntError as failure:
+        return type(failure).__name__
+    if reply.refusal is None:
+        signature: str = reply.signature
+        return signature
+    kind: str = reply.refusal.kind.value
+    return kind
+
+
 def _open_session(context: Any) -> TargetSession:
     if not hasattr(context, 'session'):
         context.session = context.loop.run(_connect(context, ANONYMOUS))
