Take messages out of turn for a lost connection

Callers saw: an answer of a target in which a row or a second result follows the result was taken for one answer; the last result counted. An ERROR behind COMPLETE told BUSY, which promises that nothing has run, of a write that had.

Cause: the messages of an answer were collected in any order.

Evidence: "Messages in another order are no answer" failed in all four examples before; the two with BUSY were told as refused.

Change: nothing but READY may follow COMPLETE or ERROR. Anything else ends the connection, and the outcome of a write is unknown, which is true.

--- a/src/sedgeshunt/platform/targets.py
+++ b/src/sedgeshunt/platform/targets.py
@@ -87,24 +87,28 @@
         self.point: Point | None = None
 
     def add_message(self, word: str, rest: str) -> bool:
-        """Add one message; return whether its word is known."""
+        """Add one message; return whether it may stand here."""
+        if word == 'READY':
+            phase, point_text = split_line(rest, 1)
+            self.phase = _PHASES.get(phase, SessionPhase.FAILED)
+            self.point = parse_point(point_text)
+            self.is_complete = True
+            return True
+        if self.has_result:
+            return False
         if word == 'ROW':
             self.rows.append(rest)
-        elif word == 'COMPLETE':
+            return True
+        return self._add_result(word, rest)
+
+    def _add_result(self, word: str, rest: str) -> bool:
+        self.has_result = word in {'COMPLETE', 'ERROR'}
+        if word == 'COMPLETE':
             self.signature = rest
-            self.has_result = True
         elif word == 'ERROR':
             self.refusal = _parse_refusal(rest)
-            self.has_result = True
             self.is_complete = self._ends_with_error
-        elif word == 'READY':
-            phase, point_text = split_line(rest, 1)
-            self.phase = _PHASES.get(phase, SessionPhase.FAILED)
-            self.point = parse_point(point_text)
-            self.is_complete = True
-        else:
-            return False
-        return True
+        return self.has_result
 
     def cut(self) -> None:
         """Keep the refusal of a reply that broke off behind it."""
@@ -239,11 +243,11 @@
                 break
             word, _, rest = line.partition(FIELD_SEPARATOR)
             try:
-                is_known = builder.add_message(word, rest)
+                is_expected = builder.add_message(word, rest)
             except MessageMalformed as failure:
                 raise self._abort(str(failure)) from failure
-            if not is_known:
-                raise self._abort(f'said "{word[:20]}"')
+            if not is_expected:
+                raise self._abort(f'sent "{word[:20]}" out of turn')
         self.point = builder.point or self.point
         return TargetReply(
             tuple(builder.rows),
--- a/tests/features/messages.feature
+++ b/tests/features/messages.feature
@@ -91,3 +91,17 @@
     And it closes the connection after its answer to "READ one"
     When it is asked "READ one" and "READ two"
     Then the answers are "busy" and "TargetGone"
+
+  Scenario Outline: Messages in another order are no answer
+    Guards against an answer that is put together of parts of two.
+    Given a target
+    And it answers "READ one" with <lines>
+    When it is asked "READ one"
+    Then the answer is "TargetLost"
+
+    Examples:
+      | lines                                            |
+      | "COMPLETE a" and "ROW b" and "READY I -"         |
+      | "COMPLETE a" and "COMPLETE b" and "READY I -"    |
+      | "ERROR BUSY no" and "COMPLETE a" and "READY I -" |
+      | "COMPLETE a" and "ERROR BUSY no" and "READY I -" |
--- a/tests/features/steps/messages_steps.py
+++ b/tests/features/steps/messages_steps.py
@@ -12,6 +12,7 @@
 )
 from contextlib import suppress
 from itertools import pairwise
+from time import sleep as wait_for
 from typing import Any
 
 from behave import given, then, when
@@ -49,6 +50,7 @@
 GROUP = GroupId('songbook')
 TARGET = TargetId('db-1')
 CONNECT_LIMIT = Seconds(2)
+ARRIVAL_TIME = 0.1
 SIGNATURE = 'signed'
 _WORDS = st.sampled_from(('QUERY', 'ROW', 'START', 'ERROR', 'COMPLETE'))
 # What ends lines or fields in this or another protocol, and protocol words.
@@ -203,9 +205,7 @@
 
 @given('it answers "{text}" with {lines}')
 def set_answer(context: Any, text: str, lines: str) -> None:
-    messages = [line.strip('"') for line in lines.split(' and ')]
-    encoded = b''.join(line.encode() + LINE_END for line in messages)
-    context.target.answers[text] = encoded
+    context.target.answers[text] = _encode(lines)
 
 
 @given('it closes the connection after its answer to "{text}"')
@@ -228,6 +228,22 @@
     assert context.outcomes == [first, SIGNATURE], context.outcomes
 
 
+@when('it is asked "{text}"')
+def ask_one(context: Any, text: str) -> None:
+    context.outcome = _ask(context, text)
+
+
+@when('without a statement it answers with {lines}')
+def send_unasked(context: Any, lines: str) -> None:
+    context.loop.run(_write(context.target.writer, _encode(lines)))
+    wait_for(ARRIVAL_TIME)
+
+
+@then('the answer is "{outcome}"')
+def check_outcome(context: Any, outcome: str) -> None:
+    assert context.outcome == outcome, context.outcome
+
+
 @then("it can't be sent")
 def check_unsendable(context: Any) -> None:
     assert isinstance(context.error, StatementUnsendable), context.error
@@ -248,6 +264,16 @@
     assert context.target.received[-1] == line, context.target.received
 
 
+def _encode(lines: str) -> bytes:
+    messages = [line.strip('"') for line in lines.split(' and ')]
+    return b''.join(line.encode() + LINE_END for line in messages)
+
+
+async def _write(writer: StreamWriter, encoded: bytes) -> None:
+    writer.write(encoded)
+    await writer.drain()
+
+
 def _ask(context: Any, text: str) -> str:
     """Return the signature, the kind of a refusal or the error's name."""
     session = _open_session(context)
