Use no connection on which a target has sent an unasked message

Callers saw: a message that a target sends while no statement runs, such as an ERROR before it closes, or the rest of an answer, was read as the answer to the next statement. "ERROR BUSY" told the caller of a write that nothing had run, while the target ran it.

Cause: before a statement was sent, only the end of the stream was looked at, and a stream with unread bytes is not at its end.

Evidence: "A message that answers nothing is not taken for an answer" got "busy" for a write that the target had received. Now the write goes to another connection and is not sent on this one.

Change: the reader of a target's connection counts what is unread. A connection with unread bytes is closed before anything is sent on it, which lets the statement be sent on another. A message that arrives after the statement was sent can't be told from its answer: the protocol's answers carry no id.

--- a/src/sedgeshunt/platform/lines.py
+++ b/src/sedgeshunt/platform/lines.py
@@ -4,8 +4,10 @@
     IncompleteReadError,
     LimitOverrunError,
     StreamReader,
+    get_running_loop,
 )
 from collections.abc import Sequence
+from typing import Any
 
 from sedgeshunt.exceptions import SedgeshuntError
 
@@ -50,6 +52,26 @@
         return f'{self.reason}; send a word, its fields and a line end'
 
 
+class MessageReader(StreamReader):
+    """Read a connection and count the bytes that have not been read yet."""
+
+    def __init__(self) -> None:
+        """Start on the running loop with the limit of a message."""
+        super().__init__(limit=READER_LIMIT, loop=get_running_loop())
+        self.unread = 0
+
+    def feed_data(self, data: Any) -> None:
+        """Add bytes that have arrived."""
+        self.unread += len(data)
+        super().feed_data(data)
+
+    async def readuntil(self, separator: Any = LINE_END) -> bytes:
+        """Return the bytes up to the end of a message."""
+        line = await super().readuntil(separator)
+        self.unread -= len(line)
+        return line
+
+
 async def read_line(reader: StreamReader) -> str | None:
     """Return the next line without its line end; None at end of stream.
 
--- a/src/sedgeshunt/platform/targets.py
+++ b/src/sedgeshunt/platform/targets.py
@@ -1,6 +1,11 @@
 """Connect to databases over the platform's line protocol."""
 
-from asyncio import StreamReader, StreamWriter, open_connection, timeout
+from asyncio import (
+    StreamReaderProtocol,
+    StreamWriter,
+    get_running_loop,
+    timeout,
+)
 from contextlib import suppress
 
 from sedgeshunt.adapters.sockets import watch_silence
@@ -34,9 +39,9 @@
 )
 from sedgeshunt.platform.lines import (
     FIELD_SEPARATOR,
-    READER_LIMIT,
     MessageInvalid,
     MessageMalformed,
+    MessageReader,
     make_line,
     parse_number,
     read_line,
@@ -121,7 +126,7 @@
     def __init__(
         self,
         target: Target,
-        reader: StreamReader,
+        reader: MessageReader,
         writer: StreamWriter,
     ) -> None:
         """Take over an open connection."""
@@ -153,6 +158,10 @@
         """Run the text of a caller's statement under its statement id."""
         if self._writer.is_closing() or self._reader.at_eof():
             raise TargetGone(self._target.name, 'closed while idle')
+        if self._reader.unread:
+            # The next answer could not be told from what was sent unasked.
+            self._writer.transport.abort()
+            raise TargetGone(self._target.name, 'sent an unasked message')
         self._writer.write(
             _make_query(statement, add_point_condition(after, text)),
         )
@@ -296,11 +305,7 @@
         group: GroupId,
         customer: CustomerId,
     ) -> TargetSession:
-        reader, writer = await open_connection(
-            target.host,
-            target.port,
-            limit=READER_LIMIT,
-        )
+        reader, writer = await _open_connection(target)
         watch_silence(writer)
         session = WireTargetSession(target, reader, writer)
         try:
@@ -312,6 +317,19 @@
         return session
 
 
+async def _open_connection(
+    target: Target,
+) -> tuple[MessageReader, StreamWriter]:
+    loop = get_running_loop()
+    reader = MessageReader()
+    transport, protocol = await loop.create_connection(
+        lambda: StreamReaderProtocol(reader, loop=loop),
+        target.host,
+        target.port,
+    )
+    return reader, StreamWriter(transport, protocol, reader, loop)
+
+
 def _make_start(
     group: GroupId,
     customer: CustomerId,
--- a/tests/features/messages.feature
+++ b/tests/features/messages.feature
@@ -92,6 +92,16 @@
     When it is asked "READ one" and "READ two"
     Then the answers are "busy" and "TargetGone"
 
+  Scenario: A message that answers nothing is not taken for an answer
+    Guards against a late or unasked message that is read as the answer to the
+    next statement, such as a refusal of one that then runs.
+    Given a target
+    When it is asked "READ one"
+    And without a statement it answers with "ERROR BUSY leaving" and "READY I -"
+    And it is asked "WRITE two"
+    Then the answer is "TargetGone"
+    And the target received "QUERY q1 READ one"
+
   Scenario Outline: Messages in another order are no answer
     Guards against an answer that is put together of parts of two.
     Given a target
--- a/tests/features/steps/overload_steps.py
+++ b/tests/features/steps/overload_steps.py
@@ -2,7 +2,6 @@
 
 import random
 from asyncio import (
-    StreamReader,
     StreamWriter,
     Task,
     create_task,
@@ -44,7 +43,11 @@
     ZoneId,
 )
 from sedgeshunt.limits.standing import Flow, StandingQueue
-from sedgeshunt.platform.lines import MessageMalformed, make_line
+from sedgeshunt.platform.lines import (
+    MessageMalformed,
+    MessageReader,
+    make_line,
+)
 from sedgeshunt.platform.targets import WireTargetSession
 from sedgeshunt.requests.outcome import Answer, Refusal
 from sedgeshunt.statements.call import Access, CallKind, StatementCall
@@ -434,8 +437,10 @@
     target = Target(TargetId('db'), GroupId('g'), '', 1, ZoneId('east'))
 
     async def run() -> None:
-        reader = StreamReader()
-        reader.feed_data(make_line(*line.split()))
+        reader = MessageReader()
+        context.writer.write.side_effect = lambda _: reader.feed_data(
+            make_line(*line.split()),
+        )
         session = WireTargetSession(target, reader, context.writer)
         try:
             await session.run(StatementId('one'), 'READ item')
