Request changes of the store at once while a statement waits for an owner

Callers saw: "ERROR BUSY" or, in a transaction, "ERROR ABORTED not run: group songbook has no owner now" although the group had an owner for 0.3 s. Within seconds of a start this failed the scenarios "A transaction and prepared statements over the wire" and "A line feed is part of a text" now and then.

Cause: the changes of a burst are batched for up to 0.6 s before the next watch request. A statement waits 0.3 s for an owner after a handover or a start, so an owner whose claim lies in the batch is known after its callers were refused.

"A change that a caller waits for is not batched" took 0.28 s before this change.

Change: whoever waits for a change of owners ends the batch, 0.15 s after the previous changes at the soonest, so that the number of requests stays bounded. Proxies that follow a peer instead of the store depend on that peer as before.

Measured: the scenario takes less than 0.2 s; store_changes, ownership, fleets, links and store_return pass.

--- a/src/sedgeshunt/node_service.py
+++ b/src/sedgeshunt/node_service.py
@@ -209,6 +209,7 @@
             self._records,
             self._lease,
             self._heartbeats.owners_changed,
+            self._view.end_batch,
         )
         self.isolation = IsolationDetector(
             self.entry.zone,
--- a/src/sedgeshunt/registry/store_view.py
+++ b/src/sedgeshunt/registry/store_view.py
@@ -34,7 +34,7 @@
 from sedgeshunt.registry.current_store import CurrentStore
 from sedgeshunt.registry.entries import Entry, read_entry
 from sedgeshunt.registry.feeds import ChangeFeed, Followers, NoFeed
-from sedgeshunt.registry.gathering import WatchBatching
+from sedgeshunt.registry.gathering import MIN_BATCH_DELAY, WatchBatching
 from sedgeshunt.registry.unreadable import UnreadableEntries
 from sedgeshunt.revisions import NOTHING, begin_era, read_era
 
@@ -105,6 +105,8 @@
         self._watch_backoff = Backoff(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
         self._listed_at = Monotonic(0)
         self._batching = WatchBatching()
+        # A caller waits for a change that may be among those not requested yet.
+        self._is_awaited = Event()
 
     def bind(self, feed: ChangeFeed) -> None:
         """Follow `feed` whenever it is available."""
@@ -143,6 +145,10 @@
         """Return for how long the newest era of the store has been known."""
         return self._store.measure_era_age()
 
+    def end_batch(self) -> None:
+        """Request changes as soon as possible, as a caller waits for one."""
+        self._is_awaited.set()
+
     def observe_revision(self, revision: Revision) -> None:
         """Record a revision of the store that was seen elsewhere."""
         if revision != NOTHING:
@@ -319,7 +325,16 @@
                 self._record_reachability(is_reached=True)
                 newest = max((one.revision for one in events), default=0)
                 self._apply(events, Revision(newest))
-                await sleep(self._batching.find_pause(read_clock()))
+                await self._batch_changes()
+
+    async def _batch_changes(self) -> None:
+        """Let changes gather before the next request, unless one is awaited."""
+        delay = self._batching.find_pause(read_clock())
+        await sleep(MIN_BATCH_DELAY)
+        self._is_awaited.clear()
+        with suppress(TimeoutError):
+            async with timeout(delay - MIN_BATCH_DELAY):
+                await self._is_awaited.wait()
 
     def _apply(self, events: Sequence[WatchEvent], revision: Revision) -> None:
         relevant = [one for one in events if one.key.startswith(self._prefixes)]
--- a/src/sedgeshunt/statements/owners.py
+++ b/src/sedgeshunt/statements/owners.py
@@ -1,6 +1,6 @@
 """Find the owner of a group and the readers of its replicas."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 from random import random, shuffle
 
@@ -43,13 +43,18 @@
         records: GroupRecords,
         lease: InstanceLease,
         changed: ChangeSignal,
+        end_batch: Callable[[], None],
     ) -> None:
-        """Wait for changes of owners on `changed`."""
+        """Wait for changes of owners on `changed`.
+
+        `end_batch` lets the changes of the store be requested now.
+        """
         self._groups = groups
         self._neighbours = neighbours
         self._records = records
         self._lease = lease
         self._changed = changed
+        self._end_batch = end_batch
         self._ownerless_since: dict[GroupId, Monotonic] = {}
         # When peers that get heartbeats rarely were last asked for owners.
         self._asked_at = Monotonic(0)
@@ -118,6 +123,7 @@
 
     async def wait_change(self, deadline: Monotonic) -> None:
         """Wait until the owner may have changed, `deadline` at most."""
+        self._end_batch()
         await self._changed.wait(deadline)
 
     def _ask_idle_peers(self) -> None:
--- a/tests/features/steps/store_changes_steps.py
+++ b/tests/features/steps/store_changes_steps.py
@@ -3,13 +3,14 @@
 from asyncio import Queue, create_task
 from collections import Counter
 from collections.abc import AsyncGenerator
+from functools import partial
 from typing import Any
 
 from behave import given, then, when
 
 from sedgeshunt.decisions import MemoryDecisionLog
 from sedgeshunt.identifiers import Revision, TrafficClass
-from sedgeshunt.ports import WatchEvent
+from sedgeshunt.ports import Put, WatchEvent
 from sedgeshunt.registry.changes import StoreChanges
 from sedgeshunt.registry.current_store import CurrentStore
 from sedgeshunt.registry.feeds import ChangeFeed
@@ -28,6 +29,7 @@
 # Keeps the tasks of running views referenced.
 RUNNING: list[object] = []
 FEED_TIME = 0.5
+CHECK_INTERVAL = 0.02
 OUTAGE_TIME = 4
 NOTHING = Revision(0)
 FIRST_KEY = f'{OWN_PREFIX}a'
@@ -155,6 +157,33 @@
     _send(context, StoreChanges(NOTHING, Revision(revision), (event,)))
 
 
+@given('a view of a store that has changed every {gap:g} s for {seconds:g} s')
+def watch_burst(context: Any, gap: float, seconds: float) -> None:
+    bench = open_bench(context)
+    context.changing = KeyValueStandIn(Network())
+    context.changing.gathers = True
+    context.view = bench.run(_start_watching(context.changing))
+    for number in range(round(seconds / gap)):
+        bench.time.act(partial(_commit, context, f'burst{number}'))
+        bench.wait(gap)
+
+
+@when('the store changes while a caller waits for that')
+def change_awaited(context: Any) -> None:
+    bench: NodeBench = context.nodes
+    bench.time.act(partial(_commit, context, 'awaited'))
+    context.waited = float(0)
+    while context.view.get(f'{OWN_PREFIX}awaited') is None:
+        context.view.end_batch()
+        bench.wait(CHECK_INTERVAL)
+        context.waited += CHECK_INTERVAL
+
+
+@then('the view has the change within {seconds:g} s')
+def check_waited(context: Any, seconds: float) -> None:
+    assert context.waited < seconds, context.waited
+
+
 @when('it receives the changes from {after:d} to {revision:d}')
 def send_changes(context: Any, after: int, revision: int) -> None:
     event = _change('b', revision)
@@ -215,15 +244,30 @@
 
 
 async def _start_view(feed: ScenarioFeed) -> StoreView:
-    store = MemoryKeyValue(KeyValueStandIn(Network()), Place('view', 'east'))
-    decisions = MemoryDecisionLog()
-    current = CurrentStore(store, decisions)
-    view = StoreView(current, (OWN_PREFIX,), decisions, bool)
+    view = _make_view(KeyValueStandIn(Network()))
     view.bind(feed)
     RUNNING.append(create_task(view.run()))
     return view
 
 
+async def _start_watching(service: KeyValueStandIn) -> StoreView:
+    view = _make_view(service)
+    RUNNING.append(create_task(view.run()))
+    return view
+
+
+def _make_view(service: KeyValueStandIn) -> StoreView:
+    store = MemoryKeyValue(service, Place('view', 'east'))
+    decisions = MemoryDecisionLog()
+    current = CurrentStore(store, decisions)
+    return StoreView(current, (OWN_PREFIX,), decisions, bool)
+
+
+def _commit(context: Any, name: str) -> None:
+    put = Put(f'{OWN_PREFIX}{name}', b'x')
+    context.changing.store.commit((), (put,))
+
+
 def _send(context: Any, changes: StoreChanges) -> None:
     context.feed.sent.put_nowait(changes)
     context.nodes.wait(FEED_TIME)
--- a/tests/features/store_changes.feature
+++ b/tests/features/store_changes.feature
@@ -106,3 +106,10 @@
     When the operator drops the route "browse"
     And 3 s go by
     Then no proxy that reaches the store lets a caller of "browse" in
+
+  Scenario: A change that a caller waits for is not batched
+    Guards against a new owner that is known up to 0.6 s late, after the statements
+    that wait for it have been refused.
+    Given a view of a store that has changed every 0.2 s for 3 s
+    When the store changes while a caller waits for that
+    Then the view has the change within 0.2 s
