Refuse a call or a reply that is too long for a peer

Callers saw: one caller that set 5 MB of session values and then wrote at a proxy other than the owner ended the connection of the two proxies. Its write was told UNKNOWN, all other calls on the connection were lost, and the next caller's write was refused for a second, as no owner was known. Any read whose rows exceed 4 MiB did the same.

Cause: a frame of any length was sent, and the receiver closes a connection on which a frame of more than 4 MiB arrives.

Change: a call or a reply beyond the limit is not sent. The call is rejected as malformed, the reply becomes an error: FAILED for a read, which names the limit, UNKNOWN for what can't be undone. The transaction is ended at the owner, as a refused statement ends it for its caller. That end has no test of its own. Frames of other kinds are sent as before.

--- a/src/sedgeshunt/adapters/forwarding.py
+++ b/src/sedgeshunt/adapters/forwarding.py
@@ -12,7 +12,7 @@
 from sedgeshunt.adapters.forwarding_codec import encode_frame, read_frame
 from sedgeshunt.adapters.frame_values import LONGEST_FRAME
 from sedgeshunt.adapters.listener import StreamListener
-from sedgeshunt.exceptions import PeerUnreachable
+from sedgeshunt.exceptions import FrameTooLong, PeerUnreachable
 from sedgeshunt.forwarding.channel import FrameChannel, FrameConnector
 from sedgeshunt.forwarding.messages import Frame
 from sedgeshunt.identifiers import Seconds
@@ -53,11 +53,16 @@
 
     def send(self, frame: Frame) -> None:
         """Send a frame without waiting; a broken connection takes any."""
+        encoded = encode_frame(frame)
+        has_words = frame.call is not None or frame.reply is not None
+        if has_words and len(encoded) > LONGEST_FRAME:
+            # The peer would close the connection and lose all calls on it.
+            raise FrameTooLong(len(encoded), LONGEST_FRAME)
         transport = self._writer.transport
         if transport.get_write_buffer_size() > MAX_UNSENT:
             transport.abort()
         if not transport.is_closing():
-            self._writer.write(encode_frame(frame))
+            self._writer.write(encoded)
 
     def close(self) -> None:
         """Drop the connection at once; closing twice does no harm."""
--- a/src/sedgeshunt/exceptions.py
+++ b/src/sedgeshunt/exceptions.py
@@ -214,3 +214,20 @@
 
 class PeerStopped(PeerUnreachable):
     """Say that another proxy stopped before it ran a call."""
+
+
+class FrameTooLong(SedgeshuntError):
+    """Signal that a call or a reply is too long to be sent to a peer."""
+
+    def __init__(self, size: int, longest: int) -> None:
+        """Store the size and the limit in bytes."""
+        super().__init__(size, longest)
+        self.size = size
+        self.longest = longest
+
+    def format_message(self) -> str:
+        """Return the limit and the remedy."""
+        return (
+            f'{self.size} bytes are too many for another proxy, which accepts '
+            + f'{self.longest}; use less text, fewer values or fewer rows'
+        )
--- a/src/sedgeshunt/forwarding/channel.py
+++ b/src/sedgeshunt/forwarding/channel.py
@@ -16,7 +16,10 @@
 
     @abstractmethod
     def send(self, frame: Frame) -> None:
-        """Send a frame without waiting; a broken connection drops it."""
+        """Send a frame without waiting; a broken connection drops it.
+
+        Raise FrameTooLong for a call or a reply beyond the limit of frames.
+        """
 
     @abstractmethod
     def close(self) -> None:
--- a/src/sedgeshunt/forwarding/link.py
+++ b/src/sedgeshunt/forwarding/link.py
@@ -19,7 +19,7 @@
 
 from sedgeshunt.clocks import read_boottime, read_clock
 from sedgeshunt.customers.quotas import QuotaGrant, QuotaRequest
-from sedgeshunt.exceptions import PeerStopped, PeerUnreachable
+from sedgeshunt.exceptions import FrameTooLong, PeerStopped, PeerUnreachable
 from sedgeshunt.forwarding.channel import FrameChannel, FrameConnector
 from sedgeshunt.forwarding.messages import (
     Frame,
@@ -49,6 +49,7 @@
     Cause,
     NotRun,
     Refusal,
+    Rejected,
 )
 from sedgeshunt.statements.call import (
     STOPPING_REASON,
@@ -91,6 +92,7 @@
 # Time that the reply may take to arrive after the call's own deadline.
 REPLY_SLACK = Seconds(0.05)
 RETRY_DELAY = Seconds(0.1)
+MALFORMED = 'malformed'
 MILLISECONDS = 1000
 
 
@@ -265,6 +267,17 @@
         channel = self._channel
         if channel is None or self._is_final or not self.is_alive():
             return Err(self._refuse_unsent(call))
+        try:
+            return await self._exchange(channel, call, deadline)
+        except FrameTooLong as failure:
+            return Err(self._reject_unsent(call, failure))
+
+    async def _exchange(
+        self,
+        channel: FrameChannel,
+        call: StatementCall,
+        deadline: Monotonic,
+    ) -> Result[Answer, Refusal]:
         asked_at = read_boottime()
         number, reply = self._send_call(channel, call)
         try:
@@ -464,7 +477,11 @@
     ) -> tuple[int, 'Future[Frame]']:
         self._called_at = read_clock()
         number, reply = self._add_waiter()
-        channel.send(Frame(number, call=call))
+        try:
+            channel.send(Frame(number, call=call))
+        except FrameTooLong:
+            del self._waiting[number]
+            raise
         get_running_loop().call_later(
             CALL_CHECK_DELAY,
             self._check_peer,
@@ -586,6 +603,16 @@
             RETRY_DELAY,
         )
 
+    def _reject_unsent(
+        self,
+        call: StatementCall,
+        failure: FrameTooLong,
+    ) -> Rejected:
+        if call.transaction is not None:
+            # A refused statement ends its transaction.
+            self.end_transaction(call.transaction)
+        return Rejected(0, MALFORMED, str(failure))
+
     def _refuse_lost(
         self,
         call: StatementCall,
--- a/src/sedgeshunt/forwarding/server.py
+++ b/src/sedgeshunt/forwarding/server.py
@@ -4,10 +4,12 @@
 from asyncio import CancelledError, Task, TaskGroup, wait
 from functools import partial
 
+from msgspec.structs import replace
 from result import Err, Result
 
 from sedgeshunt.clocks import read_clock
 from sedgeshunt.customers.quotas import QuotaGrant, QuotaRequest
+from sedgeshunt.exceptions import FrameTooLong
 from sedgeshunt.execution.transactions import TransactionTable
 from sedgeshunt.forwarding.channel import FrameChannel
 from sedgeshunt.forwarding.messages import (
@@ -28,7 +30,13 @@
 )
 from sedgeshunt.registry.changes import StoreChanges
 from sedgeshunt.registry.feeds import ChangeReceiver
-from sedgeshunt.requests.outcome import Answer, Cause, Refusal
+from sedgeshunt.requests.outcome import (
+    Answer,
+    Cause,
+    Refusal,
+    Rejected,
+    Unknown,
+)
 from sedgeshunt.statements.call import (
     STOPPING_REASON,
     StatementCall,
@@ -37,6 +45,8 @@
 )
 from sedgeshunt.statements.waits import start_recording
 
+FAILED = 'failed'
+
 
 class PeerRequestHandler(ABC):
     """Handle the requests of peers."""
@@ -233,9 +243,32 @@
                 deadline,
             )
             tip = self._handler.read_tip(call.group)
-            self._channel.send(
+            await self._send_reply(
+                call,
                 Frame(number, reply=reply, tip=tip, waits=waits.finish()),
             )
             self._calls.pop(number, None)
         finally:
             self._running.pop(number, None)
+
+    async def _send_reply(self, call: StatementCall, frame: Frame) -> None:
+        try:
+            self._channel.send(frame)
+        except FrameTooLong as failure:
+            refusal = await self._refuse_long(call, failure)
+            self._channel.send(replace(frame, reply=Err(refusal)))
+
+    async def _refuse_long(
+        self,
+        call: StatementCall,
+        failure: FrameTooLong,
+    ) -> Refusal:
+        """Return the refusal of a call whose reply is too long to be sent."""
+        if call.is_irreversible:
+            return Unknown(Cause.CONNECTION_LOST, str(failure))
+        if call.transaction is not None:
+            # A refused statement ends its transaction.
+            await self._handler.end_transaction(
+                call.transaction, self._transactions
+            )
+        return Rejected(0, FAILED, str(failure))
--- a/tests/features/messages.feature
+++ b/tests/features/messages.feature
@@ -115,3 +115,23 @@
       | "COMPLETE a" and "COMPLETE b" and "READY I -"    |
       | "ERROR BUSY no" and "COMPLETE a" and "READY I -" |
       | "COMPLETE a" and "ERROR BUSY no" and "READY I -" |
+
+  Scenario: Session values that are too long for a peer break no connection
+    Guards against one caller whose values end the connection of two proxies, and
+    with it the calls of all others on it.
+    Given processes "east-1, west-1"
+    When a caller of each proxy sets 5 values of 1000000 bytes and writes
+    Then each write is done or refused with "ERROR MALFORMED"
+    And a caller of "kigali" at "east-1" is served within 300 ms
+    And a caller of "kigali" at "west-1" is served within 300 ms
+    And the log of "east-1" has no "peer-lost"
+    And the log of "west-1" has no "peer-lost"
+
+  Scenario: An answer that is too long for a peer breaks no connection
+    Guards against one caller's answer that ends the connection of two proxies.
+    Given processes "east-1, west-1"
+    And the targets answer reads with 5 rows of 1000000 bytes
+    When a caller of each proxy reads
+    Then each read is done or refused with "ERROR FAILED"
+    And the log of "east-1" has no "peer-lost"
+    And the log of "west-1" has no "peer-lost"
--- a/tests/features/platform_bench.py
+++ b/tests/features/platform_bench.py
@@ -39,6 +39,7 @@
 EXIT_TIMEOUT = 12
 GRACE_SECONDS = 3
 POLL_INTERVAL = 0.05
+MAX_LINE = 2 * 1024 * 1024
 
 CONFIGURATION: dict[str, Any] = {
     'version': 7,
@@ -173,7 +174,9 @@
 
     def open(self) -> None:
         """Open a connection without sending data."""
-        opened = self._loop.run(open_connection(HOST, self._port))
+        opened = self._loop.run(
+            open_connection(HOST, self._port, limit=MAX_LINE),
+        )
         self._reader = opened[0]
         self._writer = opened[1]
 
--- a/tests/features/steps/messages_steps.py
+++ b/tests/features/steps/messages_steps.py
@@ -366,6 +366,49 @@
     assert lines[0].startswith('COMPLETE'), lines
 
 
+@when(
+    'a caller of each proxy sets {count:d} values of {size:d} bytes and writes'
+)
+def write_with_values(context: Any, count: int, size: int) -> None:
+    context.answers = []
+    for proxy in context.platform.proxies:
+        caller = context.platform.call(proxy)
+        assert caller.connect('kigali')[-1].startswith('READY')
+        for number in range(count):
+            lines = caller.ask(f'SET v{number} {"x" * size}')
+            assert lines[0].startswith('COMPLETE'), lines
+        context.answers.append(caller.ask('WRITE turn 7'))
+
+
+@given('the targets answer reads with {count:d} rows of {size:d} bytes')
+def set_rows(context: Any, count: int, size: int) -> None:
+    rows = '\r\n'.join(f'ROW {"x" * size}' for _ in range(count))
+    lines = context.platform.platform.databases.lines
+    lines['READ'] = f'{rows}\r\nCOMPLETE {SIGNATURE}'
+
+
+@when('a caller of each proxy reads')
+def read_long(context: Any) -> None:
+    context.answers = []
+    for proxy in context.platform.proxies:
+        caller = context.platform.call(proxy)
+        assert caller.connect('kigali')[-1].startswith('READY')
+        caller.send(b'QUERY q1 READ turn\r\n')
+        lines = [caller.read_until(LINE_END).decode()]
+        while not lines[-1].startswith('READY'):
+            lines.append(caller.read_until(LINE_END).decode())
+        context.answers.append(lines)
+
+
+@then('each {_statement} is done or refused with "{code}"')
+def check_each(context: Any, _statement: str, code: str) -> None:
+    starts = [lines[0][:100] for lines in context.answers]
+    done = [start for start in starts if start.startswith(('COMPLETE', 'ROW'))]
+    assert done, starts
+    for start in set(starts) - set(done):
+        assert start.startswith(code), starts
+
+
 @when('a caller at "{proxy}" sends {message} with a name of {size:d} bytes')
 def send_long_name(context: Any, proxy: str, message: str, size: int) -> None:
     caller = context.platform.call(proxy)
