Let a proxy that is no candidate outwait the promises to an owner

Callers saw: two proxies owned a group for up to 29 s, and both answered, when an owner was cut off from the store, its key was deleted while peers renewed its lease, and a proxy that is no candidate reached the store but no proxy.

Cause: such a proxy waited for 34 s from the absence of the key, then ended the lease and claimed a second later. Promises of the candidates extend the ownership for 30 s from the end of the lease, which was only then.

Change: a proxy that is no candidate looks at the lease 4 s after the key has gone, ends it if it is alive, and claims 30 s after the longest time for which an owner may count on it. Where nothing is known of a lease it waits 34 s, as before. Candidates wait as before: they know their own promises.

Where no candidate is left, the wait for such a claim stays at about 35 s.

--- a/src/sedgeshunt/ownership/claims.py
+++ b/src/sedgeshunt/ownership/claims.py
@@ -297,19 +297,37 @@
         """
         records = self._context.records
         record = records.find_record(self.group)
-        if record is None or not self._find_possible_owner(record):
-            return True
-        if records.is_claim_outdated(self.group):
-            return True
+        extension = self._find_extension(record)
+        if (
+            record is None
+            or not self._find_possible_owner(record)
+            or records.is_claim_outdated(self.group)
+        ):
+            longest = extension + OUTAGE_PROMISE_TIME
+            return not extension or self._measure_absence() > longest
         if not record.lease:
-            since = self._owner_absent_since or read_boottime()
-            return read_boottime() - since > ENDED_LEASE_WAIT
+            return self._measure_absence() > ENDED_LEASE_WAIT + extension
         try:
             if await records.lease_ends.is_alive(self.group, record):
                 await self._end_lease(record)
         except (PlatformUnavailable, AnswerLost):
             await sleep(RANK_DELAY)
-        return records.lease_ends.is_wait_over(self.group, record)
+        return records.lease_ends.is_wait_over(self.group, record, extension)
+
+    def _find_extension(self, record: GroupRecord | None) -> Seconds:
+        """Return how long others may extend an ownership after its lease.
+
+        A candidate knows: an ownership is extended by the promises of all of
+        them, its own included.
+        """
+        if record is None or self._context.records.owner in record.candidates:
+            return Seconds(0)
+        return MAX_EXTENSION
+
+    def _measure_absence(self) -> Seconds:
+        """Return how long the key of the owner has been absent."""
+        now = read_boottime()
+        return Seconds(now - (self._owner_absent_since or now))
 
     async def _end_lease(self, record: GroupRecord) -> None:
         if await self._context.records.lease_ends.end(self.group, record):
@@ -322,7 +340,6 @@
         context = self._context
         record = context.records.find_record(self.group)
         now = read_boottime()
-        absent_for = now - (self._owner_absent_since or now)
         if record is None and now - context.started_at < REGISTRATION_TIME:
             return False
         if self._is_restore_recent():
@@ -330,11 +347,8 @@
         last = self._find_possible_owner(record)
         if self._is_bound_by_promise(self._list_possible_owners(last)):
             return False
-        if (
-            record is not None
-            and context.records.owner not in record.candidates
-        ):
-            return absent_for > MAX_EXTENSION + OUTAGE_PROMISE_TIME
+        if self._find_extension(record):
+            return self._measure_absence() > OUTAGE_PROMISE_TIME
         if self._eligible_since is None:
             self._eligible_since = now
         return now - self._eligible_since >= self._find_delay(record, last)
--- a/src/sedgeshunt/ownership/lease_ends.py
+++ b/src/sedgeshunt/ownership/lease_ends.py
@@ -75,13 +75,23 @@
         self._found[group] = _FoundEnd(record.lease, read_boottime())
         return False
 
-    def is_wait_over(self, group: GroupId, record: GroupRecord) -> bool:
-        """Return whether no owner counts on a lease that was found ended."""
+    def is_wait_over(
+        self,
+        group: GroupId,
+        record: GroupRecord,
+        extension: Seconds,
+    ) -> bool:
+        """Return whether no owner counts on a lease that was found ended.
+
+        Promises of others may extend an ownership by `extension`.
+        """
         found = self._found.get(group)
         if found is None or found.lease != record.lease:
             return False
         waited = read_boottime() - found.found_at
-        return waited > ENDED_LEASE_WAIT or not self._is_listed(record)
+        if waited > ENDED_LEASE_WAIT + extension:
+            return True
+        return not extension and not self._is_listed(record)
 
     async def end(self, group: GroupId, record: GroupRecord) -> bool:
         """End a lease whose owner key is gone; return whether it was ended.
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -157,6 +157,18 @@
     Then another proxy than "east-1" owns the group
     And no two proxies owned the group at once
 
+  Scenario: A proxy that is no candidate outwaits the promises to an owner
+    Candidates hear the owner and promise not to claim. Guards against a second
+    owner for up to 30 s: a proxy that hears nobody ends the owner's lease, which
+    promises extend from then on.
+    Given 10 proxies in three zones
+    When a proxy that is no candidate is cut off from all others
+    And the store is cut off from the owner
+    And the owner's key is deleted
+    And 80 s go by
+    Then another proxy than the first owner owns the group
+    And no two proxies owned the group at once
+
   Scenario: A takeover after an owner of an earlier version
     Its record names no lease. The next owner waits for the time of a lease
     after the key is gone, and then claims.
--- a/tests/features/steps/ownership_steps.py
+++ b/tests/features/steps/ownership_steps.py
@@ -233,6 +233,26 @@
     context.nodes.time.act(lambda: refused.frames.drop(refused.address))
 
 
+@when('a proxy that is no candidate is cut off from all others')
+def cut_uninvolved(context: Any) -> None:
+    record = read_record(context)
+    uninvolved = sorted(set(context.nodes.nodes) - set(record.candidates))
+    for other in context.nodes.nodes:
+        if other != uninvolved[0]:
+            cut_pair(context, uninvolved[0], other)
+
+
+@when('the store is cut off from the owner')
+def cut_owner_store(context: Any) -> None:
+    context.first_owner = context.nodes.find_owner()
+    cut_store(context, context.first_owner)
+
+
+@then('another proxy than the first owner owns the group')
+def check_later_owner(context: Any) -> None:
+    check_other_owner(context, context.first_owner)
+
+
 @when("the owner's key is deleted")
 def delete_key(context: Any) -> None:
     change = Delete(make_owner_key(GROUP))
