Wait for a restarted proxy before its callers connect

Cause: the scenario kills and restarts a proxy, lets 3 s pass, and connects. It never waited for the proxy, whose start takes longer on a starved machine.

Change: the proxy is restarted by the step that waits until it is ready. What the targets answer, for how long, and what is checked stay the same.

--- a/tests/features/steps/platform_process_steps.py
+++ b/tests/features/steps/platform_process_steps.py
@@ -428,8 +428,7 @@
     platform = context.platform.platform
     platform.databases.lines[word] = line.replace('MANY', '9' * 5000)
     # The owner queries the status of all targets when it starts anew.
-    context.platform.proxies['east-1'].close()
-    context.platform.proxies['east-1'].start()
+    start_again(context, 'east-1')
     for proxy in context.platform.proxies:
         caller = context.platform.call(proxy)
         with suppress(OSError):
