Send texts that look like messages in the process soak

The soak wrote and set words only, so that it could not see a text that is cut, joined or taken for another message. The stand-in of the targets stripped what it ran, and the soak's callers read up to a line feed.

Change: values end in line feeds, carriage returns, blanks, controls or words of the protocol; each statement that a target ran is compared with what its caller sent, each row as before with what was written. Stand-in and callers read and keep messages as they are.

--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -72,6 +72,17 @@
 }
 # The platform doesn't take keys before their leases end.
 KINDS = ('processes', 'links', 'store', 'starving', 'combined')
+# Ends of texts that a proxy or a target could take for the end of a message or
+# a field, or for another message.
+TEXT_ENDS = (
+    '',
+    '\n',
+    '\r',
+    '  two  words ',
+    '\nQUERY x9 WRITE item0 smuggled',
+    '\rCOMPLETE -\nREADY I -',
+    '\x00\x85\u2028',
+)
 PROMISES = frozenset(
     ('BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'TOOMANY'),
 )
@@ -110,7 +121,8 @@
     outcomes: Counter[str] = field(default_factory=Counter)
     violations: list[str] = field(default_factory=list)
     promised: set[str] = field(default_factory=set)
-    # The session values that each statement must run with.
+    # The text of each statement, and the session values that it must run with.
+    texts: dict[str, str] = field(default_factory=dict)
     values: dict[str, dict[str, str]] = field(default_factory=dict)
     breaches: list[Breach] = field(default_factory=list)
     overlaps: list[Overlap] = field(default_factory=list)
@@ -203,21 +215,23 @@
 
     async def _set_value(self, session: Session, notes: Notes) -> None:
         name = self.random.choice(('lang', 'zone'))
-        text = f'{notes.item}{next(self.ids)}'
-        if await self._ask(session, text, f'SET {name} {text}') == 'COMPLETE':
+        number = f'{notes.item}{next(self.ids)}'
+        text = f'{number}{self.random.choice(TEXT_ENDS)}'
+        if await self._ask(session, number, f'SET {name} {text}') == 'COMPLETE':
             notes.values = {**notes.values, name: text}
 
     async def _write(self, session: Session, notes: Notes) -> None:
         name = f'{self.seed}w{next(self.ids)}'
         self.values[name] = notes.values
-        notes.in_doubt.add(name)
+        text = f'{name}{self.random.choice(TEXT_ENDS)}'
+        notes.in_doubt.add(text)
         word = await self._ask_noted(
-            session, notes, name, f'WRITE {notes.item} {name}'
+            session, notes, name, f'WRITE {notes.item} {text}'
         )
         if word == 'COMPLETE':
-            notes.acknowledged = name
+            notes.acknowledged = text
         if word == 'COMPLETE' or word in PROMISES:
-            notes.in_doubt.discard(name)
+            notes.in_doubt.discard(text)
         if word in PROMISES:
             self.promised.add(name)
 
@@ -227,14 +241,15 @@
         word = await self._ask_noted(session, notes, name, f'READ {notes.item}')
         if word == 'COMPLETE' and not notes.may_be(session.row):
             self.violations.append(
-                f'{name} found {session.row} of {notes.item} after '
-                f'{notes.acknowledged} was acknowledged',
+                f'{name} found {session.row!r} of {notes.item} after '
+                f'{notes.acknowledged!r} was acknowledged',
             )
 
     async def _ask_noted(
         self, session: Session, notes: Notes, name: str, text: str
     ) -> str:
         """Run a statement, and record what its caller sees."""
+        self.texts[name] = text
         began_at = read_clock()
         word = ''
         try:
@@ -356,6 +371,11 @@
             for run in group.runs
             if (values := self.values.get(run.statement, {})) != run.values
         ]
+        self.violations += [
+            f'{run.statement} ran as {run.text!r}, which no caller sent'
+            for run in group.runs
+            if run.text != self.texts.get(run.statement)
+        ]
         runs = Counter(
             run.statement for run in group.runs if run.text.startswith('WRITE')
         )
--- a/tests/standins/statement_front.py
+++ b/tests/standins/statement_front.py
@@ -127,22 +127,21 @@
     async def run(self, statement: StatementId, text: str) -> TargetReply:
         """Run one statement."""
         after = None
-        word, _, rest = text.partition(' ')
-        if word == 'AFTER':
+        if text.startswith('AFTER '):
+            _, _, rest = text.partition(' ')
             place, _, text = rest.partition(' ')
             term, _, number = place.partition('.')
             after = Point(Term(int(term)), Position(int(number)))
-            word, _, rest = text.partition(' ')
-        return await self._run(statement, word, rest, after)
+        return await self._run(statement, text, after)
 
     async def _run(
         self,
         statement: StatementId,
-        word: str,
-        rest: str,
+        text: str,
         after: Point | None,
     ) -> TargetReply:
         session = self._session
+        word, _, rest = text.partition(' ')
         if word == 'BEGIN':
             return await session.begin(
                 is_read_only=rest == 'READ',
@@ -155,7 +154,7 @@
         change = self._CHANGES.get(word)
         if change is not None:
             return await change(self, rest)
-        return await session.run(statement, f'{word} {rest}'.strip(), after)
+        return await session.run(statement, text, after)
 
     async def _roll_back(self, _rest: str) -> TargetReply:
         return await self._session.roll_back()
--- a/tests/wire_session.py
+++ b/tests/wire_session.py
@@ -1,10 +1,17 @@
 """Speak the wire protocol of the users' platform as a caller does."""
 
-from asyncio import StreamReader, StreamWriter, open_connection, timeout
+from asyncio import (
+    IncompleteReadError,
+    StreamReader,
+    StreamWriter,
+    open_connection,
+    timeout,
+)
 from contextlib import suppress
 
 from tests.standins.statement_front import HOST
 
+LINE_END = b'\r\n'
 # Time in which a line that has arrived is read.
 POLL_TIME = 0.001
 
@@ -31,15 +38,15 @@
         self._reader = opened[0]
         self._writer = opened[1]
         self._send(f'START {database} soak')
-        line = await self._reader.readline()
-        if not line.startswith(b'READY'):
-            raise ConnectionRefusedError(line.decode())
+        line = await self._read_line()
+        if not line.startswith('READY'):
+            raise ConnectionRefusedError(line)
 
     async def ask(self, name: str, text: str) -> str:
         """Return COMPLETE or an error's code; raise OSError."""
         self._send(f'QUERY {name} {text}')
         word = ''
-        while line := (await self._reader.readline()).decode().rstrip('\r\n'):
+        while line := await self._read_line():
             kind, _, rest = line.partition(' ')
             if kind == 'ROW':
                 self.row = rest
@@ -56,9 +63,17 @@
         """Raise SessionDrained if the proxy has asked to leave."""
         with suppress(TimeoutError):
             async with timeout(POLL_TIME):
-                await self._reader.readline()
+                await self._read_line()
                 raise SessionDrained
 
+    async def _read_line(self) -> str:
+        """Return the next line, empty at the end of the connection."""
+        try:
+            line = await self._reader.readuntil(LINE_END)
+        except IncompleteReadError:
+            return ''
+        return line.removesuffix(LINE_END).decode()
+
     def _send(self, line: str) -> None:
         if self._writer is not None:
             self._writer.write(f'{line}\r\n'.encode())
