Show that a statement too long for a peer ends its transaction

The scenario fails without the end of the transaction in the link: the targets got no ROLLBACK within a second, as the owner had never seen the statement. The stand-in of the targets counts the statements that arrive.

--- a/tests/features/messages.feature
+++ b/tests/features/messages.feature
@@ -135,3 +135,11 @@
     Then each read is done or refused with "ERROR FAILED"
     And the log of "east-1" has no "peer-lost"
     And the log of "west-1" has no "peer-lost"
+
+  Scenario: A transaction ends with a statement that is too long for a peer
+    Guards against a transaction that stays open at its owner, with a connection,
+    although its caller has been told that it has ended.
+    Given processes "east-1, west-1"
+    When a caller of each proxy begins, writes, and writes with too many values
+    Then each write is done or refused with "ERROR MALFORMED"
+    And the targets are told to roll back within 1 s
--- a/tests/features/steps/messages_steps.py
+++ b/tests/features/steps/messages_steps.py
@@ -12,6 +12,7 @@
 )
 from contextlib import suppress
 from itertools import pairwise
+from time import monotonic
 from time import sleep as wait_for
 from typing import Any
 
@@ -380,6 +381,31 @@
         context.answers.append(caller.ask('WRITE turn 7'))
 
 
+@when('a caller of each proxy begins, writes, and writes with too many values')
+def write_long_transactions(context: Any) -> None:
+    context.answers = []
+    # Kept, as a caller that leaves ends its transaction.
+    context.callers = []
+    for proxy in context.platform.proxies:
+        caller = context.platform.call(proxy)
+        context.callers.append(caller)
+        assert caller.connect('kigali')[-1].startswith('READY')
+        for text in ('BEGIN', 'WRITE turn 7'):
+            assert caller.ask(text)[-1].startswith('READY T')
+        for number in range(5):
+            caller.ask(f'SET v{number} {"x" * 1000000}')
+        context.answers.append(caller.ask('WRITE turn 8'))
+
+
+@then('the targets are told to roll back within {seconds:g} s')
+def check_rolled_back(context: Any, seconds: float) -> None:
+    words = context.platform.platform.databases.words
+    deadline = monotonic() + seconds
+    while not words['ROLLBACK']:
+        assert monotonic() < deadline, words
+        wait_for(ARRIVAL_TIME)
+
+
 @given('the targets answer reads with {count:d} rows of {size:d} bytes')
 def set_rows(context: Any, count: int, size: int) -> None:
     rows = '\r\n'.join(f'ROW {"x" * size}' for _ in range(count))
--- a/tests/standins/statement_front.py
+++ b/tests/standins/statement_front.py
@@ -7,6 +7,7 @@
     StreamWriter,
     start_server,
 )
+from collections import Counter
 from contextlib import suppress
 from functools import partial
 
@@ -55,6 +56,8 @@
         self.group = group
         # Lines to answer instead, by the first word of the request.
         self.lines: dict[str, str] = {}
+        # The statements that have arrived, by their first word.
+        self.words: Counter[str] = Counter()
         self._servers: list[Server] = []
 
     async def start(self) -> None:
@@ -106,6 +109,7 @@
         try:
             while line := await _read_line(reader):
                 _, name, text = line.split(' ', 2)
+                self.words[text.partition(' ')[0]] += 1
                 reply = await conversation.run(StatementId(name), text)
                 written = _write_reply(reply)
                 instead = self.lines.get(text.partition(' ')[0])
